--- /dev/null
+++ b/core/wire/wire.go
@@ -0,0 +1,196 @@
+// Package wire encodes and authenticates the datagrams between balancers and
+// agents, and among agents: a fixed 64-byte header followed by a payload. The
+// tag covers the header and the first bytes of the payload; QUIC packets in
+// the payload are authenticated by QUIC itself.
+package wire
+
+import (
+	"crypto/subtle"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"github.com/dchest/siphash"
+)
+
+const (
+	// HeaderLen is the length of the header, in bytes.
+	HeaderLen = 64
+	// MaxDatagram is the size of receive buffers, in bytes. A caller's
+	// datagram has at most 1,452 bytes.
+	MaxDatagram = 2048
+	// KeyLen is the length of a datagram key, in bytes.
+	KeyLen = 16
+
+	version       = 1
+	tagOffset     = 48
+	tagLen        = 16
+	taggedPayload = 32
+)
+
+// Kind is the type of a datagram.
+type Kind uint8
+
+// The datagram kinds.
+const (
+	// Forward carries a caller's datagram towards an agent.
+	Forward Kind = 1
+	// Return carries an agent's datagram towards a caller.
+	Return Kind = 2
+	// Ping asks for a Pong with the same sequence.
+	Ping Kind = 3
+	// Pong answers a Ping, or a Forward with FlagEcho.
+	Pong Kind = 4
+	// Control carries a CBOR message between agents.
+	Control Kind = 5
+)
+
+// Flags modify a datagram.
+type Flags uint8
+
+// The datagram flags.
+const (
+	// FlagLeaving says that the sender is stopping as planned.
+	FlagLeaving Flags = 1 << iota
+	// FlagEcho asks the receiver for a Pong.
+	FlagEcho
+	// FlagFirst marks a packet without a routable connection ID.
+	FlagFirst
+	// FlagRedirected marks a First packet that an agent has passed on.
+	FlagRedirected
+)
+
+// StateBits describe the sending agent.
+type StateBits uint16
+
+// The agent state bits.
+const (
+	// StateDraining says that the agent starts no new work.
+	StateDraining StateBits = 1 << iota
+	// StateCold says that the agent is in its slot ramp.
+	StateCold
+	// StateFull says that the agent is at its connection limit.
+	StateFull
+)
+
+// Header is the decoded header of a datagram.
+type Header struct {
+	Kind        Kind
+	Flags       Flags
+	Service     uint32
+	Incarnation uint64
+	Sequence    uint64
+	// Caller is the address of the caller, for Forward and Return.
+	Caller netip.AddrPort
+	// Busy is the number of requests in slots at the sending agent.
+	Busy uint16
+	// Waiting is the number of queued requests at the sending agent.
+	Waiting uint16
+	State   StateBits
+}
+
+// Errors that Open returns. They are fixed values, so that the forwarding
+// path does not allocate.
+var (
+	ErrShort      = errors.New("datagram is shorter than its header")
+	ErrVersion    = errors.New("datagram has an unknown version")
+	ErrGeneration = errors.New("datagram has an unknown key generation")
+	ErrTag        = errors.New("datagram has a wrong tag")
+	ErrKind       = errors.New("datagram has an unknown kind")
+)
+
+type key struct {
+	k0, k1 uint64
+	loaded bool
+}
+
+// Codec seals and opens datagrams. It is immutable and safe for concurrent
+// use.
+type Codec struct {
+	keys   [256]key
+	active uint8
+}
+
+// NewCodec returns a codec that seals with the active key generation and
+// opens with every loaded one.
+func NewCodec(keys map[uint8][]byte, active uint8) (*Codec, error) {
+	c := &Codec{active: active}
+	for generation, k := range keys {
+		if len(k) != KeyLen {
+			return nil, fmt.Errorf("generation %d: key has %d bytes, want %d", generation, len(k), KeyLen)
+		}
+		c.keys[generation] = key{binary.BigEndian.Uint64(k), binary.BigEndian.Uint64(k[8:]), true}
+	}
+	if !c.keys[active].loaded {
+		return nil, fmt.Errorf("active generation %d has no key", active)
+	}
+	return c, nil
+}
+
+// Seal writes the header of a datagram whose payload already starts at
+// buf[HeaderLen:]. It panics if buf is shorter than HeaderLen.
+func (c *Codec) Seal(buf []byte, h *Header) {
+	_ = buf[HeaderLen-1]
+	buf[0], buf[1], buf[2], buf[3] = version, byte(h.Kind), c.active, byte(h.Flags)
+	binary.BigEndian.PutUint32(buf[4:], h.Service)
+	binary.BigEndian.PutUint64(buf[8:], h.Incarnation)
+	binary.BigEndian.PutUint64(buf[16:], h.Sequence)
+	ip := h.Caller.Addr().As16()
+	copy(buf[24:40], ip[:])
+	binary.BigEndian.PutUint16(buf[40:], h.Caller.Port())
+	binary.BigEndian.PutUint16(buf[42:], h.Busy)
+	binary.BigEndian.PutUint16(buf[44:], h.Waiting)
+	binary.BigEndian.PutUint16(buf[46:], uint16(h.State))
+	hi, lo := c.tag(c.active, buf)
+	binary.BigEndian.PutUint64(buf[tagOffset:], hi)
+	binary.BigEndian.PutUint64(buf[tagOffset+8:], lo)
+}
+
+// Open verifies a datagram and decodes its header. The payload is
+// buf[HeaderLen:].
+func (c *Codec) Open(buf []byte, h *Header) error {
+	if len(buf) < HeaderLen {
+		return ErrShort
+	}
+	if buf[0] != version {
+		return ErrVersion
+	}
+	if !c.keys[buf[2]].loaded {
+		return ErrGeneration
+	}
+	hi, lo := c.tag(buf[2], buf)
+	if !tagEqual(buf[tagOffset:tagOffset+tagLen], hi, lo) {
+		return ErrTag
+	}
+	h.Kind = Kind(buf[1])
+	if h.Kind < Forward || h.Kind > Control {
+		return ErrKind
+	}
+	h.Flags = Flags(buf[3])
+	h.Service = binary.BigEndian.Uint32(buf[4:])
+	h.Incarnation = binary.BigEndian.Uint64(buf[8:])
+	h.Sequence = binary.BigEndian.Uint64(buf[16:])
+	addr := netip.AddrFrom16([16]byte(buf[24:40])).Unmap()
+	h.Caller = netip.AddrPortFrom(addr, binary.BigEndian.Uint16(buf[40:]))
+	h.Busy = binary.BigEndian.Uint16(buf[42:])
+	h.Waiting = binary.BigEndian.Uint16(buf[44:])
+	h.State = StateBits(binary.BigEndian.Uint16(buf[46:]))
+	return nil
+}
+
+// tag hashes the header without its tag and the first payload bytes, which
+// binds a tag to its payload at a fixed cost.
+func (c *Codec) tag(generation uint8, buf []byte) (hi, lo uint64) {
+	var input [tagOffset + taggedPayload]byte
+	n := copy(input[:], buf[:tagOffset])
+	n += copy(input[n:], buf[HeaderLen:])
+	k := &c.keys[generation]
+	return siphash.Hash128(k.k0, k.k1, input[:n])
+}
+
+func tagEqual(got []byte, hi, lo uint64) bool {
+	diff := binary.BigEndian.Uint64(got) ^ hi
+	diff |= binary.BigEndian.Uint64(got[8:]) ^ lo
+	return subtle.ConstantTimeEq(int32(uint32(diff)|uint32(diff>>32)), 0) == 1
+}
