returnpath: select the balancer for response datagrams

Cause: an agent has no list of balancers that is current; it must answer through balancers that are known to be alive. Ruled out: pinging every balancer of a large region, which is over the control budget; only the balancers in use and a few spares are pinged. Clearing the Leaving mark with the next datagram, which a reordered datagram would trigger; the mark is held for 1 s. Change: core/returnpath with New, Heard, Next, Pings and Resumed, in memory bounded by Limits.Max.

--- /dev/null
+++ b/core/returnpath/returnpath.go
@@ -0,0 +1,273 @@
+// Package returnpath selects the balancer that carries an agent's next
+// response datagram. An agent uses balancers that it heard from recently and
+// that are not leaving, so a response survives the loss of any balancer
+// without a list of balancers and without a shared view.
+//
+// The package is pure: it has no clock and no I/O. A Set is not safe for
+// concurrent use.
+//
+// Invariants:
+//   - Next returns a balancer that is not leaving and was heard from within
+//     Limits.Fresh whenever there is one, and otherwise the balancer heard
+//     from most recently.
+//   - Next reports false only if nothing was ever heard.
+//   - A Set holds at most Limits.Max balancers, and never drops the one heard
+//     from most recently.
+package returnpath
+
+import (
+	"container/list"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Limits bound a Set. A zero field takes its default.
+type Limits struct {
+	// Fresh is how long after a datagram a balancer counts as alive. Default
+	// 250 ms.
+	Fresh time.Duration
+	// Spread is how many balancers share the responses. Default 4.
+	Spread int
+	// Active is how long after a response datagram pings go on. Default
+	// 500 ms.
+	Active time.Duration
+	// PingEvery is the interval of pings. Default 100 ms.
+	PingEvery time.Duration
+	// PingMax is how many balancers are pinged in one round: those in use and
+	// spares. Default 6, which is under 6 KB/s in each direction with IP and
+	// UDP headers; pinging every balancer of a large region would be over
+	// the budget for control traffic.
+	PingMax int
+	// LeavingHold is how long after a datagram with the Leaving flag the
+	// balancer stays excluded, even if a datagram without the flag follows: a
+	// reordered datagram must not bring back a balancer that is stopping.
+	// Default 1 s.
+	LeavingHold time.Duration
+	// Max is how many balancers are remembered. Default 4096.
+	Max int
+}
+
+// The defaults of Limits.
+const (
+	DefaultFresh       = 250 * time.Millisecond
+	DefaultSpread      = 4
+	DefaultActive      = 500 * time.Millisecond
+	DefaultPingEvery   = 100 * time.Millisecond
+	DefaultPingMax     = 6
+	DefaultLeavingHold = time.Second
+	DefaultMax         = 4096
+)
+
+func (l Limits) withDefaults() Limits {
+	setDefault(&l.Fresh, DefaultFresh)
+	setDefault(&l.Spread, DefaultSpread)
+	setDefault(&l.Active, DefaultActive)
+	setDefault(&l.PingEvery, DefaultPingEvery)
+	setDefault(&l.PingMax, DefaultPingMax)
+	setDefault(&l.LeavingHold, DefaultLeavingHold)
+	setDefault(&l.Max, DefaultMax)
+	return l
+}
+
+func setDefault[T int | time.Duration](v *T, d T) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+type entry struct {
+	addr    netip.AddrPort
+	heard   time.Duration
+	epoch   uint64
+	leaving bool
+	// leftAt is when the Leaving flag was last seen.
+	leftAt time.Duration
+	used   bool
+}
+
+// Set is an agent's view of its balancers.
+type Set struct {
+	limits  Limits
+	entries map[netip.AddrPort]*list.Element
+	// recent holds every entry, the one heard from most recently first.
+	recent *list.List
+	// used holds the balancers in the round robin. Every usable balancer is
+	// in it, or it is full; entries that became unusable stay in it until the
+	// next call of dropUnusable.
+	used   []*entry
+	cursor int
+	// epoch counts pauses. What was heard in an earlier epoch says nothing
+	// about the present.
+	epoch uint64
+
+	now    time.Duration
+	sent   instant
+	pinged instant
+	batch  []netip.AddrPort
+}
+
+// instant is a time that may be unset.
+type instant struct {
+	at  time.Duration
+	set bool
+}
+
+// New returns an empty Set.
+func New(limits Limits) *Set {
+	return &Set{
+		limits:  limits.withDefaults(),
+		entries: make(map[netip.AddrPort]*list.Element),
+		recent:  list.New(),
+	}
+}
+
+// Heard records an authenticated datagram from a balancer.
+func (s *Set) Heard(now time.Duration, balancer netip.AddrPort, leaving bool) {
+	s.advance(now)
+	e := s.touch(balancer)
+	e.heard, e.epoch = s.now, s.epoch
+	if leaving {
+		e.leaving, e.leftAt = true, s.now
+	} else if e.leaving && s.now-e.leftAt > s.limits.LeavingHold {
+		e.leaving = false
+	}
+	s.use(e)
+}
+
+// Next returns the balancer for the next response datagram, and false if
+// nothing was heard yet. It counts as sending a response.
+func (s *Set) Next(now time.Duration) (netip.AddrPort, bool) {
+	s.advance(now)
+	s.sent = instant{s.now, true}
+	s.dropUnusable()
+	if len(s.used) == 0 {
+		front := s.recent.Front()
+		if front == nil {
+			return netip.AddrPort{}, false
+		}
+		return front.Value.(*entry).addr, true
+	}
+	if s.cursor >= len(s.used) {
+		s.cursor = 0
+	}
+	e := s.used[s.cursor]
+	s.cursor++
+	return e.addr, true
+}
+
+// Pings returns the balancers to ping now. Call it on every tick; it returns
+// none while the agent sends no responses or before the interval has passed.
+// Balancers heard from within half an interval need no ping. The rest of the
+// budget goes to the balancers heard from most recently, so that replacements
+// are known to be alive when one in use is lost. The result is valid until
+// the next call.
+func (s *Set) Pings(now time.Duration) []netip.AddrPort {
+	s.advance(now)
+	if !s.sent.set || s.now-s.sent.at > s.limits.Active {
+		return nil
+	}
+	if s.pinged.set && s.now-s.pinged.at < s.limits.PingEvery {
+		return nil
+	}
+	s.pinged = instant{s.now, true}
+	s.dropUnusable()
+	s.batch = s.batch[:0]
+	budget := s.limits.PingMax
+	for _, e := range s.used {
+		s.ping(e, &budget)
+	}
+	for el := s.recent.Front(); el != nil && budget > 0; el = el.Next() {
+		if e := el.Value.(*entry); !e.used && !e.leaving {
+			s.ping(e, &budget)
+		}
+	}
+	return s.batch
+}
+
+// ping spends one unit of the budget on a balancer, also if it was heard from
+// so recently that it needs no ping.
+func (s *Set) ping(e *entry, budget *int) {
+	if *budget == 0 {
+		return
+	}
+	*budget--
+	if e.epoch != s.epoch || s.now-e.heard >= s.limits.PingEvery/2 {
+		s.batch = append(s.batch, e.addr)
+	}
+}
+
+// Resumed tells the Set that the process was paused. No balancer counts as
+// alive until it is heard from again, and the next call of Pings asks them if
+// the agent ever sent a response.
+func (s *Set) Resumed(now time.Duration) {
+	s.advance(now)
+	s.epoch++
+	s.sent.at = s.now
+	s.pinged = instant{}
+}
+
+// Len returns how many balancers are remembered.
+func (s *Set) Len() int { return s.recent.Len() }
+
+func (s *Set) advance(now time.Duration) { s.now = max(s.now, now) }
+
+// touch moves the entry of a balancer to the front, and makes room for it if
+// it is new.
+func (s *Set) touch(balancer netip.AddrPort) *entry {
+	if el := s.entries[balancer]; el != nil {
+		s.recent.MoveToFront(el)
+		return el.Value.(*entry)
+	}
+	e := &entry{addr: balancer}
+	if s.recent.Len() >= s.limits.Max {
+		s.forget(s.recent.Back())
+	}
+	s.entries[balancer] = s.recent.PushFront(e)
+	return e
+}
+
+func (s *Set) forget(el *list.Element) {
+	e := el.Value.(*entry)
+	if i := slices.Index(s.used, e); i >= 0 {
+		s.used = slices.Delete(s.used, i, i+1)
+	}
+	delete(s.entries, e.addr)
+	s.recent.Remove(el)
+}
+
+func (s *Set) fresh(e *entry) bool {
+	return e.epoch == s.epoch && s.now-e.heard <= s.limits.Fresh
+}
+
+func (s *Set) use(e *entry) {
+	if !e.used && !e.leaving && len(s.used) < s.limits.Spread {
+		e.used = true
+		s.used = append(s.used, e)
+	}
+}
+
+// dropUnusable removes balancers from the round robin that are silent or
+// leaving, and fills it up again.
+func (s *Set) dropUnusable() {
+	kept := s.used[:0]
+	for _, e := range s.used {
+		if e.used = s.fresh(e) && !e.leaving; e.used {
+			kept = append(kept, e)
+		}
+	}
+	dropped := len(kept) < len(s.used)
+	clear(s.used[len(kept):])
+	s.used = kept
+	if !dropped {
+		return
+	}
+	// The list is ordered by time, so the scan ends at the first silent one.
+	for el := s.recent.Front(); el != nil; el = el.Next() {
+		e := el.Value.(*entry)
+		if !s.fresh(e) || len(s.used) == s.limits.Spread {
+			return
+		}
+		s.use(e)
+	}
+}
