--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -49,9 +49,16 @@
 	}
 }
 
+// Probe is a Ping to send.
+type Probe struct {
+	Agent   netip.AddrPort
+	Service uint32
+}
+
 // agentHealth is what one balancer knows about one agent.
 type agentHealth struct {
-	addr netip.AddrPort
+	addr    netip.AddrPort
+	service uint32
 	// epoch is the pause epoch in which the counters were written.
 	epoch      uint64
 	unanswered int
@@ -83,7 +90,7 @@
 	// waiting lists the agents with unanswered echoes, so that a tick does
 	// not visit every agent.
 	waiting []*agentHealth
-	batch   []netip.AddrPort
+	batch   []Probe
 	now     time.Duration
 	ticked  time.Duration
 	epoch   uint64
@@ -126,14 +133,16 @@
 	return fallback, probe, true
 }
 
-// Echoed records that an echo was sent to an agent with a new flow.
-func (h *Health) Echoed(now time.Duration, agent netip.AddrPort) {
+// Echoed records that an echo was sent to an agent with a new flow of a
+// service.
+func (h *Health) Echoed(now time.Duration, service uint32, agent netip.AddrPort) {
 	h.advance(now)
 	a := h.agents[agent]
 	if a == nil {
 		a = &agentHealth{addr: agent, epoch: h.epoch, pinged: h.now - h.limits.ProbeEvery}
 		h.agents[agent] = a
 	}
+	a.service = service
 	h.renew(a)
 	h.echo(a)
 }
@@ -155,7 +164,7 @@
 // Tick detects a pause of this process and returns the agents to ping because
 // an echo is unanswered and too few were sent to tell whether the agent is
 // alive. The result is valid until the next call.
-func (h *Health) Tick(now time.Duration) []netip.AddrPort {
+func (h *Health) Tick(now time.Duration) []Probe {
 	h.advance(now)
 	h.ticked = h.now
 	h.batch = h.batch[:0]
@@ -170,7 +179,7 @@
 		if h.now-max(a.since, a.pinged) >= h.limits.ConfirmAfter {
 			a.pinged = h.now
 			a.unanswered++
-			h.batch = append(h.batch, a.addr)
+			h.batch = append(h.batch, Probe{a.addr, a.service})
 		}
 	}
 	clear(h.waiting[len(kept):])
@@ -189,6 +198,12 @@
 	return h.suspect(a)
 }
 
+// Usable says whether an agent is neither suspect nor draining.
+func (h *Health) Usable(now time.Duration, agent netip.AddrPort) bool {
+	a := h.agents[agent]
+	return !h.Suspect(now, agent) && (a == nil || !a.draining)
+}
+
 // Retain forgets the agents for which keep returns false.
 func (h *Health) Retain(keep func(netip.AddrPort) bool) {
 	for addr := range h.agents {
