Keys file and key store

Cause: balancers and agents need the key generations of connection IDs, datagrams and tickets, and every agent of a service needs the same stateless reset key.

Ruled out: a separate reset key in the file. It would be one more secret to distribute, and HKDF from the active connection ID key gives the same value at every agent. After a rotation, connections opened under the old key are not reset statelessly; they end by their idle timeout.

Conclusion: the store is ready for the balancer and the agent.

--- /dev/null
+++ b/node/keys/file.go
@@ -0,0 +1,78 @@
+package keys
+
+import (
+	"encoding/hex"
+	"math"
+	"slices"
+	"strconv"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	maxGeneration = math.MaxUint8
+	// ticketKeyLen is the length of a ticket key, in bytes.
+	ticketKeyLen = 16
+)
+
+type fileContent struct {
+	ConnID   *filePurpose `json:"connid"`
+	Datagram *filePurpose `json:"datagram"`
+	Ticket   *filePurpose `json:"ticket"`
+}
+
+type filePurpose struct {
+	Active      *int              `json:"active"`
+	Generations map[string]string `json:"generations"`
+}
+
+// parse checks one purpose and names every faulty field.
+func (p *filePurpose) parse(field string, highest, keyLen int) (Generations, error) {
+	if p == nil {
+		return Generations{}, trace.BadParameter("%s: missing", field)
+	}
+	result := Generations{Keys: make(map[uint8][]byte, len(p.Generations))}
+	var faults []error
+	names := make([]string, 0, len(p.Generations))
+	for name := range p.Generations {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		generation, key, err := parseKey(name, p.Generations[name], highest, keyLen)
+		if err != nil {
+			faults = append(faults, trace.BadParameter("%s.generations.%s: %v", field, name, err))
+			continue
+		}
+		result.Keys[generation] = key
+	}
+	if err := p.checkActive(field); err != nil {
+		faults = append(faults, err)
+	} else {
+		result.Active = uint8(*p.Active)
+	}
+	return result, trace.NewAggregate(faults...)
+}
+
+func (p *filePurpose) checkActive(field string) error {
+	if p.Active == nil {
+		return trace.BadParameter("%s.active: missing", field)
+	}
+	if _, ok := p.Generations[strconv.Itoa(*p.Active)]; !ok {
+		return trace.BadParameter("%s.active: generation %d is not in %s.generations", field, *p.Active, field)
+	}
+	return nil
+}
+
+func parseKey(name, digits string, highest, keyLen int) (uint8, []byte, error) {
+	generation, err := strconv.Atoi(name)
+	if err != nil || generation < 0 || generation > highest || strconv.Itoa(generation) != name {
+		return 0, nil, trace.BadParameter("generation must be a number from 0 to %d", highest)
+	}
+	// The digits are a secret, so errors do not repeat them.
+	key, err := hex.DecodeString(digits)
+	if err != nil || len(key) != keyLen {
+		return 0, nil, trace.BadParameter("key must be %d hexadecimal digits (%d characters given)", 2*keyLen, len(digits))
+	}
+	return uint8(generation), key, nil
+}
--- /dev/null
+++ b/node/keys/keys.go
@@ -0,0 +1,104 @@
+// Package keys reads the file with the cluster's key generations and keeps the
+// keys that are in force.
+package keys
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+
+	"trefoilweir.example/core/connid"
+	"trefoilweir.example/core/wire"
+)
+
+// Store holds the keys that are in force. It is safe for concurrent use.
+type Store struct {
+	path    string
+	current atomic.Pointer[keySet]
+}
+
+// keySet is the content of one keys file. It is immutable.
+type keySet struct {
+	connID *connid.Codec
+	wire   *wire.Codec
+	ticket Generations
+	// master is the active connection ID key, from which reset and token
+	// keys are derived.
+	master []byte
+}
+
+// Generations are the keys of one purpose.
+type Generations struct {
+	// Active is the generation to issue with.
+	Active uint8
+	// Keys has the key of every loaded generation.
+	Keys map[uint8][]byte
+}
+
+// Open reads the keys file at path.
+func Open(path string) (*Store, error) {
+	s := &Store{path: path}
+	if err := s.Reload(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return s, nil
+}
+
+// Reload reads the file again. On an error the old keys stay in force.
+func (s *Store) Reload() error {
+	data, err := os.ReadFile(s.path)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	set, err := parse(data)
+	if err != nil {
+		return trace.Wrap(err, "keys file %s", s.path)
+	}
+	s.current.Store(set)
+	return nil
+}
+
+// ConnID returns the codec for connection IDs.
+func (s *Store) ConnID() *connid.Codec { return s.current.Load().connID }
+
+// Wire returns the codec for keyed datagrams.
+func (s *Store) Wire() *wire.Codec { return s.current.Load().wire }
+
+// Ticket returns the keys for tickets. The caller must not change them.
+func (s *Store) Ticket() Generations { return s.current.Load().ticket }
+
+func parse(data []byte) (*keySet, error) {
+	var file fileContent
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&file); err != nil {
+		return nil, trace.BadParameter("not a valid keys file: %v", err)
+	}
+	connIDKeys, err1 := file.ConnID.parse("connid", connid.MaxGeneration, connid.KeyLen)
+	wireKeys, err2 := file.Datagram.parse("datagram", maxGeneration, wire.KeyLen)
+	ticketKeys, err3 := file.Ticket.parse("ticket", maxGeneration, ticketKeyLen)
+	if err := trace.NewAggregate(err1, err2, err3); err != nil {
+		return nil, err
+	}
+	return newKeySet(connIDKeys, wireKeys, ticketKeys)
+}
+
+func newKeySet(connIDKeys, wireKeys, ticketKeys Generations) (*keySet, error) {
+	connIDCodec, err := connid.NewCodec(connIDKeys.Keys, connIDKeys.Active)
+	if err != nil {
+		return nil, trace.BadParameter("connid: %v", err)
+	}
+	wireCodec, err := wire.NewCodec(wireKeys.Keys, wireKeys.Active)
+	if err != nil {
+		return nil, trace.BadParameter("datagram: %v", err)
+	}
+	return &keySet{
+		connID: connIDCodec,
+		wire:   wireCodec,
+		ticket: ticketKeys,
+		master: connIDKeys.Keys[connIDKeys.Active],
+	}, nil
+}
