admission: state machine for slots, queue, hand-over, drain and retries

Cause: the agent needs one place that decides run, wait, hand over or refuse. Ruled out: asking three peers at once as the first version, because every place that is granted and not used stays idle for a round trip; peers are asked one after the other, best estimate first. Ruled out: a retry budget of one bucket per 10 s; a window across its edge could hold twice the share.

--- /dev/null
+++ b/core/admission/arrive.go
@@ -0,0 +1,128 @@
+package admission
+
+import "time"
+
+const (
+	// maxWait bounds the wait of a request without a deadline.
+	maxWait = 30 * time.Second
+	// drainWait bounds the wait for a peer while draining. New work has to
+	// stop within 5 s of a drain.
+	drainWait = 5 * time.Second
+)
+
+func (m *Machine) arrive(ev Arrive) {
+	if _, known := m.requests[ev.ID]; known {
+		return
+	}
+	r := m.newRequest(ev)
+	m.requests[r.id] = r
+	m.enqueue(r)
+	if r.granted {
+		m.arriveGranted(r, ev.Grant)
+		return
+	}
+	m.budget.request(m.now)
+	m.arriveFromCaller(r)
+}
+
+func (m *Machine) newRequest(ev Arrive) *request {
+	class, known := m.classes[ev.Class]
+	deadline := ev.Deadline
+	if deadline == 0 && class.Deadline > 0 {
+		deadline = m.now + class.Deadline
+	}
+	if deadline == 0 {
+		deadline = m.now + maxWait
+	}
+	return &request{
+		id: ev.ID, slotless: known && !class.HoldsSlot, repeatable: ev.Repeatable,
+		granted: ev.Grant != 0, deadline: deadline,
+	}
+}
+
+// arriveGranted starts a request in the place held for it. If the place was
+// promised while all slots were busy, the request waits at the head.
+func (m *Machine) arriveGranted(r *request, id GrantID) {
+	g, ok := m.given.take(id)
+	if !ok {
+		m.end(r, ReasonGrant)
+		return
+	}
+	r.slotless = g.slotless
+	if r.slotless || m.running < m.slots() {
+		m.run(r)
+		return
+	}
+	if m.draining {
+		m.end(r, ReasonDraining)
+		return
+	}
+	m.moveToHead(r)
+}
+
+// moveToHead puts a granted request behind those granted before it.
+func (m *Machine) moveToHead(r *request) {
+	m.waiting = m.waiting[:len(m.waiting)-1]
+	i := 0
+	for i < len(m.waiting) && m.waiting[i].granted {
+		i++
+	}
+	m.waiting = append(m.waiting[:i], append([]*request{r}, m.waiting[i:]...)...)
+}
+
+func (m *Machine) arriveFromCaller(r *request) {
+	if m.draining {
+		r.deadline = min(r.deadline, m.now+drainWait)
+	}
+	if !m.localAllowed(r) && !m.peersAllowed(r) {
+		m.end(r, ReasonDraining)
+		return
+	}
+	m.place(r)
+}
+
+// place decides what a request without an attempt in progress does next. If
+// it stays in the queue, pump starts it when a slot is free.
+func (m *Machine) place(r *request) {
+	switch {
+	case r.slotless && m.localAllowed(r) && !m.full():
+		m.run(r)
+	case m.preferPeer(r):
+		r.hold = true
+	default:
+		m.placeWithoutPeer(r)
+	}
+}
+
+func (m *Machine) placeWithoutPeer(r *request) {
+	r.hold, r.tried, r.nextAsk = false, nil, m.now+askAgain
+	switch {
+	case m.draining && r.runs == 0:
+		// It asks again until its deadline.
+	case !m.localAllowed(r):
+		m.end(r, "")
+	case r.slotless:
+		m.end(r, ReasonConnections)
+	case m.free() <= 0:
+		m.admitToQueue(r)
+	}
+}
+
+// admitToQueue refuses a request that the queue cannot take or cannot start
+// in time.
+func (m *Machine) admitToQueue(r *request) {
+	ahead := m.queued() - 1
+	switch {
+	case ahead >= m.limits.QueuePerSlot*m.limits.Slots:
+		m.end(r, ReasonQueueFull)
+	case m.now+m.waitFor(ahead) > r.deadline:
+		m.end(r, ReasonDeadline)
+	}
+}
+
+// waitFor estimates how long the local target takes to start that many
+// waiting requests and one more.
+func (m *Machine) waitFor(ahead int) time.Duration {
+	s := m.meter.serviceTime()
+	return s * time.Duration(ahead+1) / time.Duration(m.slots())
+}
--- a/core/admission/machine.go
+++ b/core/admission/machine.go
@@ -1,19 +1,208 @@
 package admission
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+
+	"trefoilweir.example/core/config"
+)
 
 // Machine is the state of one agent's admission. It is not safe for
 // concurrent use.
-type Machine struct{ limits Limits }
+type Machine struct {
+	limits   Limits
+	tuning   tuning
+	classes  map[string]Class
+	rng      *rand.Rand
+	now      time.Duration
+	start    time.Duration
+	lastTick time.Duration
+	started  bool
+	draining bool
+	// requests and tokens are only looked up, never iterated.
+	requests map[RequestID]*request
+	tokens   map[uint64]*request
+	// waiting holds the requests without an attempt, in order of arrival.
+	waiting     []*request
+	running     int
+	connections int
+	peers       peerSet
+	given       givenGrants
+	wanted      []want
+	budget      budget
+	meter       meter
+	nextToken   uint64
+	nextReport  time.Duration
+	out         []Action
+}
 
-// New returns the machine of an agent. The seed breaks ties between peers.
+// New returns the machine of an agent. The seed breaks ties between peers and
+// sets the first token and grant, so that those of an earlier process at the
+// same address are not taken for this one's.
 func New(limits Limits, peers []Peer, seed uint64) *Machine {
-	return &Machine{limits: limits}
+	m := &Machine{
+		rng:      rand.New(rand.NewPCG(seed, 0x7472_6566)),
+		requests: map[RequestID]*request{},
+		tokens:   map[uint64]*request{},
+	}
+	m.nextToken = m.rng.Uint64() >> 1
+	m.given.next = GrantID(m.rng.Uint64() >> 1)
+	m.configure(limits, peers)
+	return m
 }
 
 // Step applies one event at the time now, and returns the actions it leads
 // to, in order. now never decreases.
-func (m *Machine) Step(now time.Duration, ev Event) []Action { return nil }
+func (m *Machine) Step(now time.Duration, ev Event) []Action {
+	m.out = nil
+	m.advance(max(now, m.now))
+	m.apply(ev)
+	m.pump()
+	return m.out
+}
 
 // Load returns what the agent reports of itself.
-func (m *Machine) Load() Load { return Load{} }
+func (m *Machine) Load() Load {
+	return Load{
+		Slots:       m.slots(),
+		Busy:        m.running + m.given.slots(),
+		Waiting:     m.queued(),
+		Connections: m.connections,
+		Draining:    m.draining,
+		Cold:        m.slots() < m.limits.Slots,
+		Full:        m.full(),
+		ServiceTime: m.meter.serviceTime(),
+		Utilization: m.meter.utilization,
+	}
+}
+
+func (m *Machine) apply(ev Event) {
+	switch ev := ev.(type) {
+	case Arrive:
+		m.arrive(ev)
+	case Done:
+		m.done(ev)
+	case Cancel:
+		m.cancel(ev.ID)
+	case PeerMessage:
+		m.message(ev.From, ev.Message)
+	case PeerResult:
+		m.peerResult(ev)
+	case Reconfigure:
+		m.configure(ev.Limits, ev.Peers)
+	case Drain:
+		m.drain()
+	case Tick:
+		m.tick()
+	}
+}
+
+// advance moves the clock. A process that was paused forgets what it knew of
+// its peers before it decides anything.
+func (m *Machine) advance(now time.Duration) {
+	if !m.started {
+		m.started, m.start, m.lastTick, m.now = true, now, now, now
+		m.nextReport = now + time.Duration(m.rng.Int64N(int64(ReportInterval)))
+	}
+	if now-m.lastTick > PauseLimit {
+		m.resume(now)
+	}
+	m.meter.advance(now-m.now, m.running, m.slots())
+	m.now = now
+	m.given.expire(now)
+}
+
+func (m *Machine) resume(now time.Duration) {
+	m.lastTick = now
+	m.peers.forget()
+	m.given.clear()
+	m.wanted = nil
+	for _, r := range m.waiting {
+		m.withdraw(r)
+	}
+}
+
+func (m *Machine) configure(l Limits, peers []Peer) {
+	m.limits = l.withDefaults()
+	m.tuning = tuningFor(m.limits.Bias)
+	m.classes = map[string]Class{}
+	for _, c := range l.Classes {
+		m.classes[c.Name] = c
+	}
+	m.peers.set(peers)
+	for _, r := range m.waiting {
+		m.withdrawRemoved(r)
+	}
+}
+
+func (l Limits) withDefaults() Limits {
+	l.Slots = orDefault(l.Slots, 1)
+	l.Speed = orDefault(l.Speed, 1)
+	l.QueuePerSlot = orDefault(l.QueuePerSlot, 4)
+	l.HandOverPeers = orDefault(l.HandOverPeers, 3)
+	l.RetryBudgetPercent = orDefault(l.RetryBudgetPercent, 10)
+	l.Bias = orDefault(l.Bias, config.BiasBalance)
+	return l
+}
+
+func orDefault[T comparable](v, fallback T) T {
+	var zero T
+	if v == zero {
+		return fallback
+	}
+	return v
+}
+
+// drain stops local starts. Waiting requests that came with a grant cannot go
+// anywhere else; their senders place them again.
+func (m *Machine) drain() {
+	if m.draining {
+		return
+	}
+	m.draining = true
+	m.wanted = nil
+	for _, r := range m.snapshot() {
+		r.deadline = min(r.deadline, m.now+drainWait)
+		switch {
+		case !m.peersAllowed(r):
+			m.end(r, ReasonDraining)
+		case len(r.asks) == 0:
+			m.place(r)
+		}
+	}
+}
+
+// slots is the number of slots at this point of the cold start.
+func (m *Machine) slots() int {
+	ramp := m.limits.ColdStart
+	age := m.now - m.start
+	if ramp <= 0 || age >= ramp {
+		return m.limits.Slots
+	}
+	return max(1, int(int64(m.limits.Slots)*int64(age)/int64(ramp)))
+}
+
+func (m *Machine) full() bool {
+	return m.limits.Connections > 0 && m.connections >= m.limits.Connections
+}
+
+// free is the number of slots that are neither in use nor promised to a peer.
+func (m *Machine) free() int { return m.slots() - m.running - m.given.slots() }
+
+// queued is the number of requests that wait for a local slot.
+func (m *Machine) queued() int {
+	n := 0
+	for _, r := range m.waiting {
+		if !r.hold {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Machine) emit(a Action) { m.out = append(m.out, a) }
+
+func (m *Machine) send(p *peer, msg Message) {
+	msg.Load = m.Load()
+	m.emit(Send{To: p.ID, Message: msg})
+}
--- /dev/null
+++ b/core/admission/message.go
@@ -0,0 +1,97 @@
+package admission
+
+import "slices"
+
+// message handles a message of a configured peer; any other is ignored.
+func (m *Machine) message(from PeerID, msg Message) {
+	p := m.peers.byID[from]
+	if p == nil {
+		return
+	}
+	p.heard(m.now, msg.Load)
+	switch msg.Kind {
+	case Reserve:
+		m.onReserve(p, msg)
+	case Grant:
+		m.onGrant(p, msg)
+	case Deny:
+		m.onDeny(p, msg)
+	case Offer:
+		m.onOffer(p, msg)
+	case Release:
+		m.given.release(p.ID, msg.Token, msg.Grant)
+	}
+}
+
+func (m *Machine) onReserve(p *peer, msg Message) {
+	if g, ok := m.given.reserved(p.ID, msg.Token); ok {
+		m.send(p, Message{Kind: Grant, Token: msg.Token, Grant: g})
+		return
+	}
+	if !m.hasPlace(msg) {
+		m.remember(p, msg)
+		m.send(p, Message{Kind: Deny, Token: msg.Token})
+		return
+	}
+	g := m.given.issue(m.now, p.ID, msg.Token, msg.Slotless)
+	m.send(p, Message{Kind: Grant, Token: msg.Token, Grant: g})
+}
+
+// hasPlace says whether the peer's request is better off here.
+func (m *Machine) hasPlace(msg Message) bool {
+	if m.draining || !m.limits.HandOver {
+		return false
+	}
+	if msg.Slotless {
+		return !m.full()
+	}
+	if msg.Score > 0 && m.ownScore(m.occupied()) >= msg.Score {
+		return false
+	}
+	return m.occupied() < m.slots()+int(m.tuning.places*float64(m.slots()))
+}
+
+func (m *Machine) remember(p *peer, msg Message) {
+	if m.draining || msg.Slotless || len(m.wanted) >= maxWants {
+		return
+	}
+	m.wanted = append(m.wanted, want{p, msg.Score, m.now + wantLifetime})
+}
+
+func (m *Machine) onGrant(p *peer, msg Message) {
+	if slices.Contains(p.inUse, msg.Grant) {
+		return
+	}
+	r := m.takeAsk(p, msg.Token)
+	if r == nil || !m.peersAllowed(r) || m.now >= r.deadline {
+		m.send(p, Message{Kind: Release, Grant: msg.Grant})
+		return
+	}
+	m.handOver(r, p, msg.Grant)
+}
+
+func (m *Machine) onDeny(p *peer, msg Message) {
+	r := m.takeAsk(p, msg.Token)
+	if r == nil {
+		return
+	}
+	// A peer that claims free slots and still denies misreports its load.
+	if msg.Load.Busy < msg.Load.Slots && msg.Load.Waiting == 0 && !m.tuning.latency {
+		p.distrust(m.now)
+	}
+	m.askFailed(r)
+}
+
+// onOffer sends the oldest waiting request that may go.
+func (m *Machine) onOffer(p *peer, msg Message) {
+	if !p.newOffer(msg.Grant) {
+		return
+	}
+	for _, r := range m.waiting {
+		if m.peersAllowed(r) && !r.slotless && !r.hold && m.now < r.deadline {
+			m.handOver(r, p, msg.Grant)
+			return
+		}
+	}
+	m.send(p, Message{Kind: Release, Grant: msg.Grant})
+}
--- /dev/null
+++ b/core/admission/score.go
@@ -0,0 +1,119 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"trefoilweir.example/core/config"
+)
+
+// tuning holds the numbers that a bias chooses. docs/policy.md has the
+// measurements behind them.
+type tuning struct {
+	latency bool
+	// hop is the cost of a hand-over, as a time.
+	hop time.Duration
+	// margin is the part of the own score by which a peer must be better.
+	margin float64
+	// places is how many requests per slot a peer's request may queue behind.
+	places float64
+	// parallel is how many peers are asked at once.
+	parallel int
+}
+
+func tuningFor(b config.Bias) tuning {
+	t := tuning{hop: 4 * time.Millisecond, margin: 0.1, places: 1, parallel: 1}
+	t.latency = b == config.BiasLatency
+	return t
+}
+
+const (
+	// defaultWork is the assumed work of a request, as the time a target of
+	// speed 1 takes, until any service time has been measured.
+	defaultWork = 100 * time.Millisecond
+	// speedBand is the ratio between measured and configured speed within
+	// which the configured one is used: it is wider than the noise of the
+	// means.
+	speedBand = 1.4
+)
+
+// score rates a target for one more request: the lower, the better. For the
+// balance bias it is the target's occupancy over its capacity; for the
+// latency bias the expected time to completion. The unit is the time a target
+// of speed 1 takes for one request.
+func (t tuning) score(occupied float64, slots int, speed float64) float64 {
+	s := float64(slots)
+	if t.latency {
+		return (1 + max(0, occupied+1-s)/s) / speed
+	}
+	return (occupied + 1) / (s * speed)
+}
+
+// occupied counts what is on the local target before r.
+func (m *Machine) occupied() int { return m.running + m.given.slots() + len(m.waiting) }
+
+// ownScore rates the local target with the given number of requests on it.
+func (m *Machine) ownScore(occupied int) float64 {
+	return m.tuning.score(float64(occupied), m.slots(), m.ownSpeed())
+}
+
+// peerScore rates a peer as it was last heard of. A busy count drifts to its
+// mean within about a service time.
+func (m *Machine) peerScore(p *peer) float64 {
+	speed := m.peerSpeed(p)
+	hop := m.hopScore()
+	if !p.known {
+		return m.tuning.score(float64(p.Slots)/2, p.Slots, speed) + hop
+	}
+	mean := p.load.Utilization * float64(p.load.Slots)
+	keep := math.Exp(-float64(m.now-p.at) * speed / float64(m.work()))
+	occupied := mean + (float64(p.load.Busy+p.load.Waiting)-mean)*keep
+	return m.tuning.score(occupied, p.load.Slots, speed) + hop
+}
+
+func (m *Machine) hopScore() float64 { return float64(m.tuning.hop) / float64(m.work()) }
+
+// work is the median over the targets of service time times configured
+// speed.
+func (m *Machine) work() time.Duration {
+	var all []time.Duration
+	add := func(d time.Duration, speed float64) {
+		if d > 0 {
+			all = append(all, time.Duration(float64(d)*speed))
+		}
+	}
+	add(m.meter.serviceTime(), m.limits.Speed)
+	for _, p := range m.peers.list {
+		add(p.load.ServiceTime, p.Speed)
+	}
+	if len(all) == 0 {
+		return defaultWork
+	}
+	slices.Sort(all)
+	return max(all[len(all)/2], time.Microsecond)
+}
+
+func (m *Machine) ownSpeed() float64 {
+	return effectiveSpeed(m.limits.Speed, m.meter.serviceTime(), m.work())
+}
+
+// peerSpeed trusts the peer's answers over what the peer reports.
+func (m *Machine) peerSpeed(p *peer) float64 {
+	measured := p.answers.value()
+	if measured == 0 {
+		measured = p.load.ServiceTime
+	}
+	return effectiveSpeed(p.Speed, measured, m.work())
+}
+
+func effectiveSpeed(configured float64, measured, work time.Duration) float64 {
+	if measured <= 0 {
+		return configured
+	}
+	speed := float64(work) / float64(measured)
+	if ratio := speed / configured; ratio < speedBand && ratio > 1/speedBand {
+		return configured
+	}
+	return speed
+}
