Agent: callers' connections, datagrams and requests

Cause: the agent owns the QUIC connections of its target, so nothing works end to end without it.

Ruled out: embedding *net.UDPConn in the packet connection (the QUIC stack would find the methods for batched reads and bypass the datagram header); one http3.Server for all connections (Shutdown, which sends GOAWAY, concerns all of them and cannot be taken back); kept connections to the target (net/http repeats some requests on them by itself, and when the target closes one, it is unknown whether the request ran).

Change: node/agent takes payloads and caller addresses out of Forward datagrams, answers Echo and Ping, redirects first packets while it drains, is full or has a cold ramp with all slots busy, checks service, address and incarnation of issued connection IDs, keeps the connection limit, sends responses through core/returnpath, and refreshes its view after a pause. One goroutine owns the core/admission machine. Requests stream in both directions with a replay buffer of 64 KiB.

Checked: go test -race -count 5 ./node/agent passes; vet and staticcheck pass.

Conclusion: requests, tickers, redirects and stateless resets work over loopback.

--- /dev/null
+++ b/node/agent/body.go
@@ -0,0 +1,91 @@
+package agent
+
+import (
+	"io"
+	"net/http"
+	"sync"
+)
+
+// replayLimit is how much of a request body is kept for another attempt, in
+// bytes. A larger body is sent at most once.
+const replayLimit = 64 << 10
+
+// replayBody lets several attempts read a request body, one after the other.
+// An earlier attempt may still be reading when the next one starts; what it
+// takes from the source is kept, so no byte is lost.
+type replayBody struct {
+	length int64
+
+	mu     sync.Mutex
+	source io.Reader
+	// kept is the start of the body. It is nil once the body is over the
+	// limit.
+	kept     []byte
+	overflow bool
+	err      error
+}
+
+// newReplayBody takes over the body of a request. It returns nil if there is
+// none. A body without a length on GET and HEAD counts as none, because waiting
+// for its end could block.
+func newReplayBody(r *http.Request) *replayBody {
+	safe := r.Method == http.MethodGet || r.Method == http.MethodHead
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 || safe && r.ContentLength < 0 {
+		return nil
+	}
+	return &replayBody{length: r.ContentLength, source: r.Body}
+}
+
+// attempt returns a reader from the start of the body, and false if the start
+// is no longer kept.
+func (b *replayBody) attempt() (io.ReadCloser, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.overflow {
+		return nil, false
+	}
+	return &attemptBody{body: b}, true
+}
+
+func (b *replayBody) readAt(p []byte, offset int) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.overflow && offset < len(b.kept) {
+		return copy(p, b.kept[offset:]), nil
+	}
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.source.Read(p)
+	b.err = err
+	b.keep(p[:n])
+	return n, err
+}
+
+func (b *replayBody) keep(p []byte) {
+	if b.overflow {
+		return
+	}
+	if len(b.kept)+len(p) > replayLimit {
+		b.kept, b.overflow = nil, true
+		return
+	}
+	b.kept = append(b.kept, p...)
+}
+
+// attemptBody is the body as one attempt reads it. It is not http.NoBody and
+// has no GetBody, which keeps net/http from repeating a request by itself.
+type attemptBody struct {
+	body   *replayBody
+	offset int
+}
+
+// Read implements io.Reader.
+func (a *attemptBody) Read(p []byte) (int, error) {
+	n, err := a.body.readAt(p, a.offset)
+	a.offset += n
+	return n, err
+}
+
+// Close implements io.Closer. The source stays open for the next attempt.
+func (a *attemptBody) Close() error { return nil }
--- /dev/null
+++ b/node/agent/callerconn.go
@@ -0,0 +1,72 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+const (
+	// goAwaySpread is the time over which a draining agent sends GOAWAY to its
+	// connections, so that its callers don't all reconnect at once.
+	goAwaySpread = time.Second
+	// closeGrace is how long a connection without requests stays open after
+	// GOAWAY. A caller closes it by itself once it has all answers; closing
+	// earlier could cut an answer whose last packets were lost.
+	closeGrace = 3 * time.Second
+)
+
+// callerConn is one caller's connection.
+type callerConn struct {
+	quic     *quic.Conn
+	server   *http3.Server
+	now      func() time.Duration
+	accepted time.Duration
+	// goAwayDelay spreads GOAWAY over goAwaySpread.
+	goAwayDelay time.Duration
+
+	open atomic.Int64
+	// quietSince is when the last request ended, in nanoseconds of now.
+	quietSince atomic.Int64
+	goneAway   atomic.Bool
+}
+
+// track counts the requests of the connection.
+func (c *callerConn) track(handler http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.open.Add(1)
+		defer func() {
+			c.quietSince.Store(int64(c.now()))
+			c.open.Add(-1)
+		}()
+		handler(w, r)
+	})
+}
+
+// goAway asks the caller to open no more requests on this connection.
+func (c *callerConn) goAway() {
+	if c.goneAway.Swap(true) {
+		return
+	}
+	c.quietSince.Store(int64(c.now()))
+	// Shutdown returns when the caller has closed the connection.
+	go func() { _ = c.server.Shutdown(context.Background()) }()
+}
+
+// closeIfUnused closes the connection if the caller was asked to leave and has
+// had no request for a while.
+func (c *callerConn) closeIfUnused() {
+	quiet := c.now() - time.Duration(c.quietSince.Load())
+	if c.goneAway.Load() && c.open.Load() == 0 && quiet > closeGrace {
+		_ = c.quic.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+	}
+}
+
+// cutOff ends the connection with its open requests.
+func (c *callerConn) cutOff() {
+	_ = c.quic.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "drain limit")
+}
--- /dev/null
+++ b/node/agent/callers.go
@@ -0,0 +1,141 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+const (
+	// packetSize is the size of QUIC packets, in bytes. Path MTU discovery is
+	// off, because a balancer adds its header to every packet.
+	packetSize = 1252
+	// idleTimeout is when a silent caller's connection counts as dead.
+	idleTimeout = 60 * time.Second
+	// keepAlive keeps connections with a quiet ticker open.
+	keepAlive = 15 * time.Second
+	// unusedTimeout is when a connection without requests is closed.
+	unusedTimeout = 5 * time.Minute
+	// maxStreams is how many requests one connection may have open.
+	maxStreams = 256
+	// streamWindow and connectionWindow bound what one connection may have
+	// buffered here, in bytes.
+	streamWindow     = 1 << 20
+	connectionWindow = 2 << 20
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+)
+
+// callers accepts the callers' connections and serves HTTP/3 on each.
+type callers struct {
+	transport *quic.Transport
+	listener  *quic.Listener
+	handler   http.HandlerFunc
+	now       func() time.Duration
+	metrics   *instruments
+
+	mu    sync.Mutex
+	conns map[*callerConn]struct{}
+}
+
+// newCallers starts to listen on the edge. admit decides on each new
+// connection; the context it gets ends with the connection.
+func newCallers(e *edge, ids *connectionIDs, certificate tls.Certificate, admit func(context.Context) error) (*callers, error) {
+	reset := quic.StatelessResetKey(ids.keys.ResetKey(ids.service))
+	token := quic.TokenGeneratorKey(ids.keys.TokenKey())
+	transport := &quic.Transport{
+		Conn:                  e,
+		ConnectionIDGenerator: ids,
+		StatelessResetKey:     &reset,
+		TokenGeneratorKey:     &token,
+		ConnContext: func(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+			return ctx, admit(ctx)
+		},
+	}
+	config := http3.ConfigureTLSConfig(&tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{certificate},
+	})
+	listener, err := transport.Listen(config, &quic.Config{
+		MaxIdleTimeout:             idleTimeout,
+		KeepAlivePeriod:            keepAlive,
+		MaxIncomingStreams:         maxStreams,
+		MaxStreamReceiveWindow:     streamWindow,
+		MaxConnectionReceiveWindow: connectionWindow,
+		InitialPacketSize:          packetSize,
+		DisablePathMTUDiscovery:    true,
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &callers{
+		transport: transport, listener: listener, now: e.now, metrics: e.metrics,
+		conns: make(map[*callerConn]struct{}),
+	}, nil
+}
+
+// accept serves connections until ctx ends.
+func (c *callers) accept(ctx context.Context) error {
+	for {
+		conn, err := c.listener.Accept(ctx)
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, quic.ErrServerClosed) {
+				return nil
+			}
+			return trace.Wrap(err)
+		}
+		go c.serve(conn)
+	}
+}
+
+// serve handles one connection. Each has its own http3.Server, because
+// Shutdown, which sends GOAWAY, concerns all connections of a server.
+func (c *callers) serve(conn *quic.Conn) {
+	cc := &callerConn{quic: conn, now: c.now, accepted: c.now(), goAwayDelay: rand.N(goAwaySpread)}
+	cc.quietSince.Store(int64(cc.accepted))
+	cc.server = &http3.Server{
+		Handler:        cc.track(c.handler),
+		MaxHeaderBytes: maxHeaderBytes,
+		IdleTimeout:    unusedTimeout,
+	}
+	c.mu.Lock()
+	c.conns[cc] = struct{}{}
+	c.mu.Unlock()
+	defer func() {
+		if p := recover(); p != nil {
+			c.metrics.panicked("connection")
+		}
+		_ = conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+		c.mu.Lock()
+		delete(c.conns, cc)
+		c.mu.Unlock()
+	}()
+	_ = cc.server.ServeQUICConn(conn)
+}
+
+func (c *callers) list() []*callerConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conns := make([]*callerConn, 0, len(c.conns))
+	for cc := range c.conns {
+		conns = append(conns, cc)
+	}
+	return conns
+}
+
+// close ends all connections at once.
+func (c *callers) close() error {
+	err := c.listener.Close()
+	for _, cc := range c.list() {
+		cc.cutOff()
+	}
+	return trace.NewAggregate(err, c.transport.Close())
+}
--- /dev/null
+++ b/node/agent/control.go
@@ -0,0 +1,36 @@
+package agent
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"trefoilweir.example/core/admission"
+	"trefoilweir.example/core/wire"
+)
+
+// receiveControl takes a message of a peer's admission machine.
+func (a *Agent) receiveControl(from peerAgent, payload []byte) {
+	var message admission.Message
+	if err := cbor.Unmarshal(payload, &message); err != nil {
+		a.metrics.dropped("control_message")
+		a.log.Debug("faulty control message", zap.String("peer", string(from.id)), zap.Error(err))
+		return
+	}
+	if !a.gate.offer(admission.PeerMessage{From: from.id, Message: message}) {
+		a.metrics.dropped("control_busy")
+	}
+}
+
+// sendControl sends a message of the admission machine. Messages may be lost.
+func (a *Agent) sendControl(to admission.PeerID, message admission.Message) {
+	peer, ok := a.view().peer(to)
+	if !ok {
+		return
+	}
+	payload, err := cbor.Marshal(message)
+	if err != nil {
+		a.log.Error("control message cannot be encoded", zap.Error(err))
+		return
+	}
+	_ = a.edge.send(peer.datagram, &wire.Header{Kind: wire.Control}, payload)
+}
--- /dev/null
+++ b/node/agent/datagram_test.go
@@ -0,0 +1,178 @@
+package agent
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"trefoilweir.example/core/config"
+	"trefoilweir.example/core/connid"
+	"trefoilweir.example/core/wire"
+)
+
+func says(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }
+}
+
+// get sends a request and returns the status and body.
+func get(t *testing.T, client *http.Client, url string) (int, string) {
+	t.Helper()
+	response, err := client.Get(url)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return response.StatusCode, string(body)
+}
+
+func eventually(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if check() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(testPatience), poll.WithDelay(5*time.Millisecond))
+}
+
+func (a *testAgent) droppedFor(reason string) uint64 {
+	return a.metric(fmt.Sprintf(`trefoilweir_agent_datagrams_dropped_total{reason=%q}`, reason))
+}
+
+func (a *testAgent) eventCount(name string) uint64 {
+	return a.metric(fmt.Sprintf(`trefoilweir_agent_events_total{event=%q}`, name))
+}
+
+// Guards against an agent that balancers take for dead, and against a Pong
+// that cannot be matched with its question.
+func TestPingAndEchoGetAPong(t *testing.T) {
+	c := newCluster(t, says("ok"))
+	to := c.agents[0].Address()
+	caller := netip.MustParseAddrPort("127.0.0.1:9")
+	ping := c.forward.send(to, wire.Header{Kind: wire.Ping, Service: testService, Flags: wire.FlagEcho}, nil)
+	echo := c.forward.send(to, wire.Header{
+		Kind: wire.Forward, Service: testService, Flags: wire.FlagEcho | wire.FlagFirst, Caller: caller,
+	}, []byte{longHeader, 0, 0, 0, 1, 8, 1, 2, 3, 4, 5, 6, 7, 8})
+	for _, sequence := range []uint64{ping, echo} {
+		eventually(t, "Pong", func() bool {
+			c.forward.mu.Lock()
+			defer c.forward.mu.Unlock()
+			h, ok := c.forward.pongs[sequence]
+			return ok && h.Incarnation == 1 && h.Service == testService
+		})
+	}
+}
+
+// Guards against faulty datagrams that have an effect or are not counted.
+func TestFaultyDatagramsAreCountedAndDropped(t *testing.T) {
+	c := newCluster(t, says("ok"))
+	a := c.agents[0]
+	caller := netip.MustParseAddrPort("127.0.0.1:9")
+	issued := func(id connid.ID) []byte {
+		var encoded [connid.Len]byte
+		assert.NilError(t, c.keys.ConnID().Encode(&encoded, id))
+		return append([]byte{0x40}, append(encoded[:], make([]byte, 40)...)...)
+	}
+	own := connid.ID{Agent: a.Address(), Service: testService, Incarnation: 1}
+	foreignService, foreignAgent := own, own
+	foreignService.Service = testService + 1
+	foreignAgent.Agent = netip.MustParseAddrPort("127.0.0.1:1")
+	cases := map[string]struct {
+		header  wire.Header
+		payload []byte
+	}{
+		"service":               {wire.Header{Kind: wire.Ping, Service: testService + 1}, nil},
+		"caller":                {wire.Header{Kind: wire.Forward, Service: testService}, issued(own)},
+		"packet":                {wire.Header{Kind: wire.Forward, Service: testService, Caller: caller}, []byte{0x40, 1}},
+		"first_packet":          {wire.Header{Kind: wire.Forward, Service: testService, Caller: caller, Flags: wire.FlagFirst}, issued(own)},
+		"connection_id":         {wire.Header{Kind: wire.Forward, Service: testService, Caller: caller}, make([]byte, 60)},
+		"connection_id_service": {wire.Header{Kind: wire.Forward, Service: testService, Caller: caller}, issued(foreignService)},
+		"connection_id_agent":   {wire.Header{Kind: wire.Forward, Service: testService, Caller: caller}, issued(foreignAgent)},
+		"oversize":              {wire.Header{Kind: wire.Forward, Service: testService, Caller: caller}, append(issued(own), make([]byte, 1500)...)},
+		"kind":                  {wire.Header{Kind: wire.Return, Service: testService}, nil},
+		"control_unknown_peer":  {wire.Header{Kind: wire.Control, Service: testService}, []byte("x")},
+	}
+	for reason, datagram := range cases {
+		t.Run(reason, func(t *testing.T) {
+			c.forward.send(a.Address(), datagram.header, datagram.payload)
+			eventually(t, reason, func() bool { return a.droppedFor(reason) == 1 })
+		})
+	}
+	raw := map[string][]byte{"short": []byte("x"), "tag": append([]byte{1, 3, 1}, make([]byte, 70)...), "generation": append([]byte{1, 3, 9}, make([]byte, 70)...)}
+	for reason, datagram := range raw {
+		_, err := c.forward.back.WriteToUDPAddrPort(datagram, a.Address())
+		assert.NilError(t, err)
+		eventually(t, reason, func() bool { return a.droppedFor(reason) == 1 })
+	}
+	status, body := get(t, c.client(), c.url("/map"))
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "ok")
+}
+
+// Guards against new flows at an agent that drains (I6), and against an agent
+// that keeps refusing them after the drain was taken back.
+func TestDrainingAgentRedirectsFirstPackets(t *testing.T) {
+	c := newCluster(t, says("one"), says("two"))
+	setState := func(state config.TargetState) {
+		c.source.update(func(targets []config.Target) { targets[0].State = state })
+		eventually(t, "drain state", func() bool {
+			return c.agents[0].Status().Draining == (state == config.TargetDraining)
+		})
+	}
+	setState(config.TargetDraining)
+	_, body := get(t, c.client(), c.url("/map"))
+	assert.Equal(t, body, "two")
+	assert.Assert(t, c.agents[0].eventCount("flow_redirected") > 0)
+	assert.Equal(t, c.agents[0].Status().Connections, int64(0))
+	setState(config.TargetActive)
+	_, body = get(t, c.client(), c.url("/map"))
+	assert.Equal(t, body, "one")
+}
+
+// Guards against callers over the connection limit: they go to the next agent,
+// and are refused at once if there is none.
+func TestConnectionLimit(t *testing.T) {
+	c := newCluster(t, says("one"), says("two"))
+	limit := func(i int) {
+		c.source.update(func(targets []config.Target) { targets[i].Connections = 1 })
+		eventually(t, "limit", func() bool { return c.agents[i].load.limit.Load() == 1 })
+	}
+	limit(0)
+	limit(1)
+	for _, want := range []string{"one", "two"} {
+		_, body := get(t, c.client(), c.url("/map"))
+		assert.Equal(t, body, want)
+	}
+	_, err := c.client().Get(c.url("/map"))
+	assert.ErrorContains(t, err, "CONNECTION_REFUSED")
+	assert.Assert(t, c.agents[1].eventCount("connection_refused") > 0)
+}
+
+// Guards against callers that wait for the idle timeout after their agent was
+// replaced by another process at the same address.
+func TestReplacedAgentResetsConnections(t *testing.T) {
+	c := newCluster(t, says("one"))
+	client := c.client()
+	_, body := get(t, client, c.url("/map"))
+	assert.Equal(t, body, "one")
+	// The old process must go without a word to its callers.
+	c.forward.setMute(true)
+	c.agents[0].stop()
+	c.agents[0] = c.startAgent(0, 2, says("new"))
+	c.forward.setMute(false)
+	started := time.Now()
+	_, err := client.Get(c.url("/map"))
+	if err != nil {
+		assert.ErrorContains(t, err, "stateless reset")
+	}
+	_, body = get(t, client, c.url("/map"))
+	assert.Equal(t, body, "new")
+	assert.Assert(t, time.Since(started) < idleTimeout/4)
+	assert.Assert(t, c.agents[0].eventCount("packet_of_earlier_incarnation") > 0)
+}
--- /dev/null
+++ b/node/agent/exchange.go
@@ -0,0 +1,117 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"trefoilweir.example/core/verdict"
+)
+
+// dialTimeout bounds the connection to the target, which is on this VM.
+const dialTimeout = time.Second
+
+// targetLink sends requests to the local target over HTTP/1.1.
+type targetLink struct {
+	address   netip.AddrPort
+	transport *http.Transport
+}
+
+func newTargetLink(address netip.AddrPort) *targetLink {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &targetLink{
+		address: address,
+		transport: &http.Transport{
+			DialContext:        dialer.DialContext,
+			DisableCompression: true,
+			// On a kept connection that the target closes meanwhile, it is
+			// unknown whether a request ran, and net/http repeats some
+			// requests by itself. A fresh connection has neither fault.
+			DisableKeepAlives: true,
+		},
+	}
+}
+
+// attempt is one sending of a request, to the target or to a peer.
+type attempt struct {
+	response *http.Response
+	// cancel ends the exchange. It must be called after the response body has
+	// been read.
+	cancel context.CancelFunc
+	err    *verdict.Error
+}
+
+// send runs a request on the target and returns when the response header is
+// there. limit bounds this wait; zero means no limit.
+func (t *targetLink) send(ctx context.Context, rq *request, limit time.Duration) attempt {
+	out := rq.outgoing()
+	target := *rq.in.URL
+	target.Scheme, target.Host, target.User = "http", t.address.String(), nil
+	out.URL = &target
+	if limit > 0 {
+		out.Header.Set(deadlineHeader, milliseconds(limit))
+	}
+	return rq.exchange(ctx, out, limit, t.transport.RoundTrip)
+}
+
+// exchange sends out with roundTrip and classifies a failure: before there was
+// a connection, the request certainly did not run.
+func (rq *request) exchange(ctx context.Context, out *http.Request, limit time.Duration,
+	roundTrip func(*http.Request) (*http.Response, error),
+) attempt {
+	if !rq.attachBody(out) {
+		return attempt{err: &verdict.Error{Verdict: verdict.NotRun, Reason: reasonBody}}
+	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	ctx, cancel := context.WithCancel(ctx)
+	inTime := func() bool { return true }
+	if limit > 0 {
+		inTime = time.AfterFunc(limit, cancel).Stop
+	}
+	response, err := roundTrip(out.WithContext(ctx))
+	switch stopped := inTime(); {
+	case err == nil && stopped:
+		return attempt{response: response, cancel: cancel}
+	case err == nil:
+		// The limit passed while the answer came in.
+		_ = response.Body.Close()
+		err = context.DeadlineExceeded
+		fallthrough
+	default:
+		cancel()
+		return attempt{err: classify(err, connected.Load(), !stopped)}
+	}
+}
+
+// Reasons of failed attempts, as stable keys.
+const (
+	reasonDial    = "dial_failed"
+	reasonBroken  = "exchange_broken"
+	reasonTimeout = "answer_timeout"
+	reasonBody    = "body_not_replayable"
+	reasonShed    = "shed"
+)
+
+func classify(err error, connected, expired bool) *verdict.Error {
+	var known *verdict.Error
+	switch {
+	case errors.As(err, &known):
+		return known
+	case !connected:
+		return &verdict.Error{Verdict: verdict.NotRun, Reason: reasonDial, Err: trace.Wrap(err)}
+	case expired:
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Reason: reasonTimeout, Err: trace.Wrap(err)}
+	default:
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Reason: reasonBroken, Err: trace.Wrap(err)}
+	}
+}
--- /dev/null
+++ b/node/agent/flow.go
@@ -0,0 +1,174 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilweir.example/core/admission"
+	"trefoilweir.example/core/verdict"
+)
+
+// Outcomes of requests, as stable label values.
+const (
+	outcomeFinished  = "finished"
+	outcomeRefused   = "refused_not_run"
+	outcomeUnknown   = "unknown"
+	outcomeCancelled = "cancelled"
+	outcomeBroken    = "answer_broken"
+)
+
+// serve takes a request through admission, its attempts and its answer. It
+// returns the outcome.
+func (a *Agent) serve(w http.ResponseWriter, rq *request) string {
+	ctx := rq.in.Context()
+	if !a.gate.post(gateInput{event: rq.arrive(), arrival: rq}) {
+		return a.refuse(w, rq, "stopping", time.Second)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			a.gate.post(gateInput{event: admission.Cancel{ID: rq.id}})
+			return outcomeCancelled
+		case <-a.gate.done:
+			return a.answer(w, rq)
+		case action := <-rq.actions:
+			if outcome, ended := a.act(ctx, w, rq, action); ended {
+				return outcome
+			}
+		}
+	}
+}
+
+// act carries out one decision. It reports whether the request has ended.
+func (a *Agent) act(ctx context.Context, w http.ResponseWriter, rq *request, action admission.Action) (string, bool) {
+	switch action := action.(type) {
+	case admission.Run:
+		err, broken := a.deliver(w, rq, a.target.send(ctx, rq, a.answerLimit(rq)))
+		return a.conclude(ctx, rq, broken, admission.Done{
+			ID: rq.id, Verdict: attemptVerdict(err), Shed: isShedError(err),
+		})
+	case admission.HandOver:
+		err, broken := a.deliver(w, rq, a.sendToPeer(ctx, rq, action))
+		return a.conclude(ctx, rq, broken, admission.PeerResult{
+			ID: rq.id, Peer: action.Peer, Verdict: attemptVerdict(err), Shed: isShedError(err),
+		})
+	case admission.Refuse:
+		return a.refuse(w, rq, string(action.Reason), action.RetryAfter), true
+	default:
+		return a.answer(w, rq), true
+	}
+}
+
+// conclude reports the end of an attempt to the gate. The request has ended if
+// an answer went out or the caller has gone.
+func (a *Agent) conclude(ctx context.Context, rq *request, broken error, result admission.Event) (string, bool) {
+	finished := rq.committed && broken == nil
+	if !finished && ctx.Err() != nil {
+		a.gate.post(gateInput{event: admission.Cancel{ID: rq.id}})
+		return outcomeCancelled, true
+	}
+	a.gate.post(gateInput{event: result})
+	switch {
+	case broken != nil:
+		a.log.Info("answer broken off", zap.String("class", rq.class.Name), zap.Error(broken))
+		return outcomeBroken, true
+	case finished:
+		return outcomeFinished, true
+	default:
+		return "", false
+	}
+}
+
+// deliver passes the response of an attempt on to the caller, unless the
+// target shed the request. err is the failure of the attempt; broken says that
+// the answer broke off after its first byte.
+func (a *Agent) deliver(w http.ResponseWriter, rq *request, at attempt) (err *verdict.Error, broken error) {
+	if at.err != nil {
+		a.log.Debug("attempt failed", zap.String("class", rq.class.Name), zap.Error(at.err))
+		rq.ended(at.err)
+		return at.err, nil
+	}
+	defer at.cancel()
+	if shed := refusedByTarget(at.response); shed != nil {
+		_ = at.response.Body.Close()
+		rq.ended(shed)
+		return shed, nil
+	}
+	rq.committed = true
+	rq.ended(nil)
+	return nil, respond(w, at.response)
+}
+
+// refusedByTarget returns the refusal that a response stands for, or nil for
+// an answer.
+func refusedByTarget(response *http.Response) *verdict.Error {
+	if response.Header.Get(linkOutcome) == linkFailed {
+		v, _ := verdict.Parse(response.Header.Get(verdict.Header))
+		return &verdict.Error{Verdict: v, Reason: response.Header.Get(linkReason)}
+	}
+	if isShed(response) {
+		return &verdict.Error{Verdict: verdict.NotRun, Reason: reasonShed}
+	}
+	return nil
+}
+
+func attemptVerdict(err *verdict.Error) verdict.Verdict {
+	if err == nil {
+		return verdict.Ran
+	}
+	return err.Verdict
+}
+
+func isShedError(err *verdict.Error) bool { return err != nil && err.Reason == reasonShed }
+
+// answerLimit is how long the target may take to begin its answer, from the
+// start of the attempt.
+func (a *Agent) answerLimit(rq *request) time.Duration {
+	return time.Duration(rq.class.DeadlineMS) * time.Millisecond
+}
+
+// refuse answers a request that admission did not start.
+func (a *Agent) refuse(w http.ResponseWriter, rq *request, reason string, retry time.Duration) string {
+	if rq.verdict != verdict.NotRun {
+		return a.answer(w, rq)
+	}
+	a.log.Debug("request refused", zap.String("class", rq.class.Name), zap.String("reason", reason))
+	a.metrics.count("trefoilweir_agent_refusals_total", "reason", reason)
+	rq.fail(w, refusal{
+		status: http.StatusServiceUnavailable, verdict: verdict.NotRun, reason: reason, retryAfter: seconds(retry),
+	})
+	return outcomeRefused
+}
+
+// answer ends a request whose last attempt failed.
+func (a *Agent) answer(w http.ResponseWriter, rq *request) string {
+	reason := "not_started"
+	if rq.last != nil {
+		reason = rq.last.Reason
+	}
+	if rq.verdict == verdict.NotRun {
+		rq.fail(w, refusal{
+			status: http.StatusServiceUnavailable, verdict: verdict.NotRun, reason: reason, retryAfter: seconds(0),
+		})
+		return outcomeRefused
+	}
+	status := http.StatusBadGateway
+	if reason == reasonTimeout {
+		status = http.StatusGatewayTimeout
+	}
+	rq.fail(w, refusal{status: status, verdict: verdict.MayHaveRun, reason: reason})
+	return outcomeUnknown
+}
+
+// fail writes an answer of the agent itself. A peer also learns the reason, so
+// that it can tell it from an answer of the target.
+func (rq *request) fail(w http.ResponseWriter, f refusal) {
+	if rq.fromPeer {
+		w.Header().Set(linkOutcome, linkFailed)
+		w.Header().Set(linkReason, f.reason)
+	}
+	f.write(w)
+}
--- /dev/null
+++ b/node/agent/gate.go
@@ -0,0 +1,234 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"trefoilweir.example/core/admission"
+)
+
+// gateInput is an event for the machine. arrival is set for Arrive only.
+// activate, in place of an event, ends a drain.
+type gateInput struct {
+	event    admission.Event
+	arrival  *request
+	activate bool
+}
+
+// gateQueue is how many events may wait for the gate.
+const gateQueue = 1024
+
+// machine is core/admission's Machine.
+type machine interface {
+	Step(now time.Duration, ev admission.Event) []admission.Action
+	Load() admission.Load
+}
+
+// gate owns the admission machine. One goroutine, run, steps it; everything
+// else talks to it through events.
+type gate struct {
+	in   chan gateInput
+	done chan struct{}
+	now  func() time.Duration
+	load *loadFigures
+	// send passes a machine's message to a peer. It must not block.
+	send func(to admission.PeerID, m admission.Message)
+	// resumed is called after a pause of the process. What it returns is
+	// handled before the next event.
+	resumed func() []gateInput
+	// create makes the machine for the limits and peers in force.
+	create func(warm bool) machine
+
+	// The fields below belong to run.
+	current  machine
+	requests map[admission.RequestID]gateEntry
+	draining bool
+	last     time.Duration
+}
+
+// gateEntry is an open request and the machine that decides on it.
+type gateEntry struct {
+	request *request
+	machine machine
+}
+
+func newGate() *gate {
+	return &gate{
+		in:       make(chan gateInput, gateQueue),
+		done:     make(chan struct{}),
+		requests: make(map[admission.RequestID]gateEntry),
+	}
+}
+
+// post passes an event on. It reports false once the gate has stopped.
+func (g *gate) post(in gateInput) bool {
+	select {
+	case g.in <- in:
+		return true
+	case <-g.done:
+		return false
+	}
+}
+
+// offer passes an event on unless the gate is busy.
+func (g *gate) offer(event admission.Event) bool {
+	select {
+	case g.in <- gateInput{event: event}:
+		return true
+	default:
+		return false
+	}
+}
+
+// run steps the machine until ctx ends. After a panic it can run again: the
+// open requests are then answered by what is known about them, and a new
+// machine takes over.
+func (g *gate) run(ctx context.Context) {
+	g.abandon()
+	g.current = g.create(g.draining)
+	if g.draining {
+		g.step(g.current, admission.Drain{})
+	}
+	g.last = g.now()
+	ticker := time.NewTicker(admission.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case in := <-g.in:
+			g.checkPause()
+			g.handle(in)
+		case <-ticker.C:
+			g.checkPause()
+			g.tick()
+		}
+		g.load.setAdmission(g.current.Load())
+	}
+}
+
+// abandon answers the requests of a machine that has failed. MayHaveRun is
+// refined by the request, which knows its attempts.
+func (g *gate) abandon() {
+	for id, entry := range g.requests {
+		delete(g.requests, id)
+		deliver(entry.request, admission.Answer{ID: id})
+	}
+}
+
+// checkPause notices that the process was stopped: everything it knows is
+// then as old as the pause.
+func (g *gate) checkPause() {
+	now := g.now()
+	if now-g.last > admission.PauseLimit {
+		for _, in := range g.resumed() {
+			g.handle(in)
+		}
+	}
+	g.last = now
+}
+
+func (g *gate) handle(in gateInput) {
+	if in.activate {
+		g.activate()
+		return
+	}
+	switch event := in.event.(type) {
+	case admission.Arrive:
+		g.requests[event.ID] = gateEntry{in.arrival, g.current}
+		g.step(g.current, event)
+	case admission.Cancel:
+		g.stepFor(event.ID, event)
+		delete(g.requests, event.ID)
+	case admission.Done:
+		g.stepFor(event.ID, event)
+	case admission.PeerResult:
+		g.stepFor(event.ID, event)
+	case admission.Drain:
+		g.drain()
+	default:
+		g.step(g.current, event)
+	}
+}
+
+// stepFor steps the machine that decides on a request. A request that has
+// ended needs no step.
+func (g *gate) stepFor(id admission.RequestID, event admission.Event) {
+	if entry, ok := g.requests[id]; ok {
+		g.step(entry.machine, event)
+	}
+}
+
+// tick steps every machine that still has requests.
+func (g *gate) tick() {
+	g.step(g.current, admission.Tick{})
+	if len(g.requests) == 0 {
+		return
+	}
+	ticked := map[machine]bool{g.current: true}
+	for _, entry := range g.requests {
+		if !ticked[entry.machine] {
+			ticked[entry.machine] = true
+			g.step(entry.machine, admission.Tick{})
+		}
+	}
+}
+
+func (g *gate) step(m machine, event admission.Event) {
+	for _, action := range m.Step(g.now(), event) {
+		g.perform(action)
+	}
+}
+
+func (g *gate) perform(action admission.Action) {
+	switch action := action.(type) {
+	case admission.Run:
+		g.decide(action.ID, action, false)
+	case admission.HandOver:
+		g.decide(action.ID, action, false)
+	case admission.Refuse:
+		g.decide(action.ID, action, true)
+	case admission.Answer:
+		g.decide(action.ID, action, true)
+	case admission.Send:
+		g.send(action.To, action.Message)
+	}
+}
+
+func (g *gate) decide(id admission.RequestID, action admission.Action, last bool) {
+	entry, ok := g.requests[id]
+	if !ok {
+		return
+	}
+	deliver(entry.request, action)
+	if last {
+		delete(g.requests, id)
+	}
+}
+
+// deliver never blocks the gate. A full channel would mean that the machine
+// broke its invariant of one open attempt per request.
+func deliver(rq *request, action admission.Action) {
+	select {
+	case rq.actions <- action:
+	default:
+		panic("admission decided on a request that has not taken its last decision")
+	}
+}
+
+func (g *gate) drain() {
+	if !g.draining {
+		g.draining = true
+		g.step(g.current, admission.Drain{})
+	}
+}
+
+// activate ends a drain. The machine has no way back from Drain, so a new one
+// takes the new requests, and the old one keeps those it has. For as long as
+// requests of both run, the target may be over its slots; it sheds or queues.
+func (g *gate) activate() {
+	if g.draining {
+		g.draining = false
+		g.current = g.create(true)
+	}
+}
--- /dev/null
+++ b/node/agent/handover.go
@@ -0,0 +1,108 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/quic-go/quic-go/http3"
+
+	"trefoilweir.example/core/admission"
+	"trefoilweir.example/core/verdict"
+)
+
+// runPath is where peers hand requests over.
+const runPath = "/run"
+
+// Headers of a handed-over request and its answer. They never leave the peer
+// link.
+const (
+	linkMethod    = "Run-Method"
+	linkURI       = "Run-Uri"
+	linkAuthority = "Run-Authority"
+	linkGrant     = "Run-Grant"
+	linkClass     = "Run-Class"
+	linkDeadline  = "Run-Deadline-Ms"
+	linkOutcome   = "Run-Outcome"
+	linkReason    = "Run-Reason"
+	// linkFailed is the value of linkOutcome for an answer that the agent
+	// itself gave.
+	linkFailed = "failed"
+)
+
+var linkHeaders = []string{
+	linkMethod, linkURI, linkAuthority, linkGrant, linkClass, linkDeadline, linkOutcome, linkReason,
+}
+
+// sendToPeer hands a request over and returns when the response header is
+// there.
+func (a *Agent) sendToPeer(ctx context.Context, rq *request, h admission.HandOver) attempt {
+	peer, ok := a.view().peer(h.Peer)
+	if !ok {
+		return attempt{err: &verdict.Error{Verdict: verdict.NotRun, Reason: "peer_removed"}}
+	}
+	out := rq.outgoing()
+	out.Method, out.URL = http.MethodPost, &url.URL{Path: runPath}
+	out.Header.Set(linkMethod, rq.in.Method)
+	out.Header.Set(linkURI, rq.in.URL.RequestURI())
+	out.Header.Set(linkAuthority, rq.in.Host)
+	out.Header.Set(linkGrant, strconv.FormatUint(uint64(h.Grant), 10))
+	out.Header.Set(linkClass, rq.class.Name)
+	if rq.deadline > 0 {
+		out.Header.Set(linkDeadline, milliseconds(max(rq.deadline-a.now(), 1)))
+	}
+	limit := a.answerLimit(rq)
+	if limit > 0 {
+		// The peer bounds the target's answer; this bounds the peer's.
+		limit += admission.GrantLifetime
+	}
+	return rq.exchange(ctx, out, limit, func(r *http.Request) (*http.Response, error) {
+		response, err := a.peers.Do(r.Context(), peer.link, r)
+		var h3 *http3.Error
+		if errors.As(err, &h3) && h3.Remote && h3.ErrorCode == http3.ErrCodeRequestRejected {
+			return nil, &verdict.Error{Verdict: verdict.NotRun, Reason: "peer_rejected", Err: err}
+		}
+		return response, err
+	})
+}
+
+// handleRun serves a request that a peer handed over.
+func (a *Agent) handleRun(w http.ResponseWriter, r *http.Request) {
+	rq, fault := a.handedOver(r)
+	if fault != "" {
+		a.metrics.rejected("run", fault)
+		(&request{fromPeer: true}).fail(w, refusal{
+			status: http.StatusBadRequest, verdict: verdict.NotRun, reason: fault,
+		})
+		return
+	}
+	a.serveContained(w, rq)
+}
+
+// handedOver builds the original request. It returns the fault of a request
+// that cannot be read.
+func (a *Agent) handedOver(r *http.Request) (*request, string) {
+	header := r.Header
+	uri, err := url.ParseRequestURI(header.Get(linkURI))
+	if err != nil || header.Get(linkMethod) == "" {
+		return nil, "request_line"
+	}
+	grant, err := strconv.ParseUint(header.Get(linkGrant), 10, 64)
+	if err != nil || grant == 0 {
+		return nil, "grant"
+	}
+	remaining, ok := parseMilliseconds(header.Get(linkDeadline))
+	if !ok {
+		return nil, "deadline"
+	}
+	in := r.Clone(r.Context())
+	in.Method, in.URL, in.Host = header.Get(linkMethod), uri, header.Get(linkAuthority)
+	rq := a.newRequest(in, a.view().classNamed(header.Get(linkClass)))
+	rq.fromPeer, rq.grant = true, admission.GrantID(grant)
+	if remaining > 0 {
+		rq.deadline = rq.arrived + remaining
+	}
+	return rq, ""
+}
--- /dev/null
+++ b/node/agent/load.go
@@ -0,0 +1,57 @@
+package agent
+
+import (
+	"math"
+	"sync/atomic"
+
+	"trefoilweir.example/core/admission"
+	"trefoilweir.example/core/wire"
+)
+
+// loadFigures are the agent's own load, as it reports it in datagrams. Writers
+// and readers are on different goroutines.
+type loadFigures struct {
+	admission   atomic.Pointer[admission.Load]
+	draining    atomic.Bool
+	connections atomic.Int64
+	// limit is the connection limit. Zero means none.
+	limit atomic.Int64
+}
+
+func (l *loadFigures) setAdmission(load admission.Load) { l.admission.Store(&load) }
+
+func (l *loadFigures) current() admission.Load {
+	if load := l.admission.Load(); load != nil {
+		return *load
+	}
+	return admission.Load{}
+}
+
+func (l *loadFigures) full() bool {
+	limit := l.limit.Load()
+	return limit > 0 && l.connections.Load() >= limit
+}
+
+// refusesFlows says that new flows should go to another agent. A cold agent
+// refuses them only while all slots of its ramp are busy.
+func (l *loadFigures) refusesFlows() bool {
+	load := l.current()
+	return l.draining.Load() || l.full() || load.Cold && load.Busy >= load.Slots
+}
+
+// header returns the load fields of a datagram header.
+func (l *loadFigures) header() (busy, waiting uint16, state wire.StateBits) {
+	load := l.current()
+	if l.draining.Load() {
+		state |= wire.StateDraining
+	}
+	if load.Cold {
+		state |= wire.StateCold
+	}
+	if l.full() {
+		state |= wire.StateFull
+	}
+	return clamp16(load.Busy), clamp16(load.Waiting), state
+}
+
+func clamp16(n int) uint16 { return uint16(min(max(n, 0), math.MaxUint16)) }
--- /dev/null
+++ b/node/agent/respond.go
@@ -0,0 +1,99 @@
+package agent
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	"trefoilweir.example/core/verdict"
+)
+
+// copyBuffer is the size of the buffers that copy response bodies, in bytes.
+const copyBuffer = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+
+// respond passes a response on and flushes after each piece, because the
+// pieces of a ticker must not wait for each other. It returns an error if the
+// response did not reach its end.
+func respond(w http.ResponseWriter, response *http.Response) error {
+	defer response.Body.Close()
+	header := w.Header()
+	for name, values := range endToEnd(response.Header) {
+		header[name] = values
+	}
+	if _, ok := verdict.Parse(header.Get(verdict.Header)); !ok {
+		header.Set(verdict.Header, verdict.Ran.String())
+	}
+	w.WriteHeader(response.StatusCode)
+	controller := http.NewResponseController(w)
+	if err := controller.Flush(); err != nil {
+		return err
+	}
+	if err := copyFlushing(w, controller, response.Body); err != nil {
+		return err
+	}
+	for name, values := range response.Trailer {
+		header[http.TrailerPrefix+name] = values
+	}
+	return nil
+}
+
+func copyFlushing(w io.Writer, controller *http.ResponseController, body io.Reader) error {
+	buffer := copyBuffers.Get().(*[copyBuffer]byte)
+	defer copyBuffers.Put(buffer)
+	for {
+		n, err := body.Read(buffer[:])
+		if n > 0 {
+			if _, err := w.Write(buffer[:n]); err != nil {
+				return err
+			}
+			if err := controller.Flush(); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// isShed says that the target refused a request for lack of capacity and did
+// not run it.
+func isShed(response *http.Response) bool {
+	v, ok := verdict.Parse(response.Header.Get(verdict.Header))
+	return response.StatusCode == http.StatusServiceUnavailable && ok && v == verdict.NotRun
+}
+
+// refusal is an answer of the agent itself.
+type refusal struct {
+	status  int
+	verdict verdict.Verdict
+	reason  string
+	// retryAfter is in seconds. Empty means that a repeat does not help.
+	retryAfter string
+}
+
+func (f refusal) write(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set(verdict.Header, f.verdict.String())
+	if f.retryAfter != "" {
+		header.Set(retryAfter, f.retryAfter)
+	}
+	w.WriteHeader(f.status)
+	_, _ = io.WriteString(w, strings.ReplaceAll(f.reason, "_", " ")+"\n")
+}
+
+// emptyBody is a request body without content that is not http.NoBody.
+type emptyBody struct{}
+
+// Read implements io.Reader.
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Close implements io.Closer.
+func (emptyBody) Close() error { return nil }
--- /dev/null
+++ b/node/agent/serve.go
@@ -0,0 +1,90 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+)
+
+const (
+	// pingTick is how often the agent looks whether balancers need a ping.
+	pingTick = 25 * time.Millisecond
+	// restartBackoff is the wait before a part is started again that keeps
+	// failing.
+	restartBackoff = 100 * time.Millisecond
+	// stopTimeout bounds the wait for a part to stop.
+	stopTimeout = 2 * time.Second
+)
+
+// part is a supervised part of the agent.
+type part struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Serve implements suture.Service.
+func (p part) Serve(ctx context.Context) error { return p.run(ctx) }
+
+// String names the part in log lines and metrics.
+func (p part) String() string { return p.name }
+
+// Serve runs the agent until ctx ends, then closes all connections. Call Drain
+// first for a graceful stop. It can be called once.
+func (a *Agent) Serve(ctx context.Context) error {
+	supervisor := suture.New("agent", suture.Spec{
+		EventHook:      a.partEvent,
+		FailureBackoff: restartBackoff,
+		Timeout:        stopTimeout,
+	})
+	for _, p := range a.parts() {
+		supervisor.Add(p)
+	}
+	a.log.Info("agent started", zap.Stringer("datagram_address", a.self.address))
+	err := supervisor.Serve(ctx)
+	close(a.gate.done)
+	closeErr := trace.NewAggregate(a.callers.close(), a.edge.Close())
+	if ctx.Err() != nil {
+		err = nil
+	}
+	return trace.NewAggregate(err, closeErr)
+}
+
+func (a *Agent) parts() []part {
+	return []part{
+		{"admission", func(ctx context.Context) error { a.gate.run(ctx); return nil }},
+		{"callers", a.callers.accept},
+		{"configuration", a.follow},
+		{"return_path", a.pingBalancers},
+		{"drain", a.sweep},
+	}
+}
+
+func (a *Agent) partEvent(e suture.Event) {
+	fields := e.Map()
+	if p, ok := e.(suture.EventServicePanic); ok {
+		a.metrics.panicked(p.ServiceName)
+	}
+	if e.Type() == suture.EventTypeResume {
+		a.log.Info("parts restarted", zap.Any("event", fields))
+		return
+	}
+	a.log.Error("part failed", zap.Any("event", fields))
+}
+
+func (a *Agent) pingBalancers(ctx context.Context) error {
+	ticker := time.NewTicker(pingTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			for _, to := range a.balancers.pings(a.now()) {
+				a.edge.ping(to)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/node/agent/status.go
@@ -0,0 +1,42 @@
+package agent
+
+import "net/netip"
+
+// Status is what the operator port shows of an agent.
+type Status struct {
+	Service     string         `json:"service"`
+	Target      string         `json:"target"`
+	Address     netip.AddrPort `json:"datagram_address"`
+	Incarnation uint64         `json:"incarnation"`
+	// Version is that of the configuration in force.
+	Version  uint64 `json:"version"`
+	Draining bool   `json:"draining"`
+	// Connections is the number of callers' connections.
+	Connections int64 `json:"connections"`
+	// Requests is the number of requests without an answer.
+	Requests int64 `json:"requests"`
+	Slots    int   `json:"slots"`
+	Busy     int   `json:"busy"`
+	Waiting  int   `json:"waiting"`
+	// Balancers is the number of balancers that the agent has heard from.
+	Balancers int `json:"balancers"`
+}
+
+// Status returns the agent's present state.
+func (a *Agent) Status() Status {
+	load := a.load.current()
+	return Status{
+		Service:     a.settings.Service,
+		Target:      a.settings.Target,
+		Address:     a.self.address,
+		Incarnation: a.self.incarnation,
+		Version:     a.view().version,
+		Draining:    a.load.draining.Load(),
+		Connections: a.load.connections.Load(),
+		Requests:    a.open.Load(),
+		Slots:       load.Slots,
+		Busy:        load.Busy,
+		Waiting:     load.Waiting,
+		Balancers:   a.balancers.known(),
+	}
+}
