--- /dev/null
+++ b/node/settings/settings.go
@@ -0,0 +1,168 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"trefoilweir.example/core/strictjson"
+)
+
+// Defaults and limits.
+const (
+	// DefaultLogLevel is the log level of a process without the setting.
+	DefaultLogLevel = "info"
+	// DefaultLingerMS is the least time that a stopping balancer goes on
+	// forwarding, in milliseconds. It covers the lag of the platform's VM
+	// list, from which a fabric learns that a balancer is leaving.
+	DefaultLingerMS = 5000
+	// MaxLingerMS and MaxDrainLimitMS are in milliseconds: ten minutes, and
+	// one day, because a flow such as a ticker stays open for hours.
+	MaxLingerMS     = 600_000
+	MaxDrainLimitMS = 86_400_000
+)
+
+// SetDefaults fills in the defaults.
+func (b *Balancer) SetDefaults() {
+	b.LogLevel = DefaultLogLevel
+	b.LingerMS = DefaultLingerMS
+}
+
+// SetDefaults fills in the defaults.
+func (a *Agent) SetDefaults() { a.LogLevel = DefaultLogLevel }
+
+// FileError is the set of faults of one settings file.
+type FileError struct {
+	// File is the name of the file as it was given.
+	File string
+	// Faults are all faults, with their fields.
+	Faults strictjson.Errors
+}
+
+// Error implements error: one line per fault with file, field and reason.
+func (e *FileError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = e.File + ": " + f.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the faults.
+func (e *FileError) Unwrap() error { return e.Faults }
+
+// LoadBalancer reads the settings file of a balancer.
+func LoadBalancer(file string) (*Balancer, error) {
+	var b Balancer
+	return &b, load(file, &b, func(e *strictjson.Errors) { b.validate(e) })
+}
+
+// LoadAgent reads the settings file of an agent.
+func LoadAgent(file string) (*Agent, error) {
+	var a Agent
+	return &a, load(file, &a, func(e *strictjson.Errors) { a.validate(e) })
+}
+
+func load(file string, into any, validate func(*strictjson.Errors)) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	errs := strictjson.Decode(data, into)
+	// A field with a wrong type keeps its zero value. Reporting that value as
+	// missing too would name one fault twice.
+	var more strictjson.Errors
+	if !syntaxError(errs) {
+		validate(&more)
+	}
+	errs = append(errs, withoutRepeats(errs, more)...)
+	if len(errs) > 0 {
+		return &FileError{File: file, Faults: errs}
+	}
+	return nil
+}
+
+func syntaxError(errs strictjson.Errors) bool {
+	return len(errs) == 1 && errs[0].Path == ""
+}
+
+func withoutRepeats(first, more strictjson.Errors) strictjson.Errors {
+	var out strictjson.Errors
+	for _, e := range more {
+		repeat := false
+		for _, f := range first {
+			repeat = repeat || f.Path == e.Path || strings.HasPrefix(e.Path, f.Path+".")
+		}
+		if !repeat {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (c *Common) validate(e *strictjson.Errors) {
+	required(e, "name", c.Name)
+	required(e, "data_centre", c.DataCentre)
+	address(e, "datagram_address", c.DatagramAddress)
+	address(e, "peer_address", c.PeerAddress)
+	address(e, "operator_address", c.OperatorAddress)
+	required(e, "keys_file", c.KeysFile)
+	required(e, "tls.ca", c.TLS.CA)
+	required(e, "tls.certificate", c.TLS.Certificate)
+	required(e, "tls.key", c.TLS.Key)
+	if c.DatagramAddress.IsValid() && c.DatagramAddress == c.PeerAddress && c.PeerAddress.Port() != 0 {
+		e.Addf("peer_address", "%s is also the datagram address, and both use UDP", c.PeerAddress)
+	}
+	c.validatePlatform(e)
+	switch c.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		e.Addf("log_level", "%q, want debug, info, warn or error", c.LogLevel)
+	}
+}
+
+func (c *Common) validatePlatform(e *strictjson.Errors) {
+	if len(c.Platform) == 0 {
+		e.Addf("platform", "no base URL of the configuration service, want at least one")
+	}
+	for i, base := range c.Platform {
+		u, err := url.Parse(base)
+		if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+			e.Addf(index("platform", i), "%q is not a base URL such as http://192.0.2.1:8500", base)
+		}
+	}
+}
+
+func (b *Balancer) validate(e *strictjson.Errors) {
+	b.Common.validate(e)
+	seen := map[netip.AddrPort]string{}
+	for _, service := range sortedKeys(b.Listen) {
+		at := strictjson.Join("listen", service)
+		a := b.Listen[service]
+		address(e, at, a)
+		if other, ok := seen[a]; ok && a.Port() != 0 {
+			e.Addf(at, "%s is also the address of service %s", a, other)
+		}
+		seen[a] = service
+	}
+	limits(e, "linger_ms", b.LingerMS, MaxLingerMS)
+}
+
+func (a *Agent) validate(e *strictjson.Errors) {
+	a.Common.validate(e)
+	// Connection IDs hold an IPv4 address.
+	if d := a.DatagramAddress; d.IsValid() && !d.Addr().Unmap().Is4() {
+		e.Addf("datagram_address", "%s is not IPv4, and agents are addressed by IPv4", d)
+	}
+	required(e, "service", a.Service)
+	required(e, "target", a.Target)
+	address(e, "target_address", a.TargetAddress)
+	if a.TargetAddress.IsValid() && a.TargetAddress.Port() == 0 {
+		e.Addf("target_address", "port 0, want the port of the target")
+	}
+	required(e, "service_certificate", a.ServiceCertificate)
+	required(e, "service_key", a.ServiceKey)
+	limits(e, "drain_limit_ms", a.DrainLimitMS, MaxDrainLimitMS)
+}
