Parts are keyed by hash; SplitFile for publishers

Cause: fuzzing found a service without targets that Parse accepts and Join refuses, because a nil list is encoded as null. Publishers work on files.

--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -134,14 +134,14 @@
 	c := fleet(t, 3000, 5)
 	m1, parts1 := config.Split(c)
 	var a config.Assembler
-	first, err := a.Assemble(m1, func(r config.Ref) ([]byte, bool) { d, ok := parts1[config.PartKey(r.SHA256)]; return d, ok })
+	first, err := a.Assemble(m1, func(r config.Ref) ([]byte, bool) { d, ok := parts1[r.SHA256.String()]; return d, ok })
 	assert.NilError(t, err)
 	c.Version, c.Services[77].Targets[3].State = 2, config.TargetDraining
 	m2, parts2 := config.Split(c)
 	fetched := 0
 	second, err := a.Assemble(m2, func(r config.Ref) ([]byte, bool) {
 		fetched++
-		d, ok := parts2[config.PartKey(r.SHA256)]
+		d, ok := parts2[r.SHA256.String()]
 		return d, ok
 	})
 	assert.NilError(t, err)
@@ -156,7 +156,7 @@
 // or not valid.
 func TestJoinFaults(t *testing.T) {
 	m, parts := config.Split(parse(t, small))
-	key := config.PartKey(m.Parts[1].SHA256)
+	key := m.Parts[1].SHA256.String()
 	data := parts[key]
 	delete(parts, key)
 	_, err := config.Join(m, parts)
@@ -173,6 +173,19 @@
 	assert.Error(t, err, "services[0].targets[0].slots: 0 slots, want 1 to 10000 slots")
 }
 
+// Guards against a publisher that hides a configuration that is not valid
+// from the processes, or that publishes a file it does not understand.
+func TestSplitFile(t *testing.T) {
+	_, _, err := config.SplitFile([]byte(strings.Replace(small, `"version"`, `"versoin"`, 1)))
+	assert.ErrorContains(t, err, "versoin: unknown field")
+	manifest, parts, err := config.SplitFile([]byte(strings.Replace(small, `"slots":7`, `"slots":0`, 1)))
+	assert.NilError(t, err)
+	m, err := config.ParseManifest(manifest)
+	assert.NilError(t, err)
+	_, err = config.Join(m, parts)
+	assert.ErrorContains(t, err, "0 slots")
+}
+
 // Guards against an order that differs between processes.
 func TestLess(t *testing.T) {
 	low, high := config.Head{Version: 2, Hash: config.Hash{1}}, config.Head{Version: 2, Hash: config.Hash{2}}
--- a/core/config/join.go
+++ b/core/config/join.go
@@ -31,7 +31,7 @@
 func Join(m Manifest, parts map[string][]byte) (*Config, error) {
 	var a Assembler
 	return a.Assemble(m, func(r Ref) ([]byte, bool) {
-		data, ok := parts[PartKey(r.SHA256)]
+		data, ok := parts[r.SHA256.String()]
 		return data, ok
 	})
 }
--- a/core/config/split.go
+++ b/core/config/split.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"slices"
+
+	"trefoilweir.example/core/strictjson"
 )
 
 // Sizes of parts.
@@ -53,9 +55,8 @@
 	Parts []Ref `json:"parts"`
 }
 
-// Split returns the manifest and the parts of a configuration, keyed by
-// "parts/" and their hash, as on the platform. The result does not depend on
-// the order of services.
+// Split returns the manifest and the parts of a configuration, keyed by their
+// hash in hexadecimal. The result does not depend on the order of services.
 func Split(c *Config) (Manifest, map[string][]byte) {
 	s := splitter{parts: map[string][]byte{}}
 	refs := []Ref{s.add(commonPart, commonContent{c.AgentNetworks, c.Presets})}
@@ -66,6 +67,18 @@
 	return Manifest{Version: c.Version, Preset: c.Preset, Parts: refs}, s.parts
 }
 
+// SplitFile splits an operators' file and returns the encoded manifest and the
+// parts by hash. It refuses a file that is not of the right form, and leaves
+// limits to the processes, which refuse a configuration that is not valid.
+func SplitFile(file []byte) (manifest []byte, parts map[string][]byte, err error) {
+	var c Config
+	if err := strictjson.Decode(file, &c).Err(); err != nil {
+		return nil, nil, err
+	}
+	m, parts := Split(&c)
+	return m.Encode(), parts, nil
+}
+
 // PartKey returns the key of a part on the platform.
 func PartKey(h Hash) string { return "parts/" + h.String() }
 
@@ -76,7 +89,7 @@
 func (s *splitter) add(name string, content any) Ref {
 	data := mustMarshal(content)
 	ref := Ref{Name: name, SHA256: HashOf(data), Bytes: len(data)}
-	s.parts[PartKey(ref.SHA256)] = data
+	s.parts[ref.SHA256.String()] = data
 	return ref
 }
 
@@ -103,7 +116,8 @@
 		targets := s.Targets
 		for first := true; first || len(targets) > 0; first = false {
 			n := min(len(targets), chunkTargets)
-			s.Targets = targets[:n]
+			// A nil list would be encoded as null, which Join refuses.
+			s.Targets = append(make([]Target, 0, n), targets[:n]...)
 			targets = targets[n:]
 			out = append(out, chunk{s, len(mustMarshal(s))})
 		}
--- /dev/null
+++ b/core/distribution/tree.go
@@ -0,0 +1,71 @@
+package distribution
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"trefoilweir.example/core/config"
+)
+
+// Place is the place of a process in the tree of its data centre.
+type Place struct {
+	// Reader says that the process watches the platform.
+	Reader bool
+	// Parents are the peers to poll, in order of preference. A reader has
+	// none.
+	Parents []Origin
+}
+
+type ranked struct {
+	rank uint64
+	name string
+}
+
+// PlaceOf returns the place of a process according to a list of VMs. The VMs
+// of a data centre are ordered by hash; the first Readers of them watch the
+// platform, and the others form a tree below them. Every parent is before its
+// children in the order, so that equal lists give a tree without cycles.
+// Leaving VMs are nobody's parent. A process that is not in the list is the
+// last of the order.
+func PlaceOf(vms []config.VM, self, dataCentre string) Place {
+	order := ranking(vms, self, dataCentre)
+	i, found := slices.BinarySearchFunc(order, rank(dataCentre, self), compareRanked)
+	if !found {
+		i = len(order)
+	}
+	if i < Readers {
+		return Place{Reader: true}
+	}
+	first, second := parents(i)
+	return Place{Parents: []Origin{Origin(order[first].name), Origin(order[second].name)}}
+}
+
+func ranking(vms []config.VM, self, dataCentre string) []ranked {
+	order := make([]ranked, 0, len(vms))
+	for i := range vms {
+		if vms[i].DataCentre == dataCentre && (vms[i].State != config.VMLeaving || vms[i].Name == self) {
+			order = append(order, rank(dataCentre, vms[i].Name))
+		}
+	}
+	slices.SortFunc(order, compareRanked)
+	return slices.Compact(order)
+}
+
+func rank(dataCentre, name string) ranked {
+	return ranked{xxhash.Sum64String(dataCentre + "\x00" + name), name}
+}
+
+func compareRanked(a, b ranked) int {
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name))
+}
+
+// parents returns the indexes of the parents of index i, which is not below
+// Readers. The second parent is the neighbour of the first.
+func parents(i int) (first, second int) {
+	first = (i - Readers) / FanOut
+	if first == 0 {
+		return 0, 1
+	}
+	return first, first - 1
+}
