Reader of the platform's configuration service

Cause: every process reads values by key, with several base URLs and through outages of the platform. Ruled out: a backoff per caller, with which many callers of one process would still call often. Conclusion: in the test, at most four calls in the first 500 ms of an outage.

--- /dev/null
+++ b/node/platform/platform_test.go
@@ -0,0 +1,90 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"trefoilweir.example/node/platform"
+)
+
+func server(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(handler)
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+func reader(t *testing.T, urls ...string) *platform.Reader {
+	t.Helper()
+	r, err := platform.New(platform.Options{URLs: urls, Timeout: time.Second})
+	assert.NilError(t, err)
+	t.Cleanup(r.Close)
+	return r
+}
+
+// Guards against a dead base URL that hides a live one, and against a reader
+// that asks the dead one again at every call.
+func TestSeveralURLs(t *testing.T) {
+	var dead, live atomic.Int32
+	bad := server(t, func(w http.ResponseWriter, _ *http.Request) {
+		dead.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	good := server(t, func(w http.ResponseWriter, r *http.Request) {
+		live.Add(1)
+		fmt.Fprintf(w, `{"revision":3,"value":%q}`, r.URL.RequestURI())
+	})
+	r := reader(t, bad, good+"/")
+	v, err := r.Get(context.Background(), platform.KeyManifest)
+	assert.NilError(t, err)
+	assert.Equal(t, v.Revision, uint64(3))
+	assert.Equal(t, string(v.Data), `"/v1/values/manifest"`)
+	v, err = r.Watch(context.Background(), "parts/ab", 7, 20*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, string(v.Data), `"/v1/values/parts/ab?after=7&wait=20s"`)
+	assert.Equal(t, dead.Load(), int32(1))
+}
+
+// Guards against calls without pause while the platform is down.
+func TestBackoff(t *testing.T) {
+	var calls atomic.Int32
+	r := reader(t, server(t, func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	for ctx.Err() == nil {
+		_, err := r.Get(ctx, platform.KeyVMs)
+		assert.Assert(t, err != nil)
+	}
+	// Waits of at least 50, 100, 200 and 400 ms leave room for four calls.
+	assert.Assert(t, calls.Load() <= 4, "%d calls", calls.Load())
+}
+
+// Guards against a missing key that counts as a failure of the platform.
+func TestNotFound(t *testing.T) {
+	r := reader(t, server(t, http.NotFound))
+	for range 20 {
+		_, err := r.Get(context.Background(), "parts/ab")
+		assert.Assert(t, errors.Is(err, platform.ErrNotFound), "%v", err)
+	}
+}
+
+// Guards against a stop that waits for a watch.
+func TestWatchEndsWithContext(t *testing.T) {
+	r := reader(t, server(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	_, err := r.Watch(ctx, platform.KeyManifest, 1, time.Minute)
+	assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+	assert.Assert(t, time.Since(start) < time.Second)
+}
