Decisions on adoption and distribution of configurations

Cause: 14,000 processes must follow one configuration within seconds, without writing anywhere and with few calls to the platform. Ruled out: every process watching the platform, whose calls would then grow with the fleet; parents chosen by load, which needs shared state. Conclusion: table tests cover each rule; the fleet is measured later.

--- a/core/distribution/machine.go
+++ b/core/distribution/machine.go
@@ -14,6 +14,9 @@
 	Self, DataCentre string
 	// Seed makes the choice of peers differ between processes.
 	Seed uint64
+	// Current is the head in force, if the process follows configurations
+	// already and only its Machine is new.
+	Current config.Head
 }
 
 // sighting is a head above the current one, and where it was seen.
@@ -36,8 +39,10 @@
 	last        time.Duration
 	started     bool
 
-	vms   []config.VM
-	place Place
+	vms []config.VM
+	// listed says that a list of VMs has arrived. It may be empty.
+	listed bool
+	place  Place
 	// parent is the index of the parent that is polled.
 	parent int
 
@@ -65,6 +70,9 @@
 		self: o.Self, dataCentre: o.DataCentre,
 		random: rand.New(rand.NewPCG(o.Seed, 0)),
 		asked:  map[Origin]bool{},
+		// A process with a configuration went through its start-up phase.
+		current: o.Current,
+		ready:   !o.Current.IsZero(),
 	}
 }
 
@@ -153,8 +161,8 @@
 }
 
 func (m *Machine) vmList(now time.Duration, vms []config.VM) {
-	first := len(m.vms) == 0
-	m.vms = vms
+	first := !m.listed
+	m.vms, m.listed = vms, true
 	before := m.pollOrigin()
 	m.place = PlaceOf(vms, m.self, m.dataCentre)
 	m.parent = 0
@@ -217,7 +225,7 @@
 // seen notes a head that an origin has.
 func (m *Machine) seen(from Origin, head config.Head) {
 	m.checkConflict(from, head)
-	if from == Platform && config.Less(head, m.current) {
+	if from == Platform && !head.IsZero() && config.Less(head, m.current) {
 		m.emit(Alarm{Kind: AlarmStale, From: from, Head: head})
 	}
 	if !config.Less(m.current, head) || slices.Contains(m.rejected, head) {
@@ -325,7 +333,7 @@
 	if m.ready || m.current.IsZero() {
 		return
 	}
-	answered := len(m.asked) == 0 && len(m.vms) > 0 && !m.fetching && len(m.sightings) == 0
+	answered := len(m.asked) == 0 && m.listed && !m.fetching && len(m.sightings) == 0
 	if answered || now >= m.startBefore {
 		m.ready = true
 		m.emit(Ready{})
@@ -343,7 +351,7 @@
 }
 
 func (m *Machine) startPoll(now time.Duration) {
-	if !m.started || m.polling || now < m.pollAfter || len(m.vms) == 0 {
+	if !m.started || m.polling || now < m.pollAfter || !m.listed {
 		return
 	}
 	m.pollID++
@@ -405,7 +413,7 @@
 // checkOrphan asks the platform if no parent has answered for a while. This
 // repairs a list of VMs that names only dead readers.
 func (m *Machine) checkOrphan(now time.Duration) {
-	if m.place.Reader || len(m.vms) == 0 || m.pollFails == 0 || now-m.pollOK < orphanAfter || now < m.nextOrphan {
+	if m.place.Reader || m.pollFails == 0 || now-m.pollOK < orphanAfter || now < m.nextOrphan {
 		return
 	}
 	period := max(orphanAfter, time.Duration(len(m.vms))*orphanPerVM)
--- /dev/null
+++ b/core/distribution/machine_test.go
@@ -0,0 +1,189 @@
+package distribution_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"trefoilweir.example/core/config"
+	"trefoilweir.example/core/distribution"
+)
+
+type (
+	event  = distribution.Event
+	action = distribution.Action
+)
+
+func head(version uint64, hash byte) config.Head {
+	return config.Head{Version: version, Hash: config.Hash{hash}}
+}
+
+// fleet returns n live VMs, spread over data centres.
+func fleet(n, dataCentres int) []config.VM {
+	vms := make([]config.VM, n)
+	for i := range vms {
+		vms[i] = config.VM{Name: fmt.Sprintf("vm-%05d", i), DataCentre: fmt.Sprintf("dc-%02d", i%dataCentres), State: config.VMLive}
+	}
+	return vms
+}
+
+// follower returns a started machine that is not a reader, and its parents.
+func follower(t *testing.T) (*distribution.Machine, []distribution.Origin) {
+	t.Helper()
+	vms := fleet(40, 1)
+	for _, vm := range vms {
+		m := distribution.New(distribution.Options{Self: vm.Name, DataCentre: "dc-00", Seed: 1})
+		m.Step(0, distribution.Start{})
+		m.Step(0, distribution.VMList{VMs: vms})
+		if !m.Place().Reader {
+			return m, m.Place().Parents
+		}
+	}
+	t.Fatal("no follower")
+	return nil, nil
+}
+
+func find[T action](actions []action) (out []T) {
+	for _, a := range actions {
+		if one, ok := a.(T); ok {
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
+// Guards against a tree with cycles, with lone processes, or with more than
+// three readers of the platform per data centre.
+func TestPlaces(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 4, 30, 600} {
+		vms, readers, children := fleet(n, 1), 0, map[distribution.Origin]int{}
+		parents := map[distribution.Origin][]distribution.Origin{}
+		for _, vm := range vms {
+			p := distribution.PlaceOf(vms, vm.Name, "dc-00")
+			if p.Reader {
+				readers++
+				continue
+			}
+			assert.Assert(t, len(p.Parents) == 2 && p.Parents[0] != p.Parents[1])
+			parents[distribution.Origin(vm.Name)] = p.Parents
+			children[p.Parents[0]]++
+		}
+		assert.Equal(t, readers, min(n, distribution.Readers))
+		for _, count := range children {
+			assert.Assert(t, count <= distribution.FanOut)
+		}
+		for name := range parents {
+			depth := 0
+			for at := name; len(parents[at]) > 0; at = parents[at][depth%2] {
+				depth++
+				assert.Assert(t, depth <= 2*n, "cycle above %s", name)
+			}
+		}
+	}
+	leaving := fleet(5, 1)
+	for i := range leaving {
+		leaving[i].State = config.VMLeaving
+	}
+	assert.Assert(t, distribution.PlaceOf(leaving, "new", "dc-00").Reader, "leaving VMs are nobody's parent")
+}
+
+// Guards against a process that goes back, and against two contents under one
+// version between which processes do not agree.
+func TestNeverLower(t *testing.T) {
+	m, _ := follower(t)
+	m.Step(1, distribution.Fetched{From: "a", Head: head(5, 5)})
+	for _, lower := range []config.Head{head(4, 9), head(5, 4), head(5, 5), {}} {
+		out := m.Step(1, distribution.Told{From: "b", Head: lower})
+		assert.Equal(t, len(find[distribution.Fetch](out)), 0)
+		out = m.Step(1, distribution.Fetched{From: "b", Head: lower})
+		assert.Equal(t, len(find[distribution.Adopt](out)), 0)
+	}
+	out := m.Step(1, distribution.Told{From: "b", Head: head(5, 6)})
+	assert.DeepEqual(t, find[distribution.Alarm](out), []distribution.Alarm{{Kind: distribution.AlarmConflict, From: "b", Head: head(5, 6)}})
+	assert.DeepEqual(t, find[distribution.Fetch](out), []distribution.Fetch{{From: "b", Head: head(5, 6)}})
+	out = m.Step(1, distribution.Fetched{From: "b", Head: head(5, 6)})
+	assert.DeepEqual(t, find[distribution.Adopt](out), []distribution.Adopt{{Head: head(5, 6)}})
+}
+
+// Guards against a configuration that is not valid being fetched for ever, or
+// blocking the one after it.
+func TestInvalid(t *testing.T) {
+	m, _ := follower(t)
+	m.Step(1, distribution.Told{From: "a", Head: head(2, 1)})
+	out := m.Step(1, distribution.Invalid{From: "a", Head: head(2, 1)})
+	assert.Equal(t, find[distribution.Alarm](out)[0].Kind, distribution.AlarmInvalid)
+	out = m.Step(1, distribution.Told{From: "b", Head: head(2, 1)})
+	assert.Equal(t, len(find[distribution.Fetch](out)), 0)
+	out = m.Step(1, distribution.Told{From: "b", Head: head(3, 1)})
+	assert.Equal(t, len(find[distribution.Fetch](out)), 1)
+}
+
+// Guards against a start that serves a stale platform's configuration while
+// peers have a higher one, and against one that waits for dead peers for ever.
+func TestStart(t *testing.T) {
+	cases := []struct {
+		name   string
+		events []event
+		at     time.Duration
+		want   config.Head
+		ready  bool
+	}{
+		{"a peer has more than the platform", []event{
+			distribution.Asked{From: distribution.Platform, Head: head(1, 1)},
+			distribution.Asked{From: "vm-00001", Head: head(2, 1)},
+			distribution.AskFailed{From: "vm-00002"}, distribution.AskFailed{From: "vm-00000"},
+			distribution.Fetched{From: "vm-00001", Head: head(2, 1)}}, 1, head(2, 1), true},
+		{"the second peer has not answered", []event{
+			distribution.Asked{From: distribution.Platform, Head: head(1, 1)},
+			distribution.Fetched{From: distribution.Platform, Head: head(1, 1)},
+			distribution.AskFailed{From: "vm-00001"}}, 1, head(1, 1), false},
+		{"no peer answers in time", []event{
+			distribution.Asked{From: distribution.Platform, Head: head(1, 1)},
+			distribution.Fetched{From: distribution.Platform, Head: head(1, 1)},
+			distribution.Tick{}}, distribution.StartWait, head(1, 1), true},
+		{"nobody answers", []event{
+			distribution.AskFailed{From: distribution.Platform}, distribution.AskFailed{From: "vm-00001"},
+			distribution.Tick{}}, time.Hour, config.Head{}, false},
+	}
+	for _, c := range cases {
+		m := distribution.New(distribution.Options{Self: "vm-00003", DataCentre: "dc-00", Seed: 2})
+		m.Step(0, distribution.Start{})
+		out := m.Step(0, distribution.VMList{VMs: fleet(4, 4)})
+		assert.Equal(t, len(find[distribution.Ask](out)), distribution.StartPeers)
+		for _, ev := range c.events {
+			m.Step(c.at, ev)
+		}
+		assert.Equal(t, m.Current(), c.want, c.name)
+		assert.Equal(t, m.Ready(), c.ready, c.name)
+	}
+}
+
+// Guards against a dead parent that keeps a process from changes, and against
+// repeated polls without a pause when both parents are dead.
+func TestParentFails(t *testing.T) {
+	m, parents := follower(t)
+	out := m.Step(0, distribution.PollFailed{ID: 1, From: parents[0]})
+	assert.DeepEqual(t, find[distribution.Poll](out), []distribution.Poll{{ID: 2, From: parents[1]}})
+	out = m.Step(0, distribution.PollFailed{ID: 2, From: parents[1]})
+	assert.Equal(t, len(find[distribution.Poll](out)), 0)
+	var alarms []distribution.Alarm
+	for now := time.Duration(0); now < 20*time.Second; now += distribution.TickEvery {
+		out = m.Step(now, distribution.Tick{})
+		alarms = append(alarms, find[distribution.Alarm](out)...)
+		for _, p := range find[distribution.Poll](out) {
+			m.Step(now, distribution.PollFailed{ID: p.ID, From: p.From})
+		}
+	}
+	assert.Assert(t, len(alarms) >= 1 && alarms[0].Kind == distribution.AlarmOrphan)
+}
+
+// Guards against a process that trusts its view after a pause.
+func TestPause(t *testing.T) {
+	m, _ := follower(t)
+	m.Step(0, distribution.Tick{})
+	out := m.Step(time.Minute, distribution.Tick{})
+	assert.Equal(t, find[distribution.Alarm](out)[0].Kind, distribution.AlarmPaused)
+	assert.Equal(t, len(find[distribution.Poll](out)), 1)
+	assert.Assert(t, len(find[distribution.Ask](out)) >= distribution.StartPeers)
+}
