--- /dev/null
+++ b/node/confsync/fleet_test.go
@@ -0,0 +1,226 @@
+package confsync_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"gotest.tools/v3/assert"
+	"trefoilweir.example/core/config"
+	"trefoilweir.example/node/confsync"
+	"trefoilweir.example/node/platform"
+)
+
+// standIn is a platform with values that tests set.
+type standIn struct {
+	mu       sync.Mutex
+	revision uint64
+	values   map[string]platform.Value
+	changed  chan struct{}
+	// cut names the processes that cannot reach the platform. The empty name
+	// stands for all.
+	cut    map[string]bool
+	calls  atomic.Int64
+	server *httptest.Server
+}
+
+func newStandIn(t testing.TB) *standIn {
+	p := &standIn{values: map[string]platform.Value{}, cut: map[string]bool{}, changed: make(chan struct{})}
+	p.server = httptest.NewServer(p)
+	t.Cleanup(p.server.Close)
+	return p
+}
+
+func (p *standIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.calls.Add(1)
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+	caller, key, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/v1/values/")
+	deadline := time.After(wait)
+	for {
+		p.mu.Lock()
+		v, ok := p.values[key]
+		changed, down := p.changed, p.cut[caller] || p.cut[""]
+		p.mu.Unlock()
+		switch {
+		case down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case ok && v.Revision > after || wait == 0:
+			reply(w, v, ok)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			reply(w, v, ok)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func reply(w http.ResponseWriter, v platform.Value, ok bool) {
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (p *standIn) put(values map[string][]byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, data := range values {
+		p.revision++
+		p.values[key] = platform.Value{Revision: p.revision, Data: data}
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *standIn) setCut(name string, cut bool) {
+	p.mu.Lock()
+	p.cut[name] = cut
+	p.mu.Unlock()
+	p.put(nil)
+}
+
+func (p *standIn) publish(c *config.Config) {
+	m, parts := config.Split(c)
+	values := map[string][]byte{platform.KeyManifest: m.Encode()}
+	for hash, data := range parts {
+		values["parts/"+hash] = data
+	}
+	p.put(values)
+}
+
+func (p *standIn) list(vms []config.VM) {
+	data, _ := json.Marshal(vms)
+	p.put(map[string][]byte{platform.KeyVMs: data})
+}
+
+// loopback sends requests over HTTP/1.1. Requests to a blocked address fail.
+type loopback struct {
+	client  *http.Client
+	blocked *sync.Map
+	from    string
+}
+
+func (l loopback) RoundTrip(ctx context.Context, addr netip.AddrPort, method, path string, _ []byte) ([]byte, error) {
+	if _, ok := l.blocked.Load(l.from + ">" + addr.String()); ok {
+		return nil, trace.ConnectionProblem(nil, "no route to %s", addr)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := l.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if response.StatusCode != http.StatusOK {
+		return nil, trace.BadParameter("%s", response.Status)
+	}
+	return body, err
+}
+
+// node is one process of the fleet.
+type node struct {
+	*confsync.Sync
+	name    string
+	server  *httptest.Server
+	handler atomic.Pointer[http.Handler]
+	metrics *metrics.Set
+	stop    func()
+}
+
+type testFleet struct {
+	platform *standIn
+	nodes    []*node
+	vms      []config.VM
+	blocked  sync.Map
+	client   *http.Client
+}
+
+// newFleet prepares n processes; start runs them.
+func newFleet(t testing.TB, n, dataCentres int) *testFleet {
+	f := &testFleet{platform: newStandIn(t), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	for i := range n {
+		node := &node{name: fmt.Sprintf("vm-%03d", i)}
+		node.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if h := node.handler.Load(); h != nil {
+				(*h).ServeHTTP(w, r)
+				return
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		t.Cleanup(node.server.Close)
+		f.nodes = append(f.nodes, node)
+		f.vms = append(f.vms, config.VM{Name: node.name, Role: config.RoleBalancer, DataCentre: fmt.Sprintf("dc-%d", i%dataCentres),
+			PeerAddress: netip.MustParseAddrPort(node.server.Listener.Addr().String()), State: config.VMLive})
+	}
+	f.platform.list(f.vms)
+	return f
+}
+
+// start runs the processes from first to before last.
+func (f *testFleet) start(t testing.TB, first, last int) {
+	for i := first; i < last; i++ {
+		n := f.nodes[i]
+		n.metrics = metrics.NewSet()
+		reader, err := platform.New(platform.Options{URLs: []string{f.platform.server.URL + "/" + n.name}, Seed: uint64(i), Metrics: n.metrics})
+		assert.NilError(t, err)
+		n.Sync, err = confsync.New(confsync.Options{Name: n.name, DataCentre: f.vms[i].DataCentre, Platform: reader,
+			Transport: loopback{f.client, &f.blocked, n.name}, Seed: uint64(i + 1), Metrics: n.metrics})
+		assert.NilError(t, err)
+		handler := n.Handler()
+		n.handler.Store(&handler)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { _ = n.Serve(ctx); close(done) }()
+		n.stop = func() { n.handler.Store(nil); cancel(); <-done; reader.Close() }
+		t.Cleanup(func() { n.stop() })
+	}
+}
+
+// await waits until a process has a version.
+func await(t testing.TB, n *node, version uint64, limit time.Duration) {
+	t.Helper()
+	deadline := time.After(limit)
+	for {
+		changes := n.Changes()
+		if c := n.Current(); c != nil && c.Version >= version {
+			return
+		}
+		select {
+		case <-changes:
+		case <-deadline:
+			t.Fatalf("%s has %+v after %s, want version %d", n.name, n.Status(), limit, version)
+		}
+	}
+}
+
+func (f *testFleet) await(t testing.TB, version uint64, limit time.Duration) {
+	t.Helper()
+	for _, n := range f.nodes {
+		if n.Sync != nil {
+			await(t, n, version, limit)
+		}
+	}
+}
