Commands, operator port, assembly of a process, examples

Cause: both roles need the same surroundings: configuration, peer link, operator port, signals and supervision. Ruled out: building the role before there is a configuration; restarting the same instance of a role after a panic, since its state is lost. Change: node/process supervises the parts and makes the role anew at each start; node/ops is the operator port; subcommands check, diff, status and version; examples of both users, checked by a test. The roles themselves are wired when their packages are there.

--- a/node/cmd/trefoilweir/main.go
+++ b/node/cmd/trefoilweir/main.go
@@ -1,4 +1,65 @@
-// Command trefoilweir is built up from the packages of this module.
+// Command trefoilweir runs a balancer or an agent, and helps operators to
+// check configurations and to see the status of processes.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	// exitInvalid says that a file given to the command is not valid.
+	exitInvalid = 2
+	// exitDangerous says that a comparison found a dangerous change.
+	exitDangerous = 3
+)
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		os.Exit(report(err))
+	}
+}
+
+// report prints an error and returns the exit code.
+func report(err error) int {
+	var coded *codedError
+	if !errors.As(err, &coded) {
+		coded = &codedError{exitFailed, err}
+	}
+	if coded.err != nil {
+		fmt.Fprintln(os.Stderr, coded.err)
+	}
+	return coded.code
+}
+
+// codedError is an error with an exit code. A nil err prints nothing.
+type codedError struct {
+	code int
+	err  error
+}
+
+// Error implements error.
+func (e *codedError) Error() string { return fmt.Sprint(e.err) }
+
+func invalid(err error) error { return &codedError{exitInvalid, err} }
+
+func command() *cli.Command {
+	settingsFlag := &cli.StringFlag{Name: "settings", Usage: "settings `FILE` of the process", Required: true}
+	return &cli.Command{
+		Name:  "trefoilweir",
+		Usage: "layer-4 load balancer for QUIC and HTTP/3",
+		// Errors are printed in one place, with their exit code.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			{Name: "balancer", Usage: "run a balancer", Flags: []cli.Flag{settingsFlag}, Action: runBalancer},
+			{Name: "agent", Usage: "run an agent", Flags: []cli.Flag{settingsFlag}, Action: runAgent},
+			checkCommand(), diffCommand(), statusCommand(), versionCommand(),
+		},
+	}
+}
--- /dev/null
+++ b/node/process/process.go
@@ -0,0 +1,293 @@
+// Package process assembles a process from its parts and supervises them: the
+// configuration, the peer link, the operator port and the role.
+package process
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+	"trefoilweir.example/core/config"
+	"trefoilweir.example/node/confsync"
+	"trefoilweir.example/node/keys"
+	"trefoilweir.example/node/ops"
+	"trefoilweir.example/node/peer"
+	"trefoilweir.example/node/platform"
+	"trefoilweir.example/node/settings"
+	"trefoilweir.example/node/telemetry"
+)
+
+const (
+	// restartBackoff is the wait after a part has failed often. It is short
+	// because a process without its role serves nobody.
+	restartBackoff = time.Second
+	// stopTimeout bounds the wait for parts that do not stop.
+	stopTimeout = 5 * time.Second
+)
+
+// role is the part that makes a process a balancer or an agent. A new one is
+// made after each failure.
+type role interface {
+	// Serve runs until ctx ends or the planned stop is complete.
+	Serve(ctx context.Context) error
+	// stop is the planned stop. It returns when no work is left.
+	stop(ctx context.Context) error
+	// status is shown to operators.
+	status() any
+	// peerHandler answers the role's paths on the peer link. It may be nil.
+	peerHandler() http.Handler
+}
+
+// parts are what a role is made from.
+type parts struct {
+	source    confsync.Source
+	keys      *keys.Store
+	peers     *peer.Client
+	serverTLS *tls.Config
+	log       *zap.Logger
+	metrics   *metrics.Set
+}
+
+// Process is a process with all its parts.
+type Process struct {
+	name     settings.Common
+	roleName config.Role
+	parts    parts
+	sync     *confsync.Sync
+	ops      *ops.Server
+	newRole  func(parts) (role, error)
+
+	current atomic.Pointer[role]
+	// handler answers the role's paths on the peer link.
+	handler atomic.Pointer[http.Handler]
+	// drain is closed when a planned stop begins.
+	drain     chan struct{}
+	drainOnce sync.Once
+	started   time.Time
+}
+
+// newProcess opens everything that may fail because of settings.
+func newProcess(common settings.Common, roleName config.Role, out io.Writer, newRole func(parts) (role, error)) (*Process, error) {
+	log, err := telemetry.NewLogger(telemetry.Options{Out: out, Level: common.LogLevel, Role: string(roleName), Name: common.Name})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p := &Process{name: common, roleName: roleName, newRole: newRole, drain: make(chan struct{}), started: time.Now()}
+	p.parts.log, p.parts.metrics = log, telemetry.NewMetrics()
+	if p.parts.keys, err = keys.Open(common.KeysFile); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var clientTLS *tls.Config
+	if p.parts.serverTLS, clientTLS, err = peer.TLS(common.TLS); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p.parts.peers = peer.NewClient(clientTLS)
+	reader, err := platform.New(platform.Options{URLs: common.Platform, Seed: uint64(time.Now().UnixNano()), Metrics: p.parts.metrics})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p.sync, err = confsync.New(confsync.Options{
+		Name: common.Name, DataCentre: common.DataCentre, Platform: reader,
+		Transport: p.parts.peers, Log: log, Metrics: p.parts.metrics,
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p.parts.source = p.sync
+	p.ops, err = ops.New(ops.Options{
+		Address: common.OperatorAddress, TLS: p.parts.serverTLS, Status: func() any { return p.Status() }, Healthy: p.healthy,
+		Drain: p.Drain, Metrics: p.parts.metrics, Log: log,
+	})
+	return p, trace.Wrap(err)
+}
+
+// Drain begins the planned stop.
+func (p *Process) Drain() { p.drainOnce.Do(func() { close(p.drain) }) }
+
+// Run serves until a planned stop is complete. A first SIGTERM or SIGINT, or
+// the end of ctx, begins the planned stop; a second signal ends it at once.
+// SIGHUP reads the keys file again.
+func (p *Process) Run(ctx context.Context) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	// The parts outlive ctx, because a planned stop needs them.
+	serveContext, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	supervisor := p.supervisor()
+	ended := supervisor.ServeBackground(serveContext)
+	p.parts.log.Info("process started", zap.String("data_centre", p.name.DataCentre))
+	stopped := p.stopWhenDrained(serveContext)
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				p.reloadKeys()
+				continue
+			}
+			if p.draining() {
+				p.parts.log.Warn("planned stop cut short by a second signal")
+				return trace.LimitExceeded("stopped by a second signal")
+			}
+			p.Drain()
+		case <-ctx.Done():
+			p.Drain()
+			ctx = context.WithoutCancel(ctx)
+		case err := <-ended:
+			return trace.Wrap(err, "supervisor ended")
+		case err := <-stopped:
+			cancel()
+			<-ended
+			p.parts.log.Info("process stopped")
+			return trace.NewAggregate(err, p.parts.peers.Close())
+		}
+	}
+}
+
+// stopWhenDrained returns a channel with the result of the planned stop.
+func (p *Process) stopWhenDrained(ctx context.Context) <-chan error {
+	stopped := make(chan error, 1)
+	go func() {
+		<-p.drain
+		p.parts.log.Info("planned stop begins")
+		var err error
+		if r := p.current.Load(); r != nil {
+			err = (*r).stop(ctx)
+		}
+		stopped <- err
+	}()
+	return stopped
+}
+
+func (p *Process) draining() bool {
+	select {
+	case <-p.drain:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *Process) reloadKeys() {
+	if err := p.parts.keys.Reload(); err != nil {
+		p.parts.metrics.GetOrCreateCounter("trefoilweir_keys_reload_failures_total").Inc()
+		p.parts.log.Error("keys file could not be read again, the old keys stay in force", telemetry.Error(err))
+		return
+	}
+	p.parts.log.Info("keys file read again")
+}
+
+func (p *Process) supervisor() *suture.Supervisor {
+	s := suture.New("trefoilweir", suture.Spec{EventHook: p.supervisorEvent, FailureBackoff: restartBackoff, Timeout: stopTimeout})
+	s.Add(part{"confsync", p.sync.Serve})
+	s.Add(part{"peer", p.servePeers})
+	s.Add(part{"ops", p.ops.Serve})
+	s.Add(part{string(p.roleName), p.serveRole})
+	return s
+}
+
+// part is a function under supervision, with a name for logs and metrics.
+type part struct {
+	name  string
+	serve func(context.Context) error
+}
+
+// Serve implements suture.Service.
+func (p part) Serve(ctx context.Context) error { return p.serve(ctx) }
+
+// String returns the name.
+func (p part) String() string { return p.name }
+
+func (p *Process) supervisorEvent(event suture.Event) {
+	switch e := event.(type) {
+	case suture.EventServicePanic:
+		p.count("trefoilweir_panics_total", e.ServiceName)
+		p.parts.log.Error("part panicked", zap.String(telemetry.KeyPart, e.ServiceName),
+			telemetry.Reason(e.PanicMsg), zap.String("stack", e.Stacktrace))
+	case suture.EventServiceTerminate:
+		p.count("trefoilweir_part_failures_total", e.ServiceName)
+		p.parts.log.Error("part failed", zap.String(telemetry.KeyPart, e.ServiceName), zap.Any(telemetry.KeyError, e.Err))
+	case suture.EventStopTimeout:
+		p.parts.log.Error("part did not stop in time", zap.String(telemetry.KeyPart, e.ServiceName))
+	}
+}
+
+func (p *Process) count(metric, partName string) {
+	p.parts.metrics.GetOrCreateCounter(metric + `{part="` + partName + `"}`).Inc()
+}
+
+// servePeers binds the peer address anew at each start.
+func (p *Process) servePeers(ctx context.Context) error {
+	server, err := peer.NewServer(p.name.PeerAddress, p.parts.serverTLS, p.peerHandler())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return server.Serve(ctx)
+}
+
+// peerHandler sends /config/ to confsync and the rest to the role.
+func (p *Process) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/config/", p.sync.Handler())
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		handler := p.handler.Load()
+		if handler == nil {
+			http.Error(w, "role is not running", http.StatusServiceUnavailable)
+			return
+		}
+		(*handler).ServeHTTP(w, r)
+	})
+	return mux
+}
+
+// serveRole runs the role as soon as there is a configuration. The role is
+// made anew at each start, because the one before lost its state.
+func (p *Process) serveRole(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-p.drain:
+		return suture.ErrDoNotRestart
+	case <-p.sync.Ready():
+	}
+	r, err := p.newRole(p.parts)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if handler := r.peerHandler(); handler != nil {
+		p.handler.Store(&handler)
+	}
+	p.current.Store(&r)
+	err = r.Serve(ctx)
+	if p.draining() {
+		return suture.ErrDoNotRestart
+	}
+	p.current.Store(nil)
+	p.handler.Store(nil)
+	if err == nil && ctx.Err() == nil {
+		err = trace.Errorf("%s ended without being asked to", p.roleName)
+	}
+	return trace.Wrap(err)
+}
+
+func (p *Process) healthy() error {
+	switch {
+	case p.draining():
+		return trace.Errorf("draining")
+	case p.current.Load() == nil:
+		return trace.Errorf("%s is not running yet", p.roleName)
+	default:
+		return nil
+	}
+}
