--- /dev/null
+++ b/core/distribution/sim_test.go
@@ -0,0 +1,383 @@
+package distribution_test
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"trefoilweir.example/core/config"
+	"trefoilweir.example/core/distribution"
+)
+
+// Times of the model network. A call to a dead process fails when the
+// handshake times out; a poll of a process that dies, or that a partition
+// cuts off, fails when its connection is idle for too long.
+const (
+	oneWay        = time.Millisecond
+	fetchTime     = 8 * time.Millisecond
+	dialTimeout   = time.Second
+	idleTimeout   = 3 * time.Second
+	peerPollWait  = 15 * time.Second
+	watchPollWait = 10 * time.Second
+)
+
+// simulation runs the machines of a fleet in model time.
+type simulation struct {
+	now      time.Duration
+	queue    timerQueue
+	sequence uint64
+	nodes    []*simNode
+	byName   map[distribution.Origin]*simNode
+	platform simPlatform
+	// reachable says whether a process reaches another.
+	reachable func(a, b *simNode) bool
+	// messages counts requests and answers, fetches counts configurations
+	// that were transferred.
+	messages, fetches int
+}
+
+type simPlatform struct {
+	head config.Head
+	// older is what a stale platform answers.
+	older config.Head
+	stale bool
+	// invalid are the heads whose configuration is not valid.
+	invalid map[config.Head]bool
+	// reachable says whether a process reaches the platform.
+	reachable func(*simNode) bool
+	watchers  []waiter
+	calls     int
+	vms       []config.VM
+}
+
+func (p *simPlatform) answer() config.Head {
+	if p.stale {
+		return p.older
+	}
+	return p.head
+}
+
+// waiter is a poll that waits at a process or at the platform.
+type waiter struct {
+	node  *simNode
+	run   int
+	poll  distribution.Poll
+	until time.Duration
+}
+
+type simNode struct {
+	sim     *simulation
+	vm      config.VM
+	machine *distribution.Machine
+	// run counts restarts; events of an earlier run are dropped.
+	run     int
+	dead    bool
+	paused  bool
+	held    []distribution.Event
+	waiters []waiter
+	pollID  uint64
+	// adopted is when the current head was adopted.
+	adopted time.Duration
+	// list is the list of VMs that the node gets, if not the platform's.
+	list []config.VM
+	// naive is the highest valid head that was fetched in this run.
+	naive config.Head
+	// onAdopt checks each adoption.
+	onAdopt func(before, after config.Head)
+	tick    func()
+}
+
+type timer struct {
+	at       time.Duration
+	sequence uint64
+	do       func()
+}
+
+type timerQueue []timer
+
+func (q timerQueue) Len() int { return len(q) }
+func (q timerQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].sequence < q[j].sequence
+}
+func (q timerQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *timerQueue) Push(x any)   { *q = append(*q, x.(timer)) }
+func (q *timerQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	(*q)[len(*q)-1] = timer{}
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func newSimulation(vms []config.VM) *simulation {
+	s := &simulation{byName: map[distribution.Origin]*simNode{}, reachable: func(_, _ *simNode) bool { return true }}
+	s.platform = simPlatform{invalid: map[config.Head]bool{}, reachable: func(*simNode) bool { return true }, vms: vms}
+	for _, vm := range vms {
+		n := &simNode{sim: s, vm: vm}
+		n.tick = func() { n.onTick() }
+		s.nodes = append(s.nodes, n)
+		s.byName[distribution.Origin(vm.Name)] = n
+	}
+	return s
+}
+
+func (s *simulation) after(d time.Duration, do func()) {
+	s.sequence++
+	heap.Push(&s.queue, timer{s.now + d, s.sequence, do})
+}
+
+func (s *simulation) runFor(d time.Duration) {
+	end := s.now + d
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		next := heap.Pop(&s.queue).(timer)
+		s.now = next.at
+		next.do()
+	}
+	s.now = end
+}
+
+// publish puts a head on the platform.
+func (s *simulation) publish(h config.Head, valid bool) {
+	s.platform.older, s.platform.head = s.platform.head, h
+	s.platform.invalid[h] = !valid
+	s.wakeWatchers()
+}
+
+func (s *simulation) wakeWatchers() {
+	watchers := s.platform.watchers
+	s.platform.watchers = nil
+	for _, w := range watchers {
+		s.answerWatch(w)
+	}
+}
+
+func (s *simulation) answerWatch(w waiter) {
+	head := s.platform.answer()
+	w.node.deliverAfter(oneWay, w.run, func() distribution.Event {
+		if !s.platform.reachable(w.node) {
+			return distribution.PollFailed{ID: w.poll.ID, From: distribution.Platform}
+		}
+		return distribution.Polled{ID: w.poll.ID, From: distribution.Platform, Head: head}
+	})
+}
+
+// start begins a new run of a process with an empty memory.
+func (n *simNode) start(seed uint64) {
+	n.run++
+	n.dead, n.paused, n.held, n.waiters, n.naive = false, false, nil, nil, config.Head{}
+	n.machine = distribution.New(distribution.Options{Self: n.vm.Name, DataCentre: n.vm.DataCentre, Seed: seed})
+	n.step(distribution.Start{})
+	if n.run == 1 {
+		n.sim.after(time.Duration(seed%250)*time.Millisecond, n.tick)
+	}
+}
+
+func (n *simNode) onTick() {
+	if !n.dead && !n.paused {
+		n.step(distribution.Tick{})
+	}
+	n.sim.after(distribution.TickEvery, n.tick)
+}
+
+// deliverAfter gives an event to the process, if it is still the same run.
+// Events for a paused process wait.
+func (n *simNode) deliverAfter(d time.Duration, run int, event func() distribution.Event) {
+	n.sim.after(d, func() {
+		switch {
+		case n.dead || n.run != run:
+		case n.paused:
+			n.held = append(n.held, event())
+		default:
+			n.step(event())
+		}
+	})
+}
+
+func (n *simNode) resume() {
+	n.paused = false
+	held := n.held
+	n.held = nil
+	for _, ev := range held {
+		n.step(ev)
+	}
+}
+
+func (n *simNode) step(ev distribution.Event) {
+	if f, ok := ev.(distribution.Fetched); ok && config.Less(n.naive, f.Head) {
+		n.naive = f.Head
+	}
+	before := n.machine.Current()
+	actions := slices.Clone(n.machine.Step(n.sim.now, ev))
+	for _, a := range actions {
+		n.do(a, before)
+	}
+}
+
+func (n *simNode) do(a distribution.Action, before config.Head) {
+	switch a := a.(type) {
+	case distribution.Adopt:
+		n.adopted = n.sim.now
+		if n.onAdopt != nil {
+			n.onAdopt(before, a.Head)
+		}
+		n.wakeChildren()
+	case distribution.Poll:
+		n.pollID = a.ID
+		n.poll(a)
+	case distribution.Ask:
+		n.ask(a)
+	case distribution.Fetch:
+		n.fetch(a)
+	}
+}
+
+func (n *simNode) wakeChildren() {
+	waiters := n.waiters
+	n.waiters = nil
+	for _, w := range waiters {
+		if config.Less(w.poll.Have, n.machine.Current()) {
+			n.answer(w)
+		} else {
+			n.waiters = append(n.waiters, w)
+		}
+	}
+}
+
+func (n *simNode) answer(w waiter) {
+	head := n.machine.Current()
+	n.sim.messages++
+	w.node.deliverAfter(oneWay, w.run, func() distribution.Event {
+		return distribution.Polled{ID: w.poll.ID, From: distribution.Origin(n.vm.Name), Head: head}
+	})
+}
+
+func (n *simNode) reaches(other *simNode) bool {
+	return other != nil && !other.dead && n.sim.reachable(n, other)
+}
+
+func (n *simNode) poll(p distribution.Poll) {
+	s, run := n.sim, n.run
+	s.messages++
+	w := waiter{node: n, run: run, poll: p, until: s.now + peerPollWait}
+	if p.From == distribution.Platform {
+		n.watch(w)
+		return
+	}
+	parent := s.byName[p.From]
+	if !n.reaches(parent) {
+		n.deliverAfter(dialTimeout, run, func() distribution.Event { return distribution.PollFailed{ID: p.ID, From: p.From} })
+		return
+	}
+	parentRun := parent.run
+	s.after(oneWay, func() {
+		if parent.machine != nil && config.Less(p.Have, parent.machine.Current()) && !parent.paused {
+			parent.answer(w)
+			return
+		}
+		parent.waiters = append(parent.waiters, w)
+	})
+	n.guardPoll(w, parent, parentRun)
+}
+
+// guardPoll ends a poll when its wait is over or when the parent is gone.
+func (n *simNode) guardPoll(w waiter, parent *simNode, parentRun int) {
+	n.sim.after(idleTimeout, func() {
+		switch {
+		case n.run != w.run || n.pollID != w.poll.ID:
+		case !n.reaches(parent) || parent.run != parentRun || parent.paused:
+			n.deliverAfter(0, w.run, func() distribution.Event { return distribution.PollFailed{ID: w.poll.ID, From: w.poll.From} })
+		case n.sim.now >= w.until:
+			parent.waiters = slices.DeleteFunc(parent.waiters, func(o waiter) bool { return o.node == n && o.poll.ID <= w.poll.ID })
+			parent.answer(w)
+		default:
+			n.guardPoll(w, parent, parentRun)
+		}
+	})
+}
+
+// watch models the platform: it answers at once if it has something other
+// than the process has, and otherwise when that changes.
+func (n *simNode) watch(w waiter) {
+	p := &n.sim.platform
+	p.calls++
+	if !p.reachable(n) {
+		n.deliverAfter(dialTimeout, w.run, func() distribution.Event {
+			return distribution.PollFailed{ID: w.poll.ID, From: distribution.Platform}
+		})
+		return
+	}
+	if p.answer() != w.poll.Have {
+		n.sim.answerWatch(w)
+		return
+	}
+	p.watchers = append(p.watchers, w)
+	n.sim.after(watchPollWait, func() {
+		if i := slices.IndexFunc(p.watchers, func(o waiter) bool { return o.node == n && o.poll.ID == w.poll.ID && o.run == w.run }); i >= 0 {
+			p.watchers = slices.Delete(p.watchers, i, i+1)
+			n.sim.answerWatch(w)
+		}
+	})
+}
+
+func (n *simNode) ask(a distribution.Ask) {
+	s, run := n.sim, n.run
+	s.messages++
+	if a.Of == distribution.Platform {
+		n.askPlatform()
+		return
+	}
+	peer := s.byName[a.Of]
+	if !n.reaches(peer) || peer.machine == nil || peer.paused {
+		n.deliverAfter(dialTimeout, run, func() distribution.Event { return distribution.AskFailed{From: a.Of} })
+		return
+	}
+	peer.deliverAfter(oneWay, peer.run, func() distribution.Event {
+		return distribution.Told{From: distribution.Origin(n.vm.Name), Head: a.Have}
+	})
+	s.messages++
+	n.deliverAfter(2*oneWay, run, func() distribution.Event {
+		return distribution.Asked{From: a.Of, Head: peer.machine.Current()}
+	})
+}
+
+func (n *simNode) askPlatform() {
+	p, run := &n.sim.platform, n.run
+	p.calls += 2
+	if !p.reachable(n) {
+		n.deliverAfter(dialTimeout, run, func() distribution.Event { return distribution.AskFailed{From: distribution.Platform} })
+		return
+	}
+	vms := p.vms
+	if n.list != nil {
+		vms = n.list
+	}
+	n.deliverAfter(2*oneWay, run, func() distribution.Event { return distribution.VMList{VMs: vms} })
+	n.deliverAfter(2*oneWay, run, func() distribution.Event {
+		return distribution.Asked{From: distribution.Platform, Head: p.answer()}
+	})
+}
+
+func (n *simNode) fetch(f distribution.Fetch) {
+	s, run := n.sim, n.run
+	s.fetches++
+	n.deliverAfter(fetchTime, run, func() distribution.Event {
+		head, ok := s.platform.answer(), s.platform.reachable(n)
+		if f.From == distribution.Platform {
+			// A manifest and, for one changed target, an index and a part.
+			s.platform.calls += 2
+		} else {
+			peer := s.byName[f.From]
+			ok = n.reaches(peer) && peer.machine != nil && !peer.paused
+			if ok {
+				head = peer.machine.Current()
+			}
+		}
+		switch {
+		case !ok || config.Less(head, f.Head):
+			return distribution.FetchFailed(f)
+		case s.platform.invalid[head]:
+			return distribution.Invalid{From: f.From, Head: head}
+		default:
+			return distribution.Fetched{From: f.From, Head: head}
+		}
+	})
+}
