Lab stand-ins: platform, fabric, target, keys

Cause: the balancer and the agent meet outside systems through published protocols, and nothing answers these protocols yet.

Ruled out: a table from balancer names to listen addresses in the fabric. A balancer listens at the IP address of its datagram address and the port of the service, so the VM list is enough and adding a balancer is one list entry.

Change: lab/platform serves a configuration file and a VM list with revisions and waiting reads, and can be down, stale or lagging. lab/fabric sprays datagrams over the live balancers with a seeded choice. lab/target runs requests in slots at a speed and logs what ran. lab/keys writes certificates and key generations. lab/answer makes an answer a function of its request. The whole configuration is one part until core/config.Split is there.

Conclusion: each stand-in works alone; the system is not run yet.

--- a/lab/cmd/trefoilweir-lab/main.go
+++ b/lab/cmd/trefoilweir-lab/main.go
@@ -1,4 +1,40 @@
-// Command trefoilweir-lab is built up from the packages of this module.
+// Command trefoilweir-lab holds the stand-ins and the measurement of the lab:
+// the platform, the fabric, targets, callers and keys.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	command := &cli.Command{
+		Name:     "trefoilweir-lab",
+		Usage:    "stand-ins and measurement for trefoilweir",
+		Commands: []*cli.Command{keysCommand(), platformCommand(), fabricCommand(), targetCommand()},
+	}
+	if err := command.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// newLogger returns a logger of JSON lines on standard error.
+func newLogger(name string) (*zap.Logger, error) {
+	c := zap.NewProductionConfig()
+	c.Sampling = nil
+	c.DisableStacktrace = true
+	logger, err := c.Build()
+	if err != nil {
+		return nil, err
+	}
+	return logger.Named(name), nil
+}
--- /dev/null
+++ b/lab/fabric/balancers.go
@@ -0,0 +1,60 @@
+package fabric
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+
+	"github.com/gravitational/trace"
+	"trefoilweir.example/core/config"
+)
+
+// balancers is the list of balancers that receive datagrams.
+type balancers struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	live   []config.VM
+	cut    []string
+}
+
+func newBalancers(seed uint64) *balancers {
+	return &balancers{random: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// setVMs keeps the live balancers of the platform's list.
+func (b *balancers) setVMs(value json.RawMessage) error {
+	var vms []config.VM
+	if err := json.Unmarshal(value, &vms); err != nil {
+		return trace.Wrap(err, "VM list")
+	}
+	live := slices.DeleteFunc(vms, func(vm config.VM) bool {
+		return vm.Role != config.RoleBalancer || vm.State != config.VMLive
+	})
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.live = live
+	return nil
+}
+
+func (b *balancers) setCut(names []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cut = names
+}
+
+// choose returns the IP address of a random live balancer. It fails if there
+// is none or if the link to the chosen one is cut.
+func (b *balancers) choose() (addr netip.Addr, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.live) == 0 {
+		return netip.Addr{}, false
+	}
+	vm := b.live[b.random.IntN(len(b.live))]
+	if slices.Contains(b.cut, vm.Name) {
+		return netip.Addr{}, false
+	}
+	return vm.DatagramAddress.Addr(), true
+}
--- /dev/null
+++ b/lab/fabric/fabric.go
@@ -0,0 +1,133 @@
+// Package fabric is a stand-in for the network in front of the balancers. It
+// sends every datagram of a caller to a random balancer of the platform's VM
+// list and carries the answers of any balancer back.
+//
+// A balancer receives the datagrams of a service at the IP address of its
+// datagram address and the port of the service.
+package fabric
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"trefoilweir.example/lab/platform"
+)
+
+const (
+	// maxDatagram is over the size of any QUIC packet on the way.
+	maxDatagram = 2048
+	// socketBuffer absorbs bursts on a busy machine, in bytes.
+	socketBuffer    = 4 << 20
+	controlInterval = 50 * time.Millisecond
+)
+
+// Options describe a fabric.
+type Options struct {
+	// Platform is the base URL of the platform.
+	Platform string
+	// Services maps a service name to the address that callers use.
+	Services map[string]netip.AddrPort
+	// Seed is the seed of the choice of balancers.
+	Seed uint64
+	// Delay is the one-way latency between callers and balancers.
+	Delay time.Duration
+	// CutFile names a JSON array of the balancers to which datagrams are
+	// dropped. It may be absent.
+	CutFile string
+	// Log receives events.
+	Log *zap.Logger
+}
+
+// Counters are the figures of a fabric since its start.
+type Counters struct {
+	ToBalancers uint64 `json:"to_balancers"`
+	ToCallers   uint64 `json:"to_callers"`
+	Dropped     uint64 `json:"dropped"`
+	Callers     uint64 `json:"callers"`
+}
+
+// Fabric carries datagrams. Create it with New.
+type Fabric struct {
+	options   Options
+	balancers *balancers
+	listeners []*listener
+
+	toBalancers, toCallers, dropped, callers atomic.Uint64
+}
+
+// New opens the sockets of all services.
+func New(options Options) (*Fabric, error) {
+	f := &Fabric{options: options, balancers: newBalancers(options.Seed)}
+	for name, address := range options.Services {
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+		if err != nil {
+			return nil, trace.ConvertSystemError(err)
+		}
+		_ = conn.SetReadBuffer(socketBuffer)
+		f.listeners = append(f.listeners, &listener{fabric: f, conn: conn, address: address, callers: map[netip.AddrPort]*upstream{}})
+		options.Log.Info("fabric listens", zap.String("service", name), zap.Stringer("address", address))
+	}
+	return f, nil
+}
+
+// Run carries datagrams until ctx ends.
+func (f *Fabric) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { platform.Watch(ctx, f.options.Platform, "vms", f.setVMs) })
+	if f.options.CutFile != "" {
+		group.Go(func() { f.watchCuts(ctx) })
+	}
+	for _, l := range f.listeners {
+		group.Go(func() { l.run(ctx) })
+	}
+	<-ctx.Done()
+	for _, l := range f.listeners {
+		l.close()
+	}
+	group.Wait()
+}
+
+// Counters returns the figures.
+func (f *Fabric) Counters() Counters {
+	return Counters{f.toBalancers.Load(), f.toCallers.Load(), f.dropped.Load(), f.callers.Load()}
+}
+
+func (f *Fabric) setVMs(value json.RawMessage) {
+	if err := f.balancers.setVMs(value); err != nil {
+		f.options.Log.Warn("VM list is not valid", zap.Error(err))
+	}
+}
+
+func (f *Fabric) watchCuts(ctx context.Context) {
+	ticker := time.NewTicker(controlInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f.readCuts()
+		}
+	}
+}
+
+func (f *Fabric) readCuts() {
+	data, err := os.ReadFile(f.options.CutFile)
+	if err != nil {
+		return
+	}
+	var names []string
+	if err := json.Unmarshal(data, &names); err != nil {
+		f.options.Log.Warn("cut file is not valid", zap.Error(err))
+		return
+	}
+	f.balancers.setCut(names)
+}
--- /dev/null
+++ b/lab/keys/keys.go
@@ -0,0 +1,181 @@
+// Package keys writes the certificates and key generations of a lab system:
+// one certificate authority, one certificate for the links between the
+// system's own processes, one certificate per service, and the keys file.
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/hex"
+	"encoding/json"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	// PeerName is the DNS name in the certificate of the peer link.
+	PeerName = "peer.trefoilweir.internal"
+	// KeysFile is the name of the file with the key generations.
+	KeysFile = "keys.json"
+
+	keyBytes = 16
+	validity = 30 * 24 * time.Hour
+	// backdate tolerates clocks that differ between machines.
+	backdate = time.Hour
+)
+
+// ServiceName returns the DNS name in the certificate of a service.
+func ServiceName(service string) string { return service + ".test" }
+
+// Write fills dir with a new authority, the certificates of the peer link and
+// of the services, and a keys file with generation 1.
+func Write(dir string, services []string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	ca, err := newAuthority()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := writePEM(filepath.Join(dir, "ca.pem"), "CERTIFICATE", ca.certificate.Raw); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := ca.issue(dir, "peer", PeerName); err != nil {
+		return trace.Wrap(err)
+	}
+	for _, service := range services {
+		if err := ca.issue(dir, "service-"+service, ServiceName(service)); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return trace.Wrap(WriteGenerations(dir, 1, 1))
+}
+
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+func newAuthority() (*authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	template := newTemplate("trefoilweir lab CA")
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	certificate, err := x509.ParseCertificate(der)
+	return &authority{certificate, key}, trace.Wrap(err)
+}
+
+func newTemplate(name string) *x509.Certificate {
+	// Read from rand.Reader never fails.
+	serial, _ := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-backdate),
+		NotAfter:     now.Add(validity),
+	}
+}
+
+// issue writes a certificate that serves both ends of mutual TLS.
+func (a *authority) issue(dir, base, dnsName string) error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	template := newTemplate(dnsName)
+	template.DNSNames = []string{dnsName}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := writePEM(filepath.Join(dir, base+".pem"), "CERTIFICATE", der); err != nil {
+		return trace.Wrap(err)
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(writePEM(filepath.Join(dir, base+"-key.pem"), "PRIVATE KEY", keyDER))
+}
+
+func writePEM(path, kind string, der []byte) error {
+	block := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	return trace.ConvertSystemError(os.WriteFile(path, block, 0o600))
+}
+
+// generations is one entry of the keys file.
+type generations struct {
+	Active int               `json:"active"`
+	Keys   map[string]string `json:"generations"`
+}
+
+// WriteGenerations adds new keys for the generations up to last to the keys
+// file in dir, keeps those that are there, and marks active as active. The
+// file is replaced in one step, so that a reader never sees half of it.
+func WriteGenerations(dir string, last, active int) error {
+	path := filepath.Join(dir, KeysFile)
+	file, err := readGenerations(path)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, purpose := range []string{"connid", "datagram", "ticket"} {
+		g := file[purpose]
+		if g.Keys == nil {
+			g.Keys = map[string]string{}
+		}
+		for n := 1; n <= last; n++ {
+			if name := strconv.Itoa(n); g.Keys[name] == "" {
+				g.Keys[name] = newKey()
+			}
+		}
+		g.Active = active
+		file[purpose] = g
+	}
+	data, err := json.MarshalIndent(file, "", "  ")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := os.WriteFile(path+".new", data, 0o600); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	return trace.ConvertSystemError(os.Rename(path+".new", path))
+}
+
+func readGenerations(path string) (map[string]generations, error) {
+	file := map[string]generations{}
+	data, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return file, nil
+	}
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	return file, trace.Wrap(json.Unmarshal(data, &file))
+}
+
+func newKey() string {
+	key := make([]byte, keyBytes)
+	// Read from rand.Reader never fails.
+	_, _ = rand.Read(key)
+	return hex.EncodeToString(key)
+}
