--- a/node/agent/harness_test.go
+++ b/node/agent/harness_test.go
@@ -44,7 +44,7 @@
 // fakeSource is a configuration that the test changes.
 type fakeSource struct {
 	mu      sync.Mutex
-	config  config.Config
+	config  *config.Config
 	vms     []config.VM
 	changed chan struct{}
 }
@@ -52,8 +52,7 @@
 func (s *fakeSource) Current() *config.Config {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.config
-	return &c
+	return s.config
 }
 
 func (s *fakeSource) Changes() <-chan struct{} {
@@ -72,11 +71,13 @@
 func (s *fakeSource) update(edit func(targets []config.Target)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	service := s.config.Services[0]
+	next := *s.config
+	service := next.Services[0]
 	service.Targets = append([]config.Target(nil), service.Targets...)
 	edit(service.Targets)
-	s.config.Version++
-	s.config.Services = []config.Service{service}
+	next.Version++
+	next.Services = []config.Service{service}
+	s.config = &next
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -94,7 +95,8 @@
 
 type testAgent struct {
 	*Agent
-	stop func()
+	upstream *httptest.Server
+	stop     func()
 }
 
 // newCluster starts an agent for each target handler.
@@ -105,7 +107,7 @@
 	c.keys, err = keys.Open(filepath.Join(c.dir, "keys.json"))
 	assert.NilError(t, err)
 	writeCertificate(t, c.dir)
-	c.source = &fakeSource{changed: make(chan struct{}), config: config.Config{
+	c.source = &fakeSource{changed: make(chan struct{}), config: &config.Config{
 		Version: 1, Preset: "ordinary",
 		Presets: map[string]config.Preset{"ordinary": {HandOver: true, HandOverPeers: 3, QueuePerSlot: 4, RetryBudgetPercent: 10}},
 		Services: []config.Service{{
@@ -178,7 +180,7 @@
 		upstream.Close()
 	})
 	t.Cleanup(stop)
-	return &testAgent{Agent: a, stop: stop}
+	return &testAgent{Agent: a, upstream: upstream, stop: stop}
 }
 
 func (c *cluster) file(name string) string { return filepath.Join(c.dir, name) }
