--- a/node/agent/callerconn.go
+++ b/node/agent/callerconn.go
@@ -67,6 +67,6 @@
 }
 
 // cutOff ends the connection with its open requests.
-func (c *callerConn) cutOff() {
-	_ = c.quic.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "drain limit")
+func (c *callerConn) cutOff(reason string) {
+	_ = c.quic.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), reason)
 }
--- a/node/agent/callers.go
+++ b/node/agent/callers.go
@@ -135,7 +135,7 @@
 func (c *callers) close() error {
 	err := c.listener.Close()
 	for _, cc := range c.list() {
-		cc.cutOff()
+		cc.cutOff("agent stopped")
 	}
 	return trace.NewAggregate(err, c.transport.Close())
 }
--- a/node/agent/drain.go
+++ b/node/agent/drain.go
@@ -86,6 +86,6 @@
 	a.log.Warn("drain limit reached, open requests are cut off",
 		zap.Int64("requests", a.open.Load()), zap.Int("connections", len(a.callers.list())))
 	for _, c := range a.callers.list() {
-		c.cutOff()
+		c.cutOff("drain limit")
 	}
 }
