Agent: request bodies do not block the next attempt, contained panics

Cause: an attempt that was left behind could hold the lock of the body while the caller sent nothing, and the next attempt waited for it. After the body had outgrown the replay limit, bytes taken by the abandoned reader would have been missing from the next attempt without an error.

Ruled out: cancelling the abandoned read. The body of an HTTP/3 request has no such call that leaves the stream usable.

Change: only readers wait for the source; a reader whose next bytes are gone gets an error. Tests for both, a property test that every attempt reads the whole body, and a test that a panic in admission is counted and contained.

Conclusion: a request body is sent whole or the attempt fails.

--- a/node/agent/body.go
+++ b/node/agent/body.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -15,16 +16,25 @@
 // takes from the source is kept, so no byte is lost.
 type replayBody struct {
 	length int64
+	// reading is held while the source is read, which can block for as long
+	// as the caller sends nothing. Only readers wait for it.
+	reading sync.Mutex
+	source  io.Reader
 
-	mu     sync.Mutex
-	source io.Reader
+	mu sync.Mutex
 	// kept is the start of the body. It is nil once the body is over the
 	// limit.
 	kept     []byte
 	overflow bool
-	err      error
+	// taken is how much of the body was read from the source, in bytes.
+	taken int
+	err   error
 }
 
+// errBodyTaken ends an attempt whose next bytes an earlier attempt has taken
+// and that are no longer kept.
+var errBodyTaken = errors.New("an earlier attempt has taken a part of the body")
+
 // newReplayBody takes over the body of a request. It returns nil if there is
 // none. A body without a length on GET and HEAD counts as none, because waiting
 // for its end could block.
@@ -48,20 +58,49 @@
 }
 
 func (b *replayBody) readAt(p []byte, offset int) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.overflow && offset < len(b.kept) {
-		return copy(p, b.kept[offset:]), nil
+	if n, err := b.readKept(p, offset); n > 0 || err != nil {
+		return n, err
 	}
-	if b.err != nil {
-		return 0, b.err
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	// Another reader may have taken the next bytes meanwhile.
+	if n, err := b.readKept(p, offset); n > 0 || err != nil {
+		return n, err
+	}
+	if !b.atSource(offset) {
+		return 0, errBodyTaken
 	}
 	n, err := b.source.Read(p)
-	b.err = err
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.keep(p[:n])
+	b.taken += n
+	b.err = err
 	return n, err
 }
 
+// atSource says that the source continues at the offset.
+func (b *replayBody) atSource(offset int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return offset == b.taken
+}
+
+// readKept returns what is known of the body at the offset.
+func (b *replayBody) readKept(p []byte, offset int) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case offset < len(b.kept):
+		return copy(p, b.kept[offset:]), nil
+	case offset < b.taken:
+		return 0, errBodyTaken
+	default:
+		return 0, b.err
+	}
+}
+
+// keep needs mu.
 func (b *replayBody) keep(p []byte) {
 	if b.overflow {
 		return
--- /dev/null
+++ b/node/agent/body_test.go
@@ -0,0 +1,90 @@
+package agent
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func bodyOf(text io.Reader, length int64) *replayBody {
+	return newReplayBody(&http.Request{Method: http.MethodPost, Body: io.NopCloser(text), ContentLength: length})
+}
+
+// Guards against an attempt that misses or repeats bytes which an earlier one
+// has read.
+func TestEveryAttemptReadsTheWholeBody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, replayLimit).Draw(t, "size")
+		text := strings.Repeat("0123456789", size/10+1)[:size]
+		b := bodyOf(strings.NewReader(text), -1)
+		for _, part := range rapid.SliceOfN(rapid.IntRange(0, size), 0, 5).Draw(t, "parts") {
+			attempt, ok := b.attempt()
+			assert.Assert(t, ok)
+			got, err := io.ReadAll(io.LimitReader(attempt, int64(part)))
+			assert.NilError(t, err)
+			assert.Equal(t, string(got), text[:part])
+		}
+		attempt, _ := b.attempt()
+		got, err := io.ReadAll(attempt)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), text)
+	})
+}
+
+// Guards against a second sending of a body whose start is gone.
+func TestLargeBodyIsReadOnce(t *testing.T) {
+	b := bodyOf(strings.NewReader(strings.Repeat("a", replayLimit+1)), -1)
+	first, ok := b.attempt()
+	assert.Assert(t, ok)
+	_, err := io.Copy(io.Discard, first)
+	assert.NilError(t, err)
+	_, ok = b.attempt()
+	assert.Assert(t, !ok)
+}
+
+// Guards against an attempt that waits for an earlier one, which is blocked
+// until the caller sends more.
+func TestAbandonedReaderDoesNotBlockTheNext(t *testing.T) {
+	source, caller := io.Pipe()
+	b := bodyOf(source, -1)
+	first, _ := b.attempt()
+	buffer := make([]byte, 5)
+	go func() { _, _ = caller.Write([]byte("start")) }()
+	_, err := io.ReadFull(first, buffer)
+	assert.NilError(t, err)
+	abandoned := make(chan struct{})
+	go func() {
+		_, _ = first.Read(make([]byte, 3))
+		close(abandoned)
+	}()
+	second, ok := b.attempt()
+	assert.Assert(t, ok)
+	_, err = io.ReadFull(second, buffer)
+	assert.NilError(t, err)
+	assert.Equal(t, string(buffer), "start")
+	go func() {
+		_, _ = caller.Write([]byte(" end"))
+		_ = caller.Close()
+	}()
+	rest, err := io.ReadAll(second)
+	assert.NilError(t, err)
+	assert.Equal(t, string(rest), " end")
+	<-abandoned
+}
+
+// Guards against a body with a hole: the abandoned reader takes the bytes with
+// which the body outgrows the limit after the next attempt has started.
+func TestBytesTakenByAnAbandonedReaderAreMissed(t *testing.T) {
+	b := bodyOf(strings.NewReader(strings.Repeat("a", replayLimit+10)), -1)
+	first, _ := b.attempt()
+	second, ok := b.attempt()
+	assert.Assert(t, ok)
+	_, err := io.Copy(io.Discard, first)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(second)
+	assert.ErrorIs(t, err, errBodyTaken)
+}
--- a/node/agent/gate_test.go
+++ b/node/agent/gate_test.go
@@ -1,6 +1,9 @@
 package agent
 
 import (
+	"io"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,3 +39,25 @@
 	assert.Equal(t, len(m.events), 2)
 	assert.DeepEqual(t, m.events[0], admission.Event(admission.Reconfigure{}))
 }
+
+// Guards against a panic in admission that ends the agent or leaves requests
+// without an answer.
+func TestPanicInAdmissionIsContained(t *testing.T) {
+	events := make(chan string)
+	c := newCluster(t, mixed(events, new(atomic.Int64), "ok"))
+	a, client := c.agents[0], c.client()
+	ticker, err := client.Get(c.url("/ticker"))
+	assert.NilError(t, err)
+	// A request without an arrival is a fault of the agent.
+	assert.Assert(t, a.gate.post(gateInput{event: admission.Arrive{ID: 1 << 60}}))
+	eventually(t, "a counted panic", func() bool {
+		return a.metric(`trefoilweir_agent_panics_total{part="admission"}`) > 0
+	})
+	status, body := get(t, client, c.url("/map"))
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "ok")
+	close(events)
+	_, err = io.ReadAll(ticker.Body)
+	assert.NilError(t, err)
+	eventually(t, "no open request", func() bool { return a.Status().Requests == 0 })
+}
