--- a/core/connid/connid.go
+++ b/core/connid/connid.go
@@ -52,8 +52,8 @@
 }
 
 // Codec encrypts and decrypts connection IDs. It accepts every loaded key
-// generation and issues with the active one. It is not safe for concurrent
-// use with AddKey; Decode and Encode may run concurrently.
+// generation and issues with the active one. It is immutable and safe for
+// concurrent use.
 type Codec struct {
 	blocks [MaxGeneration + 1]cipher.Block
 	active uint8
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -81,7 +81,8 @@
 	Service     uint32
 	Incarnation uint64
 	Sequence    uint64
-	// Caller is the address of the caller, for Forward and Return.
+	// Caller is the address of the caller, for Forward and Return. It is the
+	// zero AddrPort in other datagrams.
 	Caller netip.AddrPort
 	// Busy is the number of requests in slots at the sending agent.
 	Busy uint16
@@ -148,7 +149,7 @@
 }
 
 // Open verifies a datagram and decodes its header. The payload is
-// buf[HeaderLen:].
+// buf[HeaderLen:]. In case of an error h is left as it was.
 func (c *Codec) Open(buf []byte, h *Header) error {
 	if len(buf) < HeaderLen {
 		return ErrShort
@@ -163,22 +164,33 @@
 	if !tagEqual(buf[tagOffset:tagOffset+tagLen], hi, lo) {
 		return ErrTag
 	}
-	h.Kind = Kind(buf[1])
-	if h.Kind < Forward || h.Kind > Control {
+	kind := Kind(buf[1])
+	if kind < Forward || kind > Control {
 		return ErrKind
 	}
+	h.Kind = kind
 	h.Flags = Flags(buf[3])
 	h.Service = binary.BigEndian.Uint32(buf[4:])
 	h.Incarnation = binary.BigEndian.Uint64(buf[8:])
 	h.Sequence = binary.BigEndian.Uint64(buf[16:])
-	addr := netip.AddrFrom16([16]byte(buf[24:40])).Unmap()
-	h.Caller = netip.AddrPortFrom(addr, binary.BigEndian.Uint16(buf[40:]))
+	h.Caller = caller(buf[24:42])
 	h.Busy = binary.BigEndian.Uint16(buf[42:])
 	h.Waiting = binary.BigEndian.Uint16(buf[44:])
 	h.State = StateBits(binary.BigEndian.Uint16(buf[46:]))
 	return nil
 }
 
+// caller decodes the caller's address. A field of zeros, which Seal writes for
+// the zero AddrPort, gives the zero AddrPort and not the unspecified address.
+func caller(field []byte) netip.AddrPort {
+	addr := netip.AddrFrom16([16]byte(field)).Unmap()
+	port := binary.BigEndian.Uint16(field[16:])
+	if addr.IsUnspecified() && port == 0 {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(addr, port)
+}
+
 // tag hashes the header without its tag and the first payload bytes, which
 // binds a tag to its payload at a fixed cost.
 func (c *Codec) tag(generation uint8, buf []byte) (hi, lo uint64) {
