ticket: run a request at most once by tickets

Cause: a caller that lost the answer repeats its request through any agent; the request must not run twice, also across planned stops. Ruled out: dropping old entries of a full table, which would grant a used ticket again; unused tickets are refused instead, as not run. A way back from Freeze, and a second successor after a missing answer: either may give a ticket two homes; Offer binds one successor until it refuses. Adopting without the predecessor's lifetime and clock: a successor with a longer lifetime would hold a ticket valid after its entry was forgotten.

--- /dev/null
+++ b/core/ticket/home.go
@@ -0,0 +1,363 @@
+package ticket
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"trefoilweir.example/core/verdict"
+)
+
+// originKeep is how long the identity of an origin is remembered after its
+// last ticket has expired. A predecessor that was paused in the middle of a
+// transfer may send its old snapshot again when it resumes; adopting it a
+// second time would forget what ran since the first.
+const originKeep = 24 * time.Hour
+
+// origin is an identity that the home answers for: itself, or a predecessor
+// whose table it has adopted.
+type origin struct {
+	id Identity
+	// skew is the clock of the origin minus the clock of this process.
+	skew     time.Duration
+	lifetime time.Duration
+	// ends is when the last ticket of an adopted origin expires, on the clock
+	// of this process. It is unused for the home's own identity.
+	ends time.Duration
+}
+
+// key identifies a ticket in the table.
+type key struct {
+	origin *origin
+	issued time.Duration
+	nonce  uint64
+}
+
+// state is what the home knows about a ticket.
+type state uint8
+
+const (
+	// stateFree means that every attempt so far was released.
+	stateFree state = iota
+	// stateRunning means that one attempt was granted and has not ended.
+	stateRunning
+	// stateDone means that an attempt ran.
+	stateDone
+)
+
+// entry is a used ticket.
+type entry struct {
+	state state
+	// holderGone says that the holder of the running attempt is gone.
+	holderGone bool
+	// closed says that no further attempt is granted, because not every
+	// released attempt is remembered.
+	closed   bool
+	attempt  Attempt
+	released []Attempt
+	answer   *Answer
+	// expires is when the entry may be forgotten, on the clock of this
+	// process. It is never before the ticket expires.
+	expires time.Duration
+}
+
+// Home decides which attempts run for the tickets of one agent incarnation
+// and of its predecessors. It is not safe for concurrent use.
+//
+// Invariants:
+//   - At most one attempt of a ticket is granted and not released at any time,
+//     and none is granted after one has completed.
+//   - A released attempt is never granted, also if the Release arrives before
+//     the Claim.
+//   - Claim gives the same attempt the same answer until the attempt ends.
+//   - A used ticket is forgotten only when it has expired, so it is never
+//     mistaken for an unused one. A full table refuses unused tickets.
+//   - After Freeze nothing is granted or changed here.
+//   - The verdict NotRun is given only if no attempt of the ticket has run or
+//     may be running.
+type Home struct {
+	self    *origin
+	limits  Limits
+	origins map[Identity]*origin
+	entries map[key]*entry
+	expiry  expiryHeap
+	bytes   int
+	now     time.Duration
+
+	frozen    bool
+	successor Identity
+	// offered says that successor may have adopted the table, and moved that
+	// it has.
+	offered, moved bool
+}
+
+// NewHome returns a home without used tickets.
+func NewHome(self Identity, limits Limits) *Home {
+	limits = limits.withDefaults()
+	o := &origin{id: self, lifetime: limits.Lifetime}
+	return &Home{
+		self:    o,
+		limits:  limits,
+		origins: map[Identity]*origin{self: o},
+		entries: make(map[key]*entry),
+	}
+}
+
+// Claim decides whether an attempt may run.
+func (h *Home) Claim(now time.Duration, c Claim) ClaimReply {
+	h.Tick(now)
+	if h.frozen {
+		return h.movedReply()
+	}
+	o := h.origins[c.Ticket.Origin()]
+	if o == nil {
+		return ClaimReply{Outcome: NotHome}
+	}
+	k := keyOf(o, c.Ticket)
+	if e := h.entries[k]; e != nil {
+		return h.repeat(e, c.Attempt, h.valid(k))
+	}
+	if !h.valid(k) {
+		return ClaimReply{Outcome: Expired}
+	}
+	if len(h.entries) >= h.limits.MaxTickets {
+		return ClaimReply{Outcome: Full, Verdict: verdict.NotRun}
+	}
+	return h.insert(k).grant(c.Attempt)
+}
+
+// repeat decides on an attempt of a ticket that was used before.
+func (h *Home) repeat(e *entry, a Attempt, valid bool) ClaimReply {
+	switch {
+	case e.state == stateDone:
+		return ClaimReply{Outcome: Done, Verdict: verdict.Ran, Answer: e.answer}
+	case slices.Contains(e.released, a):
+		return ClaimReply{Outcome: Released, Verdict: e.verdict()}
+	case e.state == stateRunning && e.holderGone:
+		return ClaimReply{Outcome: Unknown}
+	case e.state == stateRunning && e.attempt == a:
+		return ClaimReply{Outcome: Granted}
+	case e.state == stateRunning:
+		return ClaimReply{Outcome: Busy}
+	case !valid:
+		return ClaimReply{Outcome: Expired, Verdict: e.verdict()}
+	case e.closed:
+		return ClaimReply{Outcome: Exhausted, Verdict: e.verdict()}
+	}
+	return e.grant(a)
+}
+
+func (e *entry) grant(a Attempt) ClaimReply {
+	e.state, e.attempt, e.holderGone = stateRunning, a, false
+	return ClaimReply{Outcome: Granted}
+}
+
+// verdict is what is known about a ticket that is not run now.
+func (e *entry) verdict() verdict.Verdict {
+	switch e.state {
+	case stateFree:
+		return verdict.NotRun
+	case stateDone:
+		return verdict.Ran
+	}
+	return verdict.MayHaveRun
+}
+
+// Complete records that an attempt ran. A repeated Complete changes nothing.
+// A Complete is evidence that the ticket ran: also if the attempt was not
+// granted or was released, nothing more is granted, and ErrNotGranted reports
+// the fault. ErrCompleted reports that another attempt completed before.
+func (h *Home) Complete(now time.Duration, c Complete) error {
+	k, e, err := h.find(now, c.Ticket)
+	if err != nil {
+		return err
+	}
+	if e == nil {
+		if !h.valid(k) {
+			return ErrExpired
+		}
+		if len(h.entries) >= h.limits.MaxTickets {
+			return ErrFull
+		}
+		e = h.insert(k)
+	}
+	if e.state == stateDone {
+		if e.attempt == c.Attempt {
+			return nil
+		}
+		return ErrCompleted
+	}
+	granted := e.state == stateRunning && e.attempt == c.Attempt
+	e.state, e.attempt, e.holderGone, e.released = stateDone, c.Attempt, false, nil
+	e.answer = h.keep(c.Answer)
+	e.expires = max(e.expires, h.now+h.limits.AnswerKeep)
+	if !granted {
+		return ErrNotGranted
+	}
+	return nil
+}
+
+// keep returns the answer, or only its status if it is over a limit.
+func (h *Home) keep(a Answer) *Answer {
+	n := a.size()
+	if n > h.limits.MaxAnswer || h.bytes+n > h.limits.MaxAnswerBytes {
+		return &Answer{Status: a.Status, StatusOnly: true}
+	}
+	h.bytes += n
+	return &a
+}
+
+// Release records that an attempt did not run and never will. A nil result
+// says that the ticket has not run. ErrRunning and ErrCompleted say that the
+// attempt is released but another one is running or has run. See Settled for
+// whether the Release must be sent again.
+func (h *Home) Release(now time.Duration, r Release) error {
+	k, e, err := h.find(now, r.Ticket)
+	if err != nil {
+		return err
+	}
+	if e == nil {
+		if !h.valid(k) {
+			return ErrExpired
+		}
+		if len(h.entries) >= h.limits.MaxTickets {
+			return ErrFull
+		}
+		e = h.insert(k)
+	}
+	if e.state == stateDone {
+		return ErrCompleted
+	}
+	h.release(e, r.Attempt)
+	if e.state == stateRunning {
+		return ErrRunning
+	}
+	return nil
+}
+
+// release remembers a released attempt. If there is no room for it, the
+// ticket is closed, which also makes sure that the attempt is never granted.
+func (h *Home) release(e *entry, a Attempt) {
+	if e.state == stateRunning && e.attempt == a {
+		e.state, e.holderGone = stateFree, false
+	}
+	switch {
+	case slices.Contains(e.released, a):
+	case len(e.released) < h.limits.MaxReleased:
+		e.released = append(e.released, a)
+	default:
+		e.closed = true
+	}
+}
+
+// HolderGone records that a holder's process has ended. The outcome of its
+// running attempts is unknown for good, unless its own Complete or Release is
+// still on the way.
+func (h *Home) HolderGone(now time.Duration, gone func(Attempt) bool) {
+	h.Tick(now)
+	if h.frozen {
+		return
+	}
+	for _, e := range h.entries {
+		if e.state == stateRunning && gone(e.attempt) {
+			e.holderGone = true
+		}
+	}
+}
+
+// Tick forgets what has expired. The other methods call it too.
+func (h *Home) Tick(now time.Duration) {
+	h.now = max(h.now, now)
+	if h.frozen {
+		return
+	}
+	for len(h.expiry) > 0 && h.expiry[0].at <= h.now {
+		due := heap.Pop(&h.expiry).(deadline)
+		e := h.entries[due.key]
+		if e.expires > h.now {
+			heap.Push(&h.expiry, deadline{e.expires, due.key})
+			continue
+		}
+		if e.answer != nil {
+			h.bytes -= e.answer.size()
+		}
+		delete(h.entries, due.key)
+	}
+}
+
+// Stats are figures for reports.
+type Stats struct {
+	Tickets     int  `json:"tickets"`
+	AnswerBytes int  `json:"answer_bytes"`
+	Origins     int  `json:"origins"`
+	Frozen      bool `json:"frozen"`
+}
+
+// Stats reports the size of the table.
+func (h *Home) Stats() Stats {
+	return Stats{len(h.entries), h.bytes, len(h.origins), h.frozen}
+}
+
+// find returns the key and the entry of a ticket. The entry is nil if the
+// ticket is unused or expired.
+func (h *Home) find(now time.Duration, t Ticket) (key, *entry, error) {
+	h.Tick(now)
+	if h.frozen {
+		return key{}, nil, ErrFrozen
+	}
+	o := h.origins[t.Origin()]
+	if o == nil {
+		return key{}, nil, ErrNotHome
+	}
+	k := keyOf(o, t)
+	return k, h.entries[k], nil
+}
+
+func keyOf(o *origin, t Ticket) key { return key{o, t.Issued, t.Nonce} }
+
+// valid says whether a ticket has been issued and has not expired. It compares
+// the same time as the expiry of entries, so that a ticket is not valid for an
+// instant longer than its entry is kept.
+func (h *Home) valid(k key) bool {
+	return k.issued <= h.now+k.origin.skew && h.now < k.expires()
+}
+
+// expires is when a ticket expires on the clock of this process.
+func (k key) expires() time.Duration { return k.issued + k.origin.lifetime - k.origin.skew }
+
+func (h *Home) insert(k key) *entry {
+	e := &entry{expires: k.expires()}
+	h.add(k, e)
+	return e
+}
+
+func (h *Home) add(k key, e *entry) {
+	h.entries[k] = e
+	heap.Push(&h.expiry, deadline{e.expires, k})
+}
+
+// deadline is the time at which an entry is looked at. The entry may expire
+// later than that.
+type deadline struct {
+	at  time.Duration
+	key key
+}
+
+// expiryHeap orders deadlines, the earliest first.
+type expiryHeap []deadline
+
+func (x expiryHeap) Len() int           { return len(x) }
+func (x expiryHeap) Less(i, j int) bool { return x[i].at < x[j].at }
+func (x expiryHeap) Swap(i, j int)      { x[i], x[j] = x[j], x[i] }
+
+// Push implements heap.Interface.
+func (x *expiryHeap) Push(v any) { *x = append(*x, v.(deadline)) }
+
+// Pop implements heap.Interface.
+func (x *expiryHeap) Pop() any {
+	last := len(*x) - 1
+	v := (*x)[last]
+	(*x)[last] = deadline{}
+	*x = (*x)[:last]
+	return v
+}
--- /dev/null
+++ b/core/ticket/ticket.go
@@ -0,0 +1,136 @@
+// Package ticket lets a request run at most once although its caller repeats
+// it through any agent. The key of such a request is a ticket that the system
+// issues and that is bound to the agent incarnation that issued it, its home.
+// The home alone decides which attempt may run.
+//
+// The package is pure: it has no clock and no I/O.
+package ticket
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+const (
+	// MinKeyLen is the least length of a ticket key, in bytes.
+	MinKeyLen = 16
+	// Len is the length of an encoded ticket, in characters.
+	Len = (bodyLen + macLen) * 4 / 3
+
+	macLen = 16
+	// bodyLen is generation (1), address (16), port (2), incarnation (8),
+	// service (4), issue time (8) and nonce (8).
+	bodyLen = 1 + 16 + 2 + 8 + 4 + 8 + 8
+)
+
+// Errors that Parse returns. In all cases the key is not a ticket of this
+// system, and the request is refused as not run.
+var (
+	ErrForm       = errors.New("key is not a ticket")
+	ErrGeneration = errors.New("ticket has an unknown key generation")
+	ErrMAC        = errors.New("ticket has a wrong authentication code")
+)
+
+// Ticket is the right to run one request once.
+type Ticket struct {
+	// Home is the datagram address of the agent that issued the ticket.
+	Home netip.AddrPort `cbor:"1,keyasint"`
+	// Incarnation is that of the process that issued the ticket.
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Service     uint32 `cbor:"3,keyasint"`
+	// Issued is the issue time on the clock of the issuing process. Only the
+	// home, and a successor that knows the difference, may compare it.
+	Issued time.Duration `cbor:"4,keyasint"`
+	// Nonce makes the tickets of one home differ.
+	Nonce uint64 `cbor:"5,keyasint"`
+}
+
+// Origin returns the identity that issued the ticket.
+func (t Ticket) Origin() Identity {
+	return Identity{Home: t.Home, Incarnation: t.Incarnation, Service: t.Service}
+}
+
+// Identity is a process that issues tickets.
+type Identity struct {
+	Home        netip.AddrPort `cbor:"1,keyasint"`
+	Incarnation uint64         `cbor:"2,keyasint"`
+	Service     uint32         `cbor:"3,keyasint"`
+}
+
+// Codec issues and parses tickets. It accepts every loaded key generation and
+// issues with the active one. It is immutable and safe for concurrent use.
+type Codec struct {
+	keys   map[uint8][]byte
+	active uint8
+}
+
+// NewCodec returns a codec that issues tickets with the given active
+// generation.
+func NewCodec(keys map[uint8][]byte, active uint8) (*Codec, error) {
+	c := &Codec{keys: make(map[uint8][]byte, len(keys)), active: active}
+	for generation, key := range keys {
+		if len(key) < MinKeyLen {
+			return nil, fmt.Errorf("generation %d: key has %d bytes, want at least %d", generation, len(key), MinKeyLen)
+		}
+		c.keys[generation] = append([]byte(nil), key...)
+	}
+	if c.keys[active] == nil {
+		return nil, fmt.Errorf("active generation %d has no key", active)
+	}
+	return c, nil
+}
+
+// Issue returns the encoded form of a ticket.
+func (c *Codec) Issue(t Ticket) string {
+	b := make([]byte, 0, bodyLen+macLen)
+	b = append(b, c.active)
+	ip := t.Home.Addr().As16()
+	b = append(b, ip[:]...)
+	b = binary.BigEndian.AppendUint16(b, t.Home.Port())
+	b = binary.BigEndian.AppendUint64(b, t.Incarnation)
+	b = binary.BigEndian.AppendUint32(b, t.Service)
+	b = binary.BigEndian.AppendUint64(b, uint64(t.Issued))
+	b = binary.BigEndian.AppendUint64(b, t.Nonce)
+	b = append(b, c.mac(c.active, b)...)
+	return base64.RawURLEncoding.EncodeToString(b)
+}
+
+// Parse verifies and decodes a ticket.
+func (c *Codec) Parse(s string) (Ticket, error) {
+	if len(s) != Len {
+		return Ticket{}, ErrForm
+	}
+	b, err := base64.RawURLEncoding.DecodeString(s)
+	if err != nil || len(b) != bodyLen+macLen {
+		return Ticket{}, ErrForm
+	}
+	if c.keys[b[0]] == nil {
+		return Ticket{}, ErrGeneration
+	}
+	if !hmac.Equal(b[bodyLen:], c.mac(b[0], b[:bodyLen])) {
+		return Ticket{}, ErrMAC
+	}
+	t := Ticket{
+		Home:        netip.AddrPortFrom(netip.AddrFrom16([16]byte(b[1:])).Unmap(), binary.BigEndian.Uint16(b[17:])),
+		Incarnation: binary.BigEndian.Uint64(b[19:]),
+		Service:     binary.BigEndian.Uint32(b[27:]),
+		Issued:      time.Duration(binary.BigEndian.Uint64(b[31:])),
+		Nonce:       binary.BigEndian.Uint64(b[39:]),
+	}
+	if t.Issued < 0 {
+		return Ticket{}, ErrForm
+	}
+	return t, nil
+}
+
+func (c *Codec) mac(generation uint8, body []byte) []byte {
+	h := hmac.New(sha256.New, c.keys[generation])
+	h.Write(body)
+	return h.Sum(nil)[:macLen]
+}
--- /dev/null
+++ b/core/ticket/transfer.go
@@ -0,0 +1,199 @@
+package ticket
+
+import (
+	"slices"
+	"time"
+)
+
+// Snapshot is the frozen table of a home, for its successor.
+type Snapshot struct {
+	// From is the identity that froze the table.
+	From Identity `cbor:"1,keyasint"`
+	// Now is the time of the freeze on the clock of From.
+	Now     time.Duration    `cbor:"2,keyasint"`
+	Origins []SnapshotOrigin `cbor:"3,keyasint"`
+}
+
+// SnapshotOrigin holds the used tickets of one identity.
+type SnapshotOrigin struct {
+	ID Identity `cbor:"1,keyasint"`
+	// Skew is the clock of the origin minus the clock of Snapshot.From.
+	Skew     time.Duration `cbor:"2,keyasint"`
+	Lifetime time.Duration `cbor:"3,keyasint"`
+	// Ended says that every ticket has expired. The identity is passed on so
+	// that its table is not adopted again.
+	Ended   bool            `cbor:"4,keyasint,omitempty"`
+	Entries []SnapshotEntry `cbor:"5,keyasint,omitempty"`
+}
+
+// SnapshotEntry is one used ticket.
+type SnapshotEntry struct {
+	Issued     time.Duration `cbor:"1,keyasint"`
+	Nonce      uint64        `cbor:"2,keyasint"`
+	Running    bool          `cbor:"3,keyasint,omitempty"`
+	HolderGone bool          `cbor:"4,keyasint,omitempty"`
+	Closed     bool          `cbor:"5,keyasint,omitempty"`
+	// Attempt is the running or the completed attempt.
+	Attempt  Attempt   `cbor:"6,keyasint"`
+	Released []Attempt `cbor:"7,keyasint,omitempty"`
+	// Answer is set if the ticket has run.
+	Answer *Answer `cbor:"8,keyasint,omitempty"`
+	// Expires is on the clock of Snapshot.From.
+	Expires time.Duration `cbor:"9,keyasint"`
+}
+
+// Freeze ends all decisions of this home, for good, and returns its table. A
+// second call returns the same table. There is no way back: a successor may
+// have adopted the table although its acknowledgement was lost.
+func (h *Home) Freeze(now time.Duration) Snapshot {
+	h.Tick(now)
+	h.frozen = true
+	s := Snapshot{From: h.self.id, Now: h.now}
+	at := make(map[*origin]int, len(h.origins))
+	for _, o := range h.origins {
+		at[o] = len(s.Origins)
+		s.Origins = append(s.Origins, SnapshotOrigin{ID: o.id, Skew: o.skew, Lifetime: o.lifetime,
+			Ended: o != h.self && h.now >= o.ends})
+	}
+	for k, e := range h.entries {
+		to := &s.Origins[at[k.origin]]
+		to.Entries = append(to.Entries, SnapshotEntry{
+			Issued: k.issued, Nonce: k.nonce, Running: e.state == stateRunning, HolderGone: e.holderGone,
+			Closed: e.closed, Attempt: e.attempt, Released: slices.Clone(e.released), Answer: e.answer, Expires: e.expires,
+		})
+	}
+	return s
+}
+
+// Offer binds the successor that the snapshot is sent to. It fails with
+// ErrSuccessor while another agent may have adopted the table: two successors
+// would each grant the same ticket. Call it before the first transfer.
+func (h *Home) Offer(successor Identity) error {
+	if !h.frozen || h.offered && h.successor != successor {
+		return ErrSuccessor
+	}
+	h.successor, h.offered = successor, true
+	return nil
+}
+
+// Refused records that the offered successor did not adopt the table and will
+// not: it has answered every transfer that was sent, each time with an error.
+// Another one may be offered the table then. Neither a missing answer nor the
+// end of the successor's process is a refusal, because it may have adopted the
+// table and handed it on.
+func (h *Home) Refused(successor Identity) {
+	if h.offered && !h.moved && h.successor == successor {
+		h.offered = false
+	}
+}
+
+// Acknowledged records that the offered successor has adopted the table.
+// Claims are pointed to it from now on.
+func (h *Home) Acknowledged(successor Identity) {
+	if h.offered && h.successor == successor {
+		h.moved = true
+	}
+}
+
+func (h *Home) movedReply() ClaimReply {
+	r := ClaimReply{Outcome: Moved}
+	if h.moved {
+		r.Successor = h.successor
+	}
+	return r
+}
+
+// Adopt takes over the table of a predecessor, with its running attempts. It
+// adopts all of it or nothing. Adopting the table of the same identity again
+// changes nothing, so that a lost acknowledgement can be repeated.
+//
+// The time between Freeze and Adopt does not count: tickets and entries alike
+// live longer by it.
+func (h *Home) Adopt(now time.Duration, s Snapshot) error {
+	h.Tick(now)
+	if h.frozen {
+		return ErrFrozen
+	}
+	if s.From != h.self.id && h.origins[s.From] != nil {
+		return nil
+	}
+	if err := h.check(s); err != nil {
+		return err
+	}
+	h.forgetOrigins()
+	entries := 0
+	for i := range s.Origins {
+		entries += len(s.Origins[i].Entries)
+	}
+	if len(h.entries)+entries > h.limits.MaxTickets || len(h.origins)+len(s.Origins) > h.limits.MaxOrigins {
+		return ErrFull
+	}
+	for i := range s.Origins {
+		h.adopt(s.Now, &s.Origins[i])
+	}
+	return nil
+}
+
+// check refuses snapshots that would break an invariant: of another service,
+// of an identity that this home answers for already, without its own origin,
+// or with entries that are kept for less than the lifetime of their tickets.
+func (h *Home) check(s Snapshot) error {
+	seen := make(map[Identity]bool, len(s.Origins))
+	for i := range s.Origins {
+		o := &s.Origins[i]
+		if o.ID.Service != h.self.id.Service || o.Lifetime <= 0 || seen[o.ID] || h.origins[o.ID] != nil {
+			return ErrSnapshot
+		}
+		seen[o.ID] = true
+		tickets := make(map[[2]uint64]bool, len(o.Entries))
+		for j := range o.Entries {
+			e := &o.Entries[j]
+			id := [2]uint64{uint64(e.Issued), e.Nonce}
+			if e.Expires < e.Issued+o.Lifetime-o.Skew || e.Running && e.Answer != nil || tickets[id] {
+				return ErrSnapshot
+			}
+			tickets[id] = true
+		}
+	}
+	if !seen[s.From] {
+		return ErrSnapshot
+	}
+	return nil
+}
+
+// adopt takes over one origin. The difference of the two clocks is taken as
+// if no time had passed since the freeze.
+func (h *Home) adopt(frozenAt time.Duration, s *SnapshotOrigin) {
+	shift := h.now - frozenAt
+	o := &origin{id: s.ID, skew: s.Skew - shift, lifetime: s.Lifetime, ends: h.now + s.Lifetime}
+	if s.Ended {
+		o.ends = h.now
+	}
+	h.origins[o.id] = o
+	for i := range s.Entries {
+		from := &s.Entries[i]
+		e := &entry{
+			holderGone: from.HolderGone, closed: from.Closed, attempt: from.Attempt,
+			released: slices.Clone(from.Released), expires: from.Expires + shift,
+		}
+		switch {
+		case from.Answer != nil:
+			e.state, e.answer = stateDone, h.keep(*from.Answer)
+		case from.Running:
+			e.state = stateRunning
+		}
+		if len(e.released) > h.limits.MaxReleased {
+			e.released, e.closed = e.released[:h.limits.MaxReleased], true
+		}
+		h.add(key{o, from.Issued, from.Nonce}, e)
+	}
+}
+
+// forgetOrigins drops identities whose tickets expired a long time ago.
+func (h *Home) forgetOrigins() {
+	for id, o := range h.origins {
+		if o != h.self && h.now-o.ends > originKeep {
+			delete(h.origins, id)
+		}
+	}
+}
