Adoption against a naive version; ask for the list of VMs until it arrives

Cause: a random test of machines against a naive version (the highest valid head that a process fetched) found a process that stayed on an old version for good. It had become ready without a list of VMs and no longer asked for one, so that it polled nobody. Ruled out: a fault of the model network; the same happens when the platform gives the manifest and fails on the list. Change: a process asks the platform until it has a list, and asks two random peers when both parents are gone.

--- a/core/distribution/machine.go
+++ b/core/distribution/machine.go
@@ -378,9 +378,11 @@
 	m.parent++
 	m.pollFails++
 	m.pollAfter = now
-	// The second parent is tried at once.
+	// The second parent is tried at once. After both, random peers show
+	// whether there is a change, without waiting for the next exchange.
 	if m.place.Reader || m.pollFails%2 == 0 {
 		m.pollAfter = now + m.backoff()
+		m.askPeers(2)
 	}
 }
 
@@ -402,7 +404,9 @@
 		m.scheduleExchange(now)
 		m.askPeers(1)
 	}
-	if !m.ready && now >= m.nextAsk {
+	// Without a list of VMs there is nobody to poll, also if a peer gave the
+	// configuration or the platform gave all but the list.
+	if (!m.ready || !m.listed) && now >= m.nextAsk {
 		m.askPlatform(now)
 		// Peers may have started since.
 		m.askPeers(StartPeers)
--- a/core/distribution/machine_test.go
+++ b/core/distribution/machine_test.go
@@ -178,6 +178,22 @@
 	assert.Assert(t, len(alarms) >= 1 && alarms[0].Kind == distribution.AlarmOrphan)
 }
 
+// Guards against a process that is ready without a list of VMs, which has
+// nobody to poll, and stops asking for the list.
+func TestListIsAskedForUntilItArrives(t *testing.T) {
+	m := distribution.New(distribution.Options{Self: "vm-00001", DataCentre: "dc-00", Seed: 1})
+	m.Step(0, distribution.Start{})
+	m.Step(1, distribution.Asked{From: distribution.Platform, Head: head(1, 1)})
+	m.Step(distribution.StartWait, distribution.Tick{})
+	m.Step(distribution.StartWait, distribution.Fetched{From: distribution.Platform, Head: head(1, 1)})
+	assert.Assert(t, m.Ready())
+	asks := 0
+	for now := distribution.StartWait; now < 10*time.Second; now += distribution.TickEvery {
+		asks += len(find[distribution.Ask](m.Step(now, distribution.Tick{})))
+	}
+	assert.Assert(t, asks >= 3)
+}
+
 // Guards against a process that trusts its view after a pause.
 func TestPause(t *testing.T) {
 	m, _ := follower(t)
