ticket: a final release closes the ticket

Cause: the specification (variant NO_CLOSE) shows that a delayed claim of an older attempt runs a request after its caller was told that it did not run. Ruled out: waiting for the acknowledgement of the release, which does not reach claims that are under way. Tests name the fields of Release, because it has another one; their assertions are the same.

--- a/core/ticket/home.go
+++ b/core/ticket/home.go
@@ -43,6 +43,8 @@
 	stateRunning
 	// stateDone means that an attempt ran.
 	stateDone
+	// stateClosed means that the granted attempt was refused for good.
+	stateClosed
 )
 
 // entry is a used ticket.
@@ -69,6 +71,8 @@
 //     and none is granted after one has completed.
 //   - A released attempt is never granted, also if the Release arrives before
 //     the Claim.
+//   - After the final Release of the granted attempt, no attempt of the ticket
+//     is granted.
 //   - Claim gives the same attempt the same answer until the attempt ends.
 //   - A used ticket is forgotten only when it has expired, so it is never
 //     mistaken for an unused one. A full table refuses unused tickets.
@@ -131,6 +135,8 @@
 	switch {
 	case e.state == stateDone:
 		return ClaimReply{Outcome: Done, Verdict: verdict.Ran, Answer: e.answer}
+	case e.state == stateClosed:
+		return ClaimReply{Outcome: Closed, Verdict: verdict.NotRun}
 	case slices.Contains(e.released, a):
 		return ClaimReply{Outcome: Released, Verdict: e.verdict()}
 	case e.state == stateRunning && e.holderGone:
@@ -155,7 +161,7 @@
 // verdict is what is known about a ticket that is not run now.
 func (e *entry) verdict() verdict.Verdict {
 	switch e.state {
-	case stateFree:
+	case stateFree, stateClosed:
 		return verdict.NotRun
 	case stateDone:
 		return verdict.Ran
@@ -228,6 +234,9 @@
 	if e.state == stateDone {
 		return ErrCompleted
 	}
+	if r.Final && e.state == stateRunning && e.attempt == r.Attempt {
+		e.state, e.holderGone = stateClosed, false
+	}
 	h.release(e, r.Attempt)
 	if e.state == stateRunning {
 		return ErrRunning
--- a/core/ticket/messages.go
+++ b/core/ticket/messages.go
@@ -36,6 +36,10 @@
 type Release struct {
 	Ticket  Ticket  `cbor:"1,keyasint"`
 	Attempt Attempt `cbor:"2,keyasint"`
+	// Final closes the ticket. A holder that answers "not run" must set it: a
+	// Claim of an older attempt may still be under way, and would otherwise
+	// run the request after the caller was told that it did not run.
+	Final bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Answer is the kept answer of a request.
@@ -91,11 +95,14 @@
 	Moved
 	// NotHome means that this process never answered for the ticket.
 	NotHome
+	// Closed means that the request was refused. It did not run and never
+	// will. It is final.
+	Closed
 
 	outcomes
 )
 
-var outcomeNames = [outcomes]string{"unknown", "granted", "done", "busy", "expired", "released", "exhausted", "full", "moved", "not_home"}
+var outcomeNames = [outcomes]string{"unknown", "granted", "done", "busy", "expired", "released", "exhausted", "full", "moved", "not_home", "closed"}
 
 // String returns a stable name for logs and metrics.
 func (o Outcome) String() string {
--- a/core/ticket/ticket_test.go
+++ b/core/ticket/ticket_test.go
@@ -116,7 +116,7 @@
 				case "complete":
 					got = h.Complete(now, Complete{tk, a, answer("x")})
 				case "release":
-					got = h.Release(now, Release{tk, a})
+					got = h.Release(now, Release{Ticket: tk, Attempt: a})
 				case "gone":
 					h.HolderGone(now, func(x Attempt) bool { return x == a })
 				}
@@ -137,7 +137,7 @@
 		assert.Equal(t, h.Claim(now, Claim{used, attempt(2)}).Outcome, want)
 	}
 	assert.Equal(t, h.Claim(end, Claim{unused, attempt(3)}).Outcome, Expired)
-	assert.Equal(t, h.Release(end, Release{unused, attempt(3)}), ErrExpired)
+	assert.Equal(t, h.Release(end, Release{Ticket: unused, Attempt: attempt(3)}), ErrExpired)
 	assert.Equal(t, h.Complete(end, Complete{unused, attempt(3), Answer{}}), ErrExpired)
 	assert.Equal(t, h.Claim(end+10*time.Second, Claim{used, attempt(2)}).Outcome, Expired)
 	assert.Equal(t, h.Stats(), Stats{Origins: 1})
@@ -145,7 +145,7 @@
 	assert.Equal(t, h.Claim(end+10*time.Second, Claim{future, attempt(1)}).Outcome, Expired)
 	foreign := ticketOf(identity(2), 0, 1)
 	assert.Equal(t, h.Claim(end, Claim{foreign, attempt(1)}).Outcome, NotHome)
-	assert.Equal(t, h.Release(end, Release{foreign, attempt(1)}), ErrNotHome)
+	assert.Equal(t, h.Release(end, Release{Ticket: foreign, Attempt: attempt(1)}), ErrNotHome)
 }
 
 // Guards against a full table that forgets a used ticket, and against memory
@@ -159,7 +159,7 @@
 	}
 	extra := ticketOf(selfID, 0, 99)
 	assert.Equal(t, h.Claim(0, Claim{extra, attempt(9)}), ClaimReply{Outcome: Full, Verdict: verdict.NotRun})
-	assert.Equal(t, h.Release(0, Release{extra, attempt(9)}), ErrFull)
+	assert.Equal(t, h.Release(0, Release{Ticket: extra, Attempt: attempt(9)}), ErrFull)
 	assert.Assert(t, !Settled(ErrFull) && Settled(nil) && Settled(ErrExpired))
 	for i, kept := range []bool{true, false, false} {
 		r := h.Claim(0, Claim{ticketOf(selfID, 0, uint64(i)), attempt(50)})
@@ -189,7 +189,7 @@
 		assert.Equal(t, a.Claim(time.Minute, Claim{tk, attempt(i)}).Outcome, Granted)
 	}
 	assert.NilError(t, a.Complete(time.Minute, Complete{done, attempt(0), answer("kept")}))
-	assert.NilError(t, a.Release(time.Minute, Release{released, attempt(2)}))
+	assert.NilError(t, a.Release(time.Minute, Release{Ticket: released, Attempt: attempt(2)}))
 
 	assert.Equal(t, a.Offer(identity(2)), ErrSuccessor, "offered before the freeze")
 	s := a.Freeze(time.Minute)
--- a/core/ticket/transfer.go
+++ b/core/ticket/transfer.go
@@ -40,6 +40,8 @@
 	Answer *Answer `cbor:"8,keyasint,omitempty"`
 	// Expires is on the clock of Snapshot.From.
 	Expires time.Duration `cbor:"9,keyasint"`
+	// Refused says that the ticket was closed by a final Release.
+	Refused bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Freeze ends all decisions of this home, for good, and returns its table. A
@@ -60,6 +62,7 @@
 		to.Entries = append(to.Entries, SnapshotEntry{
 			Issued: k.issued, Nonce: k.nonce, Running: e.state == stateRunning, HolderGone: e.holderGone,
 			Closed: e.closed, Attempt: e.attempt, Released: slices.Clone(e.released), Answer: e.answer, Expires: e.expires,
+			Refused: e.state == stateClosed,
 		})
 	}
 	return s
@@ -149,7 +152,7 @@
 		for j := range o.Entries {
 			e := &o.Entries[j]
 			id := [2]uint64{uint64(e.Issued), e.Nonce}
-			if e.Expires < e.Issued+o.Lifetime-o.Skew || e.Running && e.Answer != nil || tickets[id] {
+			if e.Expires < e.Issued+o.Lifetime-o.Skew || (e.Running || e.Refused) && e.Answer != nil || tickets[id] {
 				return ErrSnapshot
 			}
 			tickets[id] = true
@@ -181,6 +184,8 @@
 			e.state, e.answer = stateDone, h.keep(*from.Answer)
 		case from.Running:
 			e.state = stateRunning
+		case from.Refused:
+			e.state = stateClosed
 		}
 		if len(e.released) > h.limits.MaxReleased {
 			e.released, e.closed = e.released[:h.limits.MaxReleased], true
