returnpath, placement, ticket: differential tests; refill after a forgotten balancer

Cause: table tests do not cover reordering, duplication, loss and pauses in combination. Found: with a full returnpath.Set, a balancer that was dropped for lack of room left its place in the round robin empty, and Next fell back to the balancer heard from most recently, also a leaving one, although another was usable. The shortest sequence is a table test now. Change: the round robin is filled up after a balancer was forgotten.

--- /dev/null
+++ b/core/placement/rapid_test.go
@@ -0,0 +1,162 @@
+package placement
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestRankAgainstSort guards against a partial order that differs from
+// sorting all targets by their score.
+func TestRankAgainstSort(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := targets(rapid.IntRange(0, 40).Draw(t, "targets"))
+		id := rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(t, "dcid")
+		service := rapid.Uint32().Draw(t, "service")
+		n := rapid.IntRange(0, 20).Draw(t, "n")
+		got := Rank(nil, service, id, all, n)
+		flow := flowHash(service, id)
+		slices.SortFunc(all, func(a, b Target) int {
+			if score(flow, a.Agent, a.Weight) > score(flow, b.Agent, b.Weight) {
+				return -1
+			}
+			return 1
+		})
+		if len(got) != min(n, MaxRank, len(all)) {
+			t.Fatalf("%d candidates", len(got))
+		}
+		for i := range got {
+			if got[i] != all[i].Agent {
+				t.Fatalf("candidate %d is %v, want %v", i, got[i], all[i].Agent)
+			}
+		}
+	})
+}
+
+// naiveAgent keeps the times of all unanswered echoes.
+type naiveAgent struct {
+	echoes   []time.Duration
+	pinged   time.Duration
+	draining bool
+}
+
+type naiveHealth map[netip.AddrPort]*naiveAgent
+
+func (n naiveHealth) suspect(now time.Duration, a netip.AddrPort) bool {
+	return n[a] != nil && len(n[a].echoes) >= 3 && now >= n[a].echoes[0]+300*ms
+}
+
+// choose looks for the first agent of the best group.
+func (n naiveHealth) choose(now time.Duration, candidates []netip.AddrPort) (agent, probe netip.AddrPort) {
+	draining := func(a netip.AddrPort) bool { return n[a] != nil && n[a].draining }
+	usable := slices.IndexFunc(candidates, func(a netip.AddrPort) bool { return !n.suspect(now, a) && !draining(a) })
+	passed := candidates
+	if usable >= 0 {
+		passed = candidates[:usable]
+	}
+	for _, a := range passed {
+		if !probe.IsValid() && now >= n[a].pinged+time.Second {
+			probe = a
+		}
+	}
+	if usable >= 0 {
+		return candidates[usable], probe
+	}
+	if i := slices.IndexFunc(candidates, func(a netip.AddrPort) bool { return !draining(a) }); i >= 0 {
+		return candidates[i], probe
+	}
+	return candidates[0], probe
+}
+
+// TestHealthAgainstNaive guards against a view of agents that departs from its
+// invariants when echoes and answers are lost, duplicated or late, and when
+// the process pauses.
+func TestHealthAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h, n := NewHealth(HealthLimits{}), naiveHealth{}
+		var now, ticked time.Duration
+		// A gap between ticks is a pause of this process.
+		pause := func() {
+			if now-ticked > time.Second {
+				ticked = now
+				for _, a := range n {
+					a.echoes = nil
+				}
+			}
+		}
+		draw := func(t *rapid.T) netip.AddrPort { return agent(rapid.IntRange(1, 4).Draw(t, "agent")) }
+		echoed := func(a netip.AddrPort) {
+			if n[a] == nil {
+				n[a] = &naiveAgent{pinged: now - time.Second}
+			}
+			n[a].echoes = append(n[a].echoes, now)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				pause()
+				for i := range 5 {
+					if got, want := h.Suspect(now, agent(i)), n.suspect(now, agent(i)); got != want {
+						t.Fatalf("agent %d: suspect %v, want %v", i, got, want)
+					}
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now += time.Duration(rapid.SampledFrom([]int{1, 50, 99, 100, 300, 999, 1001}).Draw(t, "ms")) * ms
+			},
+			"echoed": func(t *rapid.T) {
+				pause()
+				a := draw(t)
+				h.Echoed(now, 7, a)
+				echoed(a)
+			},
+			"heard": func(t *rapid.T) {
+				pause()
+				a, draining := draw(t), rapid.IntRange(0, 4).Draw(t, "draining") == 0
+				h.Heard(now, a, draining)
+				if n[a] != nil {
+					n[a].echoes, n[a].draining = nil, draining
+				}
+			},
+			"tick": func(t *rapid.T) {
+				pause()
+				ticked = now
+				got := map[netip.AddrPort]bool{}
+				for _, p := range h.Tick(now) {
+					got[p.Agent] = true
+				}
+				for a, x := range n {
+					want := len(x.echoes) > 0 && len(x.echoes) < 3 && now-max(x.echoes[0], x.pinged) >= 100*ms
+					if got[a] != want {
+						t.Fatalf("ping to %v: %v, want %v", a, got[a], want)
+					}
+					if want {
+						x.pinged = now
+						echoed(a)
+					}
+				}
+			},
+			"choose": func(t *rapid.T) {
+				pause()
+				candidates := rapid.Permutation([]netip.AddrPort{agent(1), agent(2), agent(3), agent(4)}).Draw(t, "candidates")
+				candidates = candidates[:rapid.IntRange(1, 4).Draw(t, "n")]
+				got, probe, ok := h.Choose(now, candidates)
+				want, wantProbe := n.choose(now, candidates)
+				if !ok || got != want || probe != wantProbe {
+					t.Fatalf("chose %v and probed %v, want %v and %v", got, probe, want, wantProbe)
+				}
+				if probe.IsValid() {
+					n[probe].pinged = now
+					echoed(probe)
+				}
+			},
+			"retain": func(t *rapid.T) {
+				gone := draw(t)
+				h.Retain(func(a netip.AddrPort) bool { return a != gone })
+				delete(n, gone)
+			},
+		})
+	})
+}
--- a/core/returnpath/returnpath.go
+++ b/core/returnpath/returnpath.go
@@ -93,10 +93,11 @@
 	// recent holds every entry, the one heard from most recently first.
 	recent *list.List
 	// used holds the balancers in the round robin. Every usable balancer is
-	// in it, or it is full; entries that became unusable stay in it until the
-	// next call of dropUnusable.
+	// in it, or it is full, after each call of dropUnusable.
 	used   []*entry
 	cursor int
+	// refill says that an entry in the round robin was forgotten.
+	refill bool
 	// epoch counts pauses. What was heard in an earlier epoch says nothing
 	// about the present.
 	epoch uint64
@@ -231,6 +232,7 @@
 	e := el.Value.(*entry)
 	if i := slices.Index(s.used, e); i >= 0 {
 		s.used = slices.Delete(s.used, i, i+1)
+		s.refill = true
 	}
 	delete(s.entries, e.addr)
 	s.recent.Remove(el)
@@ -256,10 +258,10 @@
 			kept = append(kept, e)
 		}
 	}
-	dropped := len(kept) < len(s.used)
+	refill := s.refill || len(kept) < len(s.used)
 	clear(s.used[len(kept):])
-	s.used = kept
-	if !dropped {
+	s.used, s.refill = kept, false
+	if !refill {
 		return
 	}
 	// The list is ordered by time, so the scan ends at the first silent one.
--- a/core/returnpath/returnpath_test.go
+++ b/core/returnpath/returnpath_test.go
@@ -110,6 +110,16 @@
 	assert.Equal(t, next(t, s, time.Hour), addr(999))
 }
 
+// Guards against a round robin that stays empty after the balancer in it was
+// forgotten for lack of room, although another one is usable.
+func TestForgottenBalancerIsReplaced(t *testing.T) {
+	s := New(Limits{Max: 2, Spread: 1})
+	s.Heard(0, addr(1), false)
+	s.Heard(0, addr(2), false)
+	s.Heard(0, addr(3), true)
+	assert.Equal(t, next(t, s, 0), addr(2))
+}
+
 func BenchmarkNext(b *testing.B) {
 	s := New(Limits{})
 	for i := range 100 {
--- a/core/ticket/ticket_test.go
+++ b/core/ticket/ticket_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"trefoilweir.example/core/verdict"
 )
@@ -172,7 +173,7 @@
 }
 
 // transfer passes a snapshot on as it travels, in CBOR.
-func transfer(t testing.TB, s Snapshot) (out Snapshot) {
+func transfer(t rapid.TB, s Snapshot) (out Snapshot) {
 	t.Helper()
 	b, err := cbor.Marshal(s)
 	assert.NilError(t, err)
