--- a/node/agent/harness_test.go
+++ b/node/agent/harness_test.go
@@ -44,7 +44,7 @@
 // fakeSource is a configuration that the test changes.
 type fakeSource struct {
 	mu      sync.Mutex
-	config  config.Config
+	config  *config.Config
 	vms     []config.VM
 	changed chan struct{}
 }
@@ -52,8 +52,7 @@
 func (s *fakeSource) Current() *config.Config {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.config
-	return &c
+	return s.config
 }
 
 func (s *fakeSource) Changes() <-chan struct{} {
@@ -72,11 +71,13 @@
 func (s *fakeSource) update(edit func(targets []config.Target)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	service := s.config.Services[0]
+	next := *s.config
+	service := next.Services[0]
 	service.Targets = append([]config.Target(nil), service.Targets...)
 	edit(service.Targets)
-	s.config.Version++
-	s.config.Services = []config.Service{service}
+	next.Version++
+	next.Services = []config.Service{service}
+	s.config = &next
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -90,11 +91,14 @@
 	keys    *keys.Store
 	forward *forwarder
 	agents  []*testAgent
+	// drainLimitMS is the setting of agents started from now on.
+	drainLimitMS int
 }
 
 type testAgent struct {
 	*Agent
-	stop func()
+	upstream *httptest.Server
+	stop     func()
 }
 
 // newCluster starts an agent for each target handler.
@@ -105,7 +109,7 @@
 	c.keys, err = keys.Open(filepath.Join(c.dir, "keys.json"))
 	assert.NilError(t, err)
 	writeCertificate(t, c.dir)
-	c.source = &fakeSource{changed: make(chan struct{}), config: config.Config{
+	c.source = &fakeSource{changed: make(chan struct{}), config: &config.Config{
 		Version: 1, Preset: "ordinary",
 		Presets: map[string]config.Preset{"ordinary": {HandOver: true, HandOverPeers: 3, QueuePerSlot: 4, RetryBudgetPercent: 10}},
 		Services: []config.Service{{
@@ -159,6 +163,7 @@
 			Common:  settings.Common{Name: spec.Name, DatagramAddress: spec.Agent, PeerAddress: spec.Peer},
 			Service: "booking", Target: spec.Name,
 			TargetAddress:      netip.MustParseAddrPort(upstream.Listener.Addr().String()),
+			DrainLimitMS:       c.drainLimitMS,
 			ServiceCertificate: c.file("cert.pem"), ServiceKey: c.file("key.pem"),
 		},
 		Source: c.source, Keys: c.keys, Peers: client, Incarnation: incarnation, Metrics: metrics.NewSet(),
@@ -178,7 +183,7 @@
 		upstream.Close()
 	})
 	t.Cleanup(stop)
-	return &testAgent{Agent: a, stop: stop}
+	return &testAgent{Agent: a, upstream: upstream, stop: stop}
 }
 
 func (c *cluster) file(name string) string { return filepath.Join(c.dir, name) }
@@ -226,8 +231,8 @@
 	sequence uint64
 	pongs    map[uint64]wire.Header
 	pings    int
-	// mute drops the agents' responses.
-	mute bool
+	// muted is an incarnation whose responses are dropped.
+	muted uint64
 }
 
 func newForwarder(t *testing.T, store *keys.Store) *forwarder {
@@ -256,16 +261,16 @@
 	f.first = agent
 }
 
-func (f *forwarder) setMute(mute bool) {
+func (f *forwarder) mute(incarnation uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.mute = mute
+	f.muted = incarnation
 }
 
-func (f *forwarder) muted() bool {
+func (f *forwarder) isMuted(incarnation uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.mute
+	return f.muted == incarnation
 }
 
 func (f *forwarder) send(to netip.AddrPort, h wire.Header, payload []byte) uint64 {
@@ -316,7 +321,7 @@
 		}
 		switch h.Kind {
 		case wire.Return:
-			if f.muted() {
+			if f.isMuted(h.Incarnation) {
 				continue
 			}
 			_, _ = f.front.WriteToUDPAddrPort(buffer[wire.HeaderLen:n], h.Caller)
