--- a/lab/cmd/trefoilweir-lab/main.go
+++ b/lab/cmd/trefoilweir-lab/main.go
@@ -19,7 +19,7 @@
 	command := &cli.Command{
 		Name:     "trefoilweir-lab",
 		Usage:    "stand-ins and measurement for trefoilweir",
-		Commands: []*cli.Command{keysCommand(), platformCommand(), fabricCommand(), targetCommand()},
+		Commands: []*cli.Command{keysCommand(), platformCommand(), fabricCommand(), targetCommand(), loadCommand()},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/lab/load/flow.go
@@ -0,0 +1,91 @@
+package load
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+const (
+	dialTimeout = 3 * time.Second
+	// idleTimeout bounds the time until a caller notices that its agent is
+	// gone without a trace.
+	idleTimeout = 10 * time.Second
+	keepAlive   = 2 * time.Second
+)
+
+// flow is one QUIC connection of a caller, with a UDP socket of its own.
+type flow struct {
+	transport *quic.Transport
+	conn      *quic.Conn
+	http      *http3.ClientConn
+	// requests counts the requests in progress.
+	requests sync.WaitGroup
+	// closing says that the caller ends the connection.
+	closing atomic.Bool
+	// interrupted says that the connection ended during a request.
+	interrupted atomic.Bool
+}
+
+func dial(ctx context.Context, service Service, tlsConfig *tls.Config) (*flow, error) {
+	socket, err := net.ListenUDP("udp4", nil)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	transport := &quic.Transport{Conn: socket}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	config := &quic.Config{MaxIdleTimeout: idleTimeout, KeepAlivePeriod: keepAlive, HandshakeIdleTimeout: dialTimeout}
+	conn, err := transport.Dial(ctx, net.UDPAddrFromAddrPort(service.Address), tlsConfig, config)
+	if err != nil {
+		transport.Close()
+		socket.Close()
+		return nil, trace.Wrap(err)
+	}
+	f := &flow{transport: transport, conn: conn, http: (&http3.Transport{DisableCompression: true}).NewClientConn(conn)}
+	context.AfterFunc(conn.Context(), func() {
+		transport.Close()
+		socket.Close()
+	})
+	return f, nil
+}
+
+// begin marks the start of a request and returns the function for its end.
+func (f *flow) begin() (end func()) {
+	f.requests.Add(1)
+	return f.requests.Done
+}
+
+func (f *flow) alive() bool { return f.conn.Context().Err() == nil }
+
+// finish waits for the requests in progress and ends the connection.
+func (f *flow) finish() {
+	f.requests.Wait()
+	f.closing.Store(true)
+	_ = f.http.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+	<-f.conn.Context().Done()
+}
+
+// broken reports whether the connection ended before the caller or the target
+// ended it. A server that sent GOAWAY may close a connection without error,
+// provided that no request is in progress.
+func (f *flow) broken() (cause error, broken bool) {
+	if f.alive() || f.closing.Load() {
+		return nil, false
+	}
+	cause = context.Cause(f.conn.Context())
+	var closed *quic.ApplicationError
+	graceful := errors.As(cause, &closed) && closed.ErrorCode == quic.ApplicationErrorCode(http3.ErrCodeNoError)
+	if graceful && !f.interrupted.Load() {
+		return nil, false
+	}
+	return cause, true
+}
--- a/lab/target/log.go
+++ b/lab/target/log.go
@@ -38,6 +38,10 @@
 	Path   string `json:"path,omitempty"`
 	// Slot says that the request holds a slot.
 	Slot bool `json:"slot,omitempty"`
+	// WorkMS is the work of the request at speed 1, in an End entry.
+	WorkMS float64 `json:"work_ms,omitempty"`
+	// RunMS is how long the work took, in an End entry.
+	RunMS float64 `json:"run_ms,omitempty"`
 	// Complete says that the whole answer was written.
 	Complete bool `json:"complete,omitempty"`
 	// Slots and Speed describe the target in a Listen entry.
--- a/lab/target/target.go
+++ b/lab/target/target.go
@@ -109,7 +109,7 @@
 	// Deferred, because a broken connection ends the handler with a panic.
 	defer func() { t.journal.write(end) }()
 	bodyHash, _, err := answer.Hash(r.Body)
-	if err != nil || !t.work(r) {
+	if err != nil || !t.work(r, &end) {
 		panic(http.ErrAbortHandler)
 	}
 	// A caller may read the answer before this function ends, so the run is
@@ -138,12 +138,16 @@
 	}
 }
 
-func (t *Target) work(r *http.Request) bool {
+// work takes the time that the query asks for, divided by the speed.
+func (t *Target) work(r *http.Request, end *Entry) bool {
 	ms, _ := strconv.ParseFloat(r.URL.Query().Get("work_ms"), 64)
+	begin := time.Now()
 	timer := time.NewTimer(time.Duration(ms / t.speed() * float64(time.Millisecond)))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		end.WorkMS = ms
+		end.RunMS = float64(time.Since(begin)) / float64(time.Millisecond)
 		return true
 	case <-r.Context().Done():
 		return false
