--- a/node/agent/drain.go
+++ b/node/agent/drain.go
@@ -15,8 +15,8 @@
 	drainPoll = 20 * time.Millisecond
 )
 
-// sweep sends GOAWAY to the connections of a draining agent and closes those
-// without requests.
+// sweep sends GOAWAY to the connections of a draining agent and to those that
+// are long unused, and closes them when they have no requests.
 func (a *Agent) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -40,7 +40,7 @@
 		if c.accepted < start {
 			from = start
 		}
-		if draining && a.now() >= from+c.goAwayDelay {
+		if draining && a.now() >= from+c.goAwayDelay || c.quiet() > unusedTimeout {
 			c.goAway()
 		}
 		c.closeIfUnused()
@@ -86,6 +86,6 @@
 	a.log.Warn("drain limit reached, open requests are cut off",
 		zap.Int64("requests", a.open.Load()), zap.Int("connections", len(a.callers.list())))
 	for _, c := range a.callers.list() {
-		c.cutOff()
+		c.cutOff("drain limit")
 	}
 }
