--- a/core/strictjson/strictjson_test.go
+++ b/core/strictjson/strictjson_test.go
@@ -1,6 +1,8 @@
 package strictjson_test
 
 import (
+	"encoding/json"
+	"reflect"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -70,3 +72,35 @@
 		assert.Error(t, strictjson.Decode([]byte(in), &o).Err(), want)
 	}
 }
+
+type plainItem struct {
+	Size  uint16            `json:"size"`
+	Speed float64           `json:"speed"`
+	Tags  map[string]string `json:"tags"`
+}
+
+type plainFile struct {
+	Name  string      `json:"name"`
+	On    bool        `json:"on"`
+	Delta int8        `json:"delta"`
+	Items []plainItem `json:"items"`
+}
+
+// Guards against a panic, and against a file that is accepted and read
+// differently than encoding/json reads it.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"name":"a\"b\u00e9\ud800","on":true,"delta":-5,"items":[{"size":7,"speed":1e3,"tags":{"x":"y"}},{}]}`))
+	f.Add([]byte(`{"unknown":[{"a":"]}"},null,1.5,"\\"],"items":{},"name":["x"]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var got, want plainFile
+		if strictjson.Decode(data, &got) != nil {
+			return
+		}
+		if err := json.Unmarshal(data, &want); err != nil {
+			t.Fatalf("accepted, but encoding/json says: %v", err)
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("read as %+v, encoding/json reads %+v", got, want)
+		}
+	})
+}
