--- a/lab/cmd/trefoilweir-lab/load.go
+++ b/lab/cmd/trefoilweir-lab/load.go
@@ -32,6 +32,7 @@
 			&cli.FloatFlag{Name: "work-ms", Value: d.WorkMS, Usage: "mean work of a request at speed 1, in `ms`"},
 			&cli.StringFlag{Name: "mix", Value: string(d.Mix), Usage: "`kinds` of requests: full or map"},
 			&cli.DurationFlag{Name: "timeout", Value: d.Timeout, Usage: "`limit` of one attempt"},
+			&cli.BoolFlag{Name: "no-tickets", Usage: "send no Idempotency-Key"},
 			&cli.BoolFlag{Name: "check", Usage: "fail if the report breaks a rule"},
 			&cli.IntFlag{Name: "max-unknown", Usage: "`number` of unknown outcomes that --check accepts"},
 			&cli.IntFlag{Name: "max-refused", Usage: "`number` of refused requests that --check accepts"},
@@ -72,6 +73,7 @@
 	o.Services, o.CAFile, o.Seed, o.Log = services, c.String("ca"), c.Uint64("seed"), logger
 	o.Requests, o.Rate, o.Sessions, o.PerSession = c.Int("requests"), c.Float("rate"), c.Int("sessions"), c.Int("per-session")
 	o.Tickers, o.WorkMS, o.Mix, o.Timeout = c.Int("tickers"), c.Float("work-ms"), load.Mix(c.String("mix")), c.Duration("timeout")
+	o.NoTickets = c.Bool("no-tickets")
 	return o, err
 }
 
--- a/lab/cmd/trefoilweir-lab/main.go
+++ b/lab/cmd/trefoilweir-lab/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
+	"trefoilweir.example/lab/policybench"
 )
 
 func main() {
@@ -19,7 +20,7 @@
 	command := &cli.Command{
 		Name:     "trefoilweir-lab",
 		Usage:    "stand-ins and measurement for trefoilweir",
-		Commands: []*cli.Command{keysCommand(), platformCommand(), fabricCommand(), targetCommand(), loadCommand()},
+		Commands: []*cli.Command{keysCommand(), platformCommand(), fabricCommand(), targetCommand(), loadCommand(), policybench.Command(), layoutCommand(), publishCommand()},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/lab/layout/layout.go
@@ -0,0 +1,216 @@
+// Package layout writes the files of a lab system on loopback: settings, keys,
+// the configuration file and the VM list. It also publishes changes of the
+// configuration and of the VM list, as operators and the platform do.
+//
+// Every process has an IP address of its own within 127.0.0.0/8, so that the
+// ports are fixed and systems beside each other do not meet.
+package layout
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/gravitational/trace"
+	"trefoilweir.example/core/config"
+	"trefoilweir.example/lab/keys"
+	"trefoilweir.example/node/settings"
+)
+
+// Names of the files in the directory of a system.
+const (
+	ConfigFile  = "config.json"
+	VMFile      = "vms.json"
+	LeavingFile = "leaving.log"
+	ControlFile = "platform.control"
+	CutFile     = "fabric.cut"
+	KeysDir     = "keys"
+	LogDir      = "logs"
+)
+
+// Ports of every address.
+const (
+	datagramPort = 7100
+	peerPort     = 7200
+	operatorPort = 7300
+	targetPort   = 8080
+	platformPort = 8500
+	servicePort  = 4430
+)
+
+// Last octets of the addresses.
+const (
+	sharedHost    = 1
+	balancerHost  = 10
+	agentHost     = 40
+	agentsPerUnit = 40
+)
+
+// Service is a service of a system.
+type Service struct {
+	Name string
+	ID   uint32
+	// Targets are in the configuration from the start.
+	Targets int
+	// Spare targets have settings, but are not in the configuration.
+	Spare int
+	Slots int
+	// Speeds are dealt to the targets in turn.
+	Speeds []float64
+}
+
+// Plan describes a system.
+type Plan struct {
+	Dir string
+	// Net is the first three octets of all addresses, such as "127.7.1".
+	Net string
+	// Balancers are in the VM list from the start.
+	Balancers int
+	// SpareBalancers have settings, but are not in the VM list.
+	SpareBalancers int
+	DataCentres    []string
+	Services       []Service
+	// Bias is that of the preset in force.
+	Bias config.Bias
+	// LingerMS is the linger of balancers.
+	LingerMS int
+}
+
+// Lutkica returns the plan of the user Lutkica Ulaznice: booking with 7 and
+// gallery with 3 targets, with speeds 1:4.
+func Lutkica(dir, net string) Plan {
+	return Plan{
+		Dir: dir, Net: net, Balancers: 3, SpareBalancers: 1, Bias: config.BiasBalance, LingerMS: 2000,
+		DataCentres: []string{"hr-north-a", "hr-north-b", "hr-north-c"},
+		Services: []Service{
+			{Name: "booking", ID: 1, Targets: 7, Spare: 1, Slots: 7, Speeds: []float64{1, 4, 2, 1, 4, 2, 1}},
+			{Name: "gallery", ID: 2, Targets: 3, Slots: 7, Speeds: []float64{1, 4, 2}},
+		},
+	}
+}
+
+// Address returns the address of a service, which is that of the fabric.
+func (p *Plan) Address(s Service) netip.AddrPort {
+	return p.at(sharedHost, servicePort+uint16(s.ID))
+}
+
+// PlatformAddress returns the address of the platform.
+func (p *Plan) PlatformAddress() netip.AddrPort { return p.at(sharedHost, platformPort) }
+
+// File returns the path of a file of the system.
+func (p *Plan) File(parts ...string) string {
+	return filepath.Join(append([]string{p.Dir}, parts...)...)
+}
+
+// BalancerName returns the name of balancer i, from 1.
+func BalancerName(i int) string { return fmt.Sprintf("balancer-%d", i) }
+
+// TargetName returns the name of target i of a service, from 1. Its agent has
+// the same name.
+func (s *Service) TargetName(i int) string { return fmt.Sprintf("%s-%d", s.Name, i) }
+
+// Speed returns the speed of target i.
+func (s *Service) Speed(i int) float64 { return s.Speeds[(i-1)%len(s.Speeds)] }
+
+// TargetAddress returns the address of target i of a service.
+func (p *Plan) TargetAddress(s Service, i int) netip.AddrPort {
+	return p.at(agentOctet(s, i), targetPort)
+}
+
+// OperatorAddress returns the address of the operator port of the agent of
+// target i of a service.
+func (p *Plan) OperatorAddress(s Service, i int) netip.AddrPort {
+	return p.at(agentOctet(s, i), operatorPort)
+}
+
+func agentOctet(s Service, i int) int { return agentHost + agentsPerUnit*int(s.ID-1) + i }
+
+func (p *Plan) at(host int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr(fmt.Sprintf("%s.%d", p.Net, host)), port)
+}
+
+func (p *Plan) dataCentre(i int) string { return p.DataCentres[(i-1)%len(p.DataCentres)] }
+
+// Write writes all files of the system.
+func (p *Plan) Write() error {
+	if err := os.MkdirAll(p.File(LogDir), 0o755); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	var names []string
+	for _, s := range p.Services {
+		names = append(names, s.Name)
+	}
+	if err := keys.Write(p.File(KeysDir), names); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := p.writeSettings(); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := writeJSON(p.File(VMFile), p.vms()); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(writeJSON(p.File(ConfigFile), p.config()))
+}
+
+func (p *Plan) writeSettings() error {
+	for i := 1; i <= p.Balancers+p.SpareBalancers; i++ {
+		if err := writeJSON(p.Settings(BalancerName(i)), p.balancer(i)); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	for _, s := range p.Services {
+		for i := 1; i <= s.Targets+s.Spare; i++ {
+			if err := writeJSON(p.Settings(s.TargetName(i)), p.agent(s, i)); err != nil {
+				return trace.Wrap(err)
+			}
+		}
+	}
+	return nil
+}
+
+// Settings returns the path of the settings file of a process.
+func (p *Plan) Settings(name string) string { return p.File(name + ".json") }
+
+func (p *Plan) common(name string, host, i int) settings.Common {
+	return settings.Common{
+		Name: name, DataCentre: p.dataCentre(i),
+		DatagramAddress: p.at(host, datagramPort), PeerAddress: p.at(host, peerPort), OperatorAddress: p.at(host, operatorPort),
+		Platform: []string{"http://" + p.PlatformAddress().String()},
+		TLS: settings.TLS{
+			CA: p.File(KeysDir, "ca.pem"), Certificate: p.File(KeysDir, "peer.pem"), Key: p.File(KeysDir, "peer-key.pem"),
+		},
+		KeysFile: p.File(KeysDir, keys.KeysFile), LogLevel: "info",
+	}
+}
+
+func (p *Plan) balancer(i int) settings.Balancer {
+	listen := map[string]netip.AddrPort{}
+	for _, s := range p.Services {
+		listen[s.Name] = p.at(balancerHost+i, p.Address(s).Port())
+	}
+	return settings.Balancer{Common: p.common(BalancerName(i), balancerHost+i, i), Listen: listen, LingerMS: p.LingerMS}
+}
+
+func (p *Plan) agent(s Service, i int) settings.Agent {
+	return settings.Agent{
+		Common:  p.common(s.TargetName(i), agentOctet(s, i), i),
+		Service: s.Name, Target: s.TargetName(i), TargetAddress: p.TargetAddress(s, i),
+		ServiceCertificate: p.File(KeysDir, "service-"+s.Name+".pem"),
+		ServiceKey:         p.File(KeysDir, "service-"+s.Name+"-key.pem"),
+	}
+}
+
+// writeJSON replaces a file in one step, so that a reader never sees half of
+// it.
+func writeJSON(path string, value any) error {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := os.WriteFile(path+".new", data, 0o644); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	return trace.ConvertSystemError(os.Rename(path+".new", path))
+}
--- a/lab/load/options.go
+++ b/lab/load/options.go
@@ -58,6 +58,9 @@
 	WorkMS float64
 	// Mix selects the kinds of requests.
 	Mix Mix
+	// NoTickets leaves out the Idempotency-Key, so that a request with an
+	// unknown outcome is not repeated.
+	NoTickets bool
 	// Attempts bounds the attempts of a request.
 	Attempts int
 	// Timeout bounds one attempt.
