--- a/core/ticket/protocol_test.go
+++ b/core/ticket/protocol_test.go
@@ -66,7 +66,7 @@
 		}
 		w.network = append(w.network, message{holder: m.holder, reply: &r})
 	case releasing:
-		err := w.home.Release(at, Release{ticket, a})
+		err := w.home.Release(at, Release{Ticket: ticket, Attempt: a})
 		if err == nil {
 			notRun()
 		}
--- a/core/ticket/rapid_test.go
+++ b/core/ticket/rapid_test.go
@@ -159,7 +159,7 @@
 			},
 			"release": func(t *rapid.T) {
 				x, a := draw(t)
-				got, want := h.Release(now+clock, Release{x.ticket, a}), x.release(now, a, limits.MaxReleased, full())
+				got, want := h.Release(now+clock, Release{Ticket: x.ticket, Attempt: a}), x.release(now, a, limits.MaxReleased, full())
 				if !errors.Is(got, want) {
 					t.Fatalf("release: %v, want %v", got, want)
 				}
