demo: wait until processes serve

Cause: the first connections failed. The demo waited for a status, which a process gives before it has a configuration and has opened its addresses. Ruled out: loss in the fabric (its report counts 0 dropped datagrams). Change: wait for healthy in the status.

--- a/lab/demo.sh
+++ b/lab/demo.sh
@@ -33,10 +33,10 @@
 }
 trap stop_all EXIT
 
-wait_ready() { # wait_ready NAME IP: waits until a process shows its status
+wait_ready() { # wait_ready NAME IP: waits until a process serves; a status alone comes before that
 	for _ in $(seq 100); do
 		if $weir status --address "$2:7300" --ca "$logs/keys/ca.pem" \
-			--certificate "$logs/keys/peer.pem" --key "$logs/keys/peer-key.pem" >/dev/null 2>&1; then return 0; fi
+			--certificate "$logs/keys/peer.pem" --key "$logs/keys/peer-key.pem" --json 2>/dev/null | grep -Eq '"healthy": ?true'; then return 0; fi
 		sleep 0.1
 	done
 	echo "demo: $1 is not ready, see demo-logs/$1.log" >&2
