balancer: release locks on panic; latest address answers a removed service

Cause: a panic in the health view would have left its lock held and stopped the balancer; for a removed service with several addresses, the one that sends responses depended on map order. Change: the locks are released by defer; entries are ordered by the time they were opened.

--- a/node/balancer/control.go
+++ b/node/balancer/control.go
@@ -100,14 +100,17 @@
 
 // tickHealth sends the pings that confirm unanswered echoes.
 func (b *Balancer) tickHealth() {
-	b.healthMu.Lock()
-	pings := slices.Clone(b.health.Tick(b.now()))
-	b.healthMu.Unlock()
-	for _, p := range pings {
+	for _, p := range b.healthPings() {
 		b.ping(p.Service, p.Agent)
 	}
 }
 
+func (b *Balancer) healthPings() []placement.Probe {
+	b.healthMu.Lock()
+	defer b.healthMu.Unlock()
+	return slices.Clone(b.health.Tick(b.now()))
+}
+
 // apply makes a configuration take effect. New addresses are opened; those
 // that are no longer configured stay open for their flows until shutdown, but
 // take no new ones.
@@ -121,10 +124,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	wanted := make(map[entryKey]bool, len(current.Services))
-	returns := make(map[uint32]*entry, len(current.Services))
-	for _, e := range b.entries {
-		returns[e.key.service] = e
-	}
+	returns := b.latestEntries()
 	b.unopened = 0
 	for i := range current.Services {
 		s := &current.Services[i]
@@ -153,6 +153,18 @@
 	}
 }
 
+// latestEntries returns the entry of every service that was opened last.
+// b.mu is held.
+func (b *Balancer) latestEntries() map[uint32]*entry {
+	latest := make(map[uint32]*entry, len(b.entries))
+	for _, e := range b.entries {
+		if known := latest[e.key.service]; known == nil || known.opened < e.opened {
+			latest[e.key.service] = e
+		}
+	}
+	return latest
+}
+
 // entryOf returns the entry of a service, opening its address if necessary,
 // or nil if that fails. b.mu is held.
 func (b *Balancer) entryOf(s *config.Service) *entry {
@@ -170,7 +182,7 @@
 		b.log.Error("service address cannot be opened", zap.String("service", s.Name), zap.Stringer("listen", addr), zap.Error(err))
 		return nil
 	}
-	e := &entry{b: b, key: key, name: s.Name, conn: conn, counters: newServiceCounters(b.counters.set, s.Name)}
+	e := &entry{b: b, key: key, opened: len(b.entries), name: s.Name, conn: conn, counters: newServiceCounters(b.counters.set, s.Name)}
 	e.targets.Store(new([]placement.Target))
 	b.entries[key] = e
 	b.supervisor.Add(e)
--- a/node/balancer/entry.go
+++ b/node/balancer/entry.go
@@ -21,8 +21,10 @@
 // entry is the socket of one service address. It reads the datagrams of
 // callers and forwards them to agents.
 type entry struct {
-	b       *Balancer
-	key     entryKey
+	b   *Balancer
+	key entryKey
+	// opened orders entries by the time they were opened.
+	opened  int
 	name    string
 	conn    *net.UDPConn
 	targets atomic.Pointer[[]placement.Target]
--- a/node/balancer/status.go
+++ b/node/balancer/status.go
@@ -64,9 +64,7 @@
 			s.Dropped[reasonNames[r]] = n
 		}
 	}
-	b.healthMu.Lock()
-	s.Agents = b.health.Status(b.now())
-	b.healthMu.Unlock()
+	s.Agents = b.agentStatus()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.conn != nil {
@@ -85,6 +83,12 @@
 	return s
 }
 
+func (b *Balancer) agentStatus() []placement.AgentStatus {
+	b.healthMu.Lock()
+	defer b.healthMu.Unlock()
+	return b.health.Status(b.now())
+}
+
 func (e *entry) status() ServiceStatus {
 	return ServiceStatus{
 		Name:       e.name,
