admission: balance by recent occupancy, pull by free slots, second-hand views

A waiting request whose peers all denied asked again only after 100 ms; the oldest one now asks every 20 ms.

--- a/core/admission/arrive.go
+++ b/core/admission/arrive.go
@@ -48,6 +48,10 @@
 		m.end(r, ReasonGrant)
 		return
 	}
+	if m.now >= r.deadline {
+		m.end(r, ReasonDeadline)
+		return
+	}
 	r.slotless = g.slotless
 	if r.slotless || m.running < m.slots() {
 		m.run(r)
@@ -71,6 +75,10 @@
 }
 
 func (m *Machine) arriveFromCaller(r *request) {
+	if m.now >= r.deadline {
+		m.end(r, ReasonDeadline)
+		return
+	}
 	if m.draining {
 		r.deadline = min(r.deadline, m.now+drainWait)
 	}
@@ -114,12 +122,22 @@
 	ahead := m.queued() - 1
 	switch {
 	case ahead >= m.limits.QueuePerSlot*m.limits.Slots:
-		m.end(r, ReasonQueueFull)
+		m.overflow(r)
 	case m.now+m.waitFor(ahead) > r.deadline:
 		m.end(r, ReasonDeadline)
 	}
 }
 
+// overflow refuses a request for which the queue has no room, after asking
+// each round of peers once for any place.
+func (m *Machine) overflow(r *request) {
+	if r.overflowed || !m.ask(r, 0) {
+		m.end(r, ReasonQueueFull)
+		return
+	}
+	r.overflowed, r.hold = true, true
+}
+
 // waitFor estimates how long the local target takes to start that many
 // waiting requests and one more.
 func (m *Machine) waitFor(ahead int) time.Duration {
--- a/core/admission/ask.go
+++ b/core/admission/ask.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -10,8 +11,12 @@
 	// askTimeout is how long an answer to a Reserve is awaited. It covers a
 	// round trip within a region several times.
 	askTimeout = 20 * time.Millisecond
-	// askAgain is the pause before a waiting request asks another round.
-	askAgain = 100 * time.Millisecond
+	// askAgain is the pause before the oldest waiting request asks another
+	// round.
+	askAgain = 20 * time.Millisecond
+	// freshView is the age up to which a peer's own word that it has no room
+	// spares the question.
+	freshView = 20 * time.Millisecond
 	// wantLifetime is how long a denied Reserve is remembered for an Offer.
 	wantLifetime = 250 * time.Millisecond
 	// maxWants bounds the memory for denied Reserves.
@@ -25,6 +30,12 @@
 	expires time.Duration
 }
 
+// heldGrant is a place at a peer that a request may use.
+type heldGrant struct {
+	peer  *peer
+	grant GrantID
+}
+
 // want is a Reserve that was denied and may be met by an Offer.
 type want struct {
 	peer    *peer
@@ -40,8 +51,7 @@
 	}
 	limit := 0.0
 	if m.localAllowed(r) && !r.slotless {
-		// r itself is already in the queue.
-		limit = m.ownScore(m.occupied()-1) * (1 - m.tuning.margin)
+		limit = m.ownLimit()
 	}
 	return m.ask(r, limit)
 }
@@ -62,29 +72,54 @@
 	return len(r.asks) > 0
 }
 
+// bestPeer returns the peer to ask next: one that seems to have room rather
+// than one that does not, and of those the one of lowest score.
 func (m *Machine) bestPeer(r *request, limit float64) *peer {
-	var best *peer
-	var bestScore float64
-	ties := 0
+	var best candidate
+	ties := 1
 	for _, p := range m.peers.list {
-		if !p.usable(m.now, r.slotless) || slices.Contains(r.tried, p.ID) {
-			continue
-		}
-		s := m.peerScore(p)
-		if limit > 0 && s >= limit || best != nil && s > bestScore {
+		c, ok := m.candidate(r, p, limit)
+		if !ok {
 			continue
 		}
-		if best != nil && s == bestScore {
-			ties++
-			if m.rng.IntN(ties+1) != 0 {
-				continue
+		switch order := c.compare(best); {
+		case best.peer == nil || order < 0:
+			best, ties = c, 1
+		case order == 0:
+			if ties++; m.rng.IntN(ties) == 0 {
+				best = c
 			}
-		} else {
-			ties = 0
 		}
-		best, bestScore = p, s
 	}
-	return best
+	return best.peer
+}
+
+type candidate struct {
+	peer  *peer
+	room  bool
+	score float64
+}
+
+func (m *Machine) candidate(r *request, p *peer, limit float64) (candidate, bool) {
+	if !p.usable(m.now, r.slotless) || slices.Contains(r.tried, p.ID) {
+		return candidate{}, false
+	}
+	score := m.peerScore(p)
+	room := m.peerOccupied(p) < float64(m.tuning.bound(p.slots()))
+	if !room && m.now-p.at < freshView {
+		return candidate{}, false
+	}
+	return candidate{p, room, score}, limit == 0 || score < limit
+}
+
+func (c candidate) compare(o candidate) int {
+	if c.room != o.room {
+		if c.room {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(c.score, o.score)
 }
 
 func (m *Machine) reserve(r *request, p *peer, limit float64) {
@@ -119,9 +154,48 @@
 		delete(m.tokens, a.token)
 		m.send(a.peer, Message{Kind: Release, Token: a.token})
 	}
+	m.releaseHeld(r)
 	r.asks, r.hold = nil, false
 }
 
+func (m *Machine) releaseHeld(r *request) {
+	for _, h := range r.held {
+		h.peer.release(h.grant)
+		m.send(h.peer, Message{Kind: Release, Grant: h.grant})
+	}
+	r.held = nil
+}
+
+// useBest hands the request over to the best of the peers that granted a
+// place, unless the local target has become better.
+func (m *Machine) useBest(r *request) {
+	if !m.peersAllowed(r) || m.now >= r.deadline {
+		m.releaseHeld(r)
+		m.placeWithoutPeer(r)
+		return
+	}
+	var best heldGrant
+	bestScore := math.Inf(1)
+	for _, h := range r.held {
+		if s := m.grantedScore(h.peer); s < bestScore {
+			best, bestScore = h, s
+		}
+	}
+	if m.localAllowed(r) && !r.slotless && m.free() > 0 && m.ownScore(m.occupied()-1) <= bestScore {
+		m.releaseHeld(r)
+		m.placeWithoutPeer(r)
+		return
+	}
+	r.held = slices.DeleteFunc(r.held, func(h heldGrant) bool { return h == best })
+	m.handOver(r, best.peer, best.grant)
+}
+
+// grantedScore rates a peer whose figures already count the granted place.
+func (m *Machine) grantedScore(p *peer) float64 {
+	l := p.load
+	return m.tuning.score(float64(l.Busy+l.Waiting-1), l.Utilization, l.Slots, m.peerSpeed(p)) + m.hopScore()
+}
+
 // withdrawRemoved drops asks to peers that are no longer configured.
 func (m *Machine) withdrawRemoved(r *request) {
 	r.asks = slices.DeleteFunc(r.asks, func(a ask) bool {
@@ -136,7 +210,11 @@
 
 // askFailed goes on to the next peer, or leaves the request to the queue.
 func (m *Machine) askFailed(r *request) {
-	if len(r.asks) == 0 && !m.preferPeer(r) {
+	switch {
+	case len(r.asks) > 0:
+	case len(r.held) > 0:
+		m.useBest(r)
+	case !m.preferPeer(r):
 		m.placeWithoutPeer(r)
 	}
 }
@@ -160,6 +238,8 @@
 	m.dequeue(r)
 	r.stage, r.began, r.peer, r.grant = away, m.now, p, g
 	r.handOver++
-	p.use(g)
+	if !slices.Contains(p.inUse, g) {
+		p.use(g)
+	}
 	m.emit(HandOver{ID: r.id, Peer: p.ID, Grant: g})
 }
--- a/core/admission/machine.go
+++ b/core/admission/machine.go
@@ -107,7 +107,7 @@
 	if now-m.lastTick > PauseLimit {
 		m.resume(now)
 	}
-	m.meter.advance(now-m.now, m.running, m.slots())
+	m.meter.advance(now-m.now, m.running+m.queued(), m.slots())
 	m.now = now
 	m.given.expire(now)
 }
@@ -204,5 +204,6 @@
 
 func (m *Machine) send(p *peer, msg Message) {
 	msg.Load = m.Load()
+	msg.Views = m.views(p)
 	m.emit(Send{To: p.ID, Message: msg})
 }
--- a/core/admission/message.go
+++ b/core/admission/message.go
@@ -9,6 +9,7 @@
 		return
 	}
 	p.heard(m.now, msg.Load)
+	m.learn(msg.Views)
 	switch msg.Kind {
 	case Reserve:
 		m.onReserve(p, msg)
@@ -45,10 +46,11 @@
 	if msg.Slotless {
 		return !m.full()
 	}
-	if msg.Score > 0 && m.ownScore(m.occupied()) >= msg.Score {
-		return false
+	if msg.Score == 0 {
+		// The sender has nowhere else to run it.
+		return m.occupied() < m.slots()*(1+m.limits.QueuePerSlot)
 	}
-	return m.occupied() < m.slots()+int(m.tuning.places*float64(m.slots()))
+	return m.better(msg.Score) && m.occupied() < m.tuning.bound(m.slots())
 }
 
 func (m *Machine) remember(p *peer, msg Message) {
@@ -63,11 +65,15 @@
 		return
 	}
 	r := m.takeAsk(p, msg.Token)
-	if r == nil || !m.peersAllowed(r) || m.now >= r.deadline {
+	if r == nil {
 		m.send(p, Message{Kind: Release, Grant: msg.Grant})
 		return
 	}
-	m.handOver(r, p, msg.Grant)
+	p.use(msg.Grant)
+	r.held = append(r.held, heldGrant{p, msg.Grant})
+	if len(r.asks) == 0 {
+		m.useBest(r)
+	}
 }
 
 func (m *Machine) onDeny(p *peer, msg Message) {
@@ -82,16 +88,24 @@
 	m.askFailed(r)
 }
 
-// onOffer sends the oldest waiting request that may go.
+// onOffer sends the oldest waiting request that may go, if the peer is better
+// for it.
 func (m *Machine) onOffer(p *peer, msg Message) {
 	if !p.newOffer(msg.Grant) {
 		return
 	}
+	if r := m.oldestMovable(); r != nil && (!m.localAllowed(r) || m.grantedScore(p) < m.ownLimit()) {
+		m.handOver(r, p, msg.Grant)
+		return
+	}
+	m.send(p, Message{Kind: Release, Grant: msg.Grant})
+}
+
+func (m *Machine) oldestMovable() *request {
 	for _, r := range m.waiting {
 		if m.peersAllowed(r) && !r.slotless && !r.hold && m.now < r.deadline {
-			m.handOver(r, p, msg.Grant)
-			return
+			return r
 		}
 	}
-	m.send(p, Message{Kind: Release, Grant: msg.Grant})
+	return nil
 }
--- a/core/admission/meter.go
+++ b/core/admission/meter.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// utilizationTime is the time constant of the utilization, about one
-	// window of the goal for imbalance.
-	utilizationTime = time.Second
+	// utilizationTime is the time constant of the utilization. It has to be
+	// well below the window of a second in which imbalance is measured.
+	utilizationTime = 300 * time.Millisecond
 	// serviceWeight is the weight of the newest sample in a mean service
 	// time. With exponential work, 1/64 leaves a standard error near 9%.
 	serviceWeight = 1.0 / 64
@@ -18,16 +18,18 @@
 
 // meter measures the local target.
 type meter struct {
+	// utilization is the mean number of requests on the target, running or
+	// waiting, per slot.
 	utilization float64
 	service     average
 }
 
-func (t *meter) advance(dt time.Duration, busy, slots int) {
+func (t *meter) advance(dt time.Duration, requests, slots int) {
 	if dt <= 0 {
 		return
 	}
 	keep := math.Exp(-float64(dt) / float64(utilizationTime))
-	t.utilization = t.utilization*keep + float64(busy)/float64(slots)*(1-keep)
+	t.utilization = t.utilization*keep + float64(requests)/float64(slots)*(1-keep)
 }
 
 func (t *meter) served(d time.Duration) { t.service.add(d) }
--- a/core/admission/peers.go
+++ b/core/admission/peers.go
@@ -9,6 +9,8 @@
 const (
 	// distrustTime is how long a peer is not asked after it gave reason to.
 	distrustTime = 500 * time.Millisecond
+	// maxUtilization bounds a reported utilization.
+	maxUtilization = 16
 	// seenOffers is how many offers of a peer are remembered, so that a
 	// repeated one is recognized.
 	seenOffers = 16
@@ -61,7 +63,7 @@
 func (p *peer) heard(now time.Duration, l Load) {
 	l.Slots = min(max(l.Slots, 1), p.Slots)
 	l.Busy, l.Waiting = max(l.Busy, 0), max(l.Waiting, 0)
-	l.Utilization = min(max(l.Utilization, 0), 1)
+	l.Utilization = min(max(l.Utilization, 0), maxUtilization)
 	p.load, p.at, p.known = l, now, true
 }
 
@@ -92,3 +94,10 @@
 	}
 	return !p.known || !p.load.Draining && !(slotless && p.load.Full)
 }
+
+func (p *peer) slots() int {
+	if p.known {
+		return p.load.Slots
+	}
+	return p.Slots
+}
--- a/core/admission/pump.go
+++ b/core/admission/pump.go
@@ -15,6 +15,10 @@
 		return
 	}
 	for _, r := range m.snapshot() {
+		if m.now >= r.deadline {
+			m.end(r, ReasonDeadline)
+			continue
+		}
 		if m.free() <= 0 && !r.granted {
 			return
 		}
@@ -24,22 +28,48 @@
 	}
 }
 
-// offerFree gives free slots to peers whose requests were denied before.
+// offerFree gives free slots to peers whose requests were denied before, and
+// then to a peer that probably has requests waiting.
 func (m *Machine) offerFree() {
-	m.wanted = slices.DeleteFunc(m.wanted, func(w want) bool { return w.expires <= m.now })
-	for m.free() > 0 && len(m.wanted) > 0 && !m.draining && m.limits.HandOver {
+	if m.draining || !m.limits.HandOver || m.free() <= 0 {
+		return
+	}
+	m.wanted = slices.DeleteFunc(m.wanted, func(w want) bool {
+		return w.expires <= m.now || m.peers.byID[w.peer.ID] != w.peer
+	})
+	for m.free() > 0 && len(m.wanted) > 0 && m.better(m.wanted[0].score) {
 		w := m.wanted[0]
-		if m.peers.byID[w.peer.ID] != w.peer {
-			m.wanted = m.wanted[1:]
+		m.wanted = m.wanted[1:]
+		m.offer(w.peer)
+	}
+	if p := m.likelyWaiting(); m.free() > 0 && p != nil && !m.given.offered(p.ID) {
+		m.offer(p)
+	}
+}
+
+// better says whether the local target undercuts a score. Zero means any.
+func (m *Machine) better(score float64) bool {
+	return score == 0 || m.ownScore(m.occupied()) < score
+}
+
+func (m *Machine) offer(p *peer) {
+	m.send(p, Message{Kind: Offer, Grant: m.given.issue(m.now, p.ID, 0, false)})
+}
+
+// likelyWaiting returns the peer with the longest estimated queue per slot.
+func (m *Machine) likelyWaiting() *peer {
+	var best *peer
+	most := 0.0 // A peer without an estimated queue is not offered anything.
+	for _, p := range m.peers.list {
+		if !p.known {
 			continue
 		}
-		if w.score > 0 && m.ownScore(m.occupied()) >= w.score {
-			return
+		queue := (m.peerOccupied(p) - float64(p.load.Slots)) / float64(p.load.Slots)
+		if queue > most && m.better(m.peerScore(p)) {
+			best, most = p, queue
 		}
-		m.wanted = m.wanted[1:]
-		g := m.given.issue(m.now, w.peer.ID, 0, false)
-		m.send(w.peer, Message{Kind: Offer, Grant: g})
 	}
+	return best
 }
 
 // tick ends waits that have lasted too long, asks again and reports.
@@ -64,7 +94,7 @@
 		m.end(r, ReasonDraining)
 	case len(r.asks) > 0:
 		m.expireAsks(r)
-	case m.now >= r.nextAsk:
+	case m.now >= r.nextAsk && (m.draining || r == m.oldestMovable()):
 		m.askRound(r)
 	}
 }
--- a/core/admission/request.go
+++ b/core/admission/request.go
@@ -36,9 +36,14 @@
 	last       verdict.Verdict
 	mayHaveRun bool
 	// hold keeps the request from starting locally while it asks.
-	hold    bool
-	asks    []ask
-	tried   []PeerID
+	hold bool
+	// overflowed says that the request asked without a limit because the
+	// queue had no room.
+	overflowed bool
+	asks       []ask
+	tried      []PeerID
+	// held are the grants received while other asks are open.
+	held    []heldGrant
 	nextAsk time.Duration
 	peer    *peer
 	grant   GrantID
--- a/core/admission/score.go
+++ b/core/admission/score.go
@@ -12,20 +12,26 @@
 // measurements behind them.
 type tuning struct {
 	latency bool
-	// hop is the cost of a hand-over, as a time.
+	// hop is the cost of a hand-over, as a time. It matters only where the
+	// score is a time.
 	hop time.Duration
-	// margin is the part of the own score by which a peer must be better.
+	// margin is by how much a peer must be better: for the latency bias as a
+	// part of the own score, for the balance bias in requests.
 	margin float64
 	// places is how many requests per slot a peer's request may queue behind.
 	places float64
 	// parallel is how many peers are asked at once.
 	parallel int
+	// memory is the weight of the mean utilization in the balance score,
+	// relative to that of the present occupancy.
+	memory float64
 }
 
 func tuningFor(b config.Bias) tuning {
-	t := tuning{hop: 4 * time.Millisecond, margin: 0.1, places: 1, parallel: 1}
-	t.latency = b == config.BiasLatency
-	return t
+	if b == config.BiasLatency {
+		return tuning{latency: true, hop: 4 * time.Millisecond, margin: 0.1, places: 1, parallel: 1}
+	}
+	return tuning{margin: 0.5, places: 1, parallel: 1, memory: 2}
 }
 
 const (
@@ -39,15 +45,16 @@
 )
 
 // score rates a target for one more request: the lower, the better. For the
-// balance bias it is the target's occupancy over its capacity; for the
-// latency bias the expected time to completion. The unit is the time a target
-// of speed 1 takes for one request.
-func (t tuning) score(occupied float64, slots int, speed float64) float64 {
+// balance bias it is the target's present and recent occupancy over its
+// capacity: windows of a second are balanced better by making up for what was
+// than by the present figure alone. For the latency bias it is the expected
+// time to completion, in units of the time a target of speed 1 takes.
+func (t tuning) score(occupied, utilization float64, slots int, speed float64) float64 {
 	s := float64(slots)
 	if t.latency {
 		return (1 + max(0, occupied+1-s)/s) / speed
 	}
-	return (occupied + 1) / (s * speed)
+	return (occupied + 1 + t.memory*utilization*s) / (s * speed)
 }
 
 // occupied counts what is on the local target before r.
@@ -55,21 +62,40 @@
 
 // ownScore rates the local target with the given number of requests on it.
 func (m *Machine) ownScore(occupied int) float64 {
-	return m.tuning.score(float64(occupied), m.slots(), m.ownSpeed())
+	return m.tuning.score(float64(occupied), m.meter.utilization, m.slots(), m.ownSpeed())
 }
 
-// peerScore rates a peer as it was last heard of. A busy count drifts to its
-// mean within about a service time.
+// peerScore rates a peer as it was last heard of.
 func (m *Machine) peerScore(p *peer) float64 {
-	speed := m.peerSpeed(p)
-	hop := m.hopScore()
+	utilization := 0.5
+	if p.known {
+		utilization = p.load.Utilization
+	}
+	return m.tuning.score(m.peerOccupied(p), utilization, p.slots(), m.peerSpeed(p)) + m.hopScore()
+}
+
+// peerOccupied estimates the number of requests at a peer: it drifts from the
+// reported one to the mean within about a service time.
+func (m *Machine) peerOccupied(p *peer) float64 {
 	if !p.known {
-		return m.tuning.score(float64(p.Slots)/2, p.Slots, speed) + hop
+		return float64(p.Slots) / 2
 	}
 	mean := p.load.Utilization * float64(p.load.Slots)
-	keep := math.Exp(-float64(m.now-p.at) * speed / float64(m.work()))
-	occupied := mean + (float64(p.load.Busy+p.load.Waiting)-mean)*keep
-	return m.tuning.score(occupied, p.load.Slots, speed) + hop
+	keep := math.Exp(-float64(m.now-p.at) * m.peerSpeed(p) / float64(m.work()))
+	return mean + (float64(p.load.Busy+p.load.Waiting)-mean)*keep
+}
+
+// bound is the number of requests up to which a target takes those of peers.
+func (t tuning) bound(slots int) int { return slots + int(t.places*float64(slots)) }
+
+// ownLimit is the score that a peer has to undercut to get a request that is
+// already in the queue here.
+func (m *Machine) ownLimit() float64 {
+	own := m.ownScore(m.occupied() - 1)
+	if m.tuning.latency {
+		return own * (1 - m.tuning.margin)
+	}
+	return own - m.tuning.margin/(float64(m.slots())*m.ownSpeed())
 }
 
 func (m *Machine) hopScore() float64 { return float64(m.tuning.hop) / float64(m.work()) }
--- a/core/admission/types.go
+++ b/core/admission/types.go
@@ -181,6 +181,20 @@
 	Score float64 `cbor:"5,keyasint,omitempty"`
 	// Load is the sender's load.
 	Load Load `cbor:"6,keyasint"`
+	// Views are the sender's newest figures of other peers.
+	Views []View `cbor:"7,keyasint,omitempty"`
+}
+
+// View is a second-hand load figure.
+type View struct {
+	Peer PeerID `cbor:"1,keyasint"`
+	// AgeMS is the age of the figure, in milliseconds.
+	AgeMS   int `cbor:"2,keyasint"`
+	Slots   int `cbor:"3,keyasint"`
+	Busy    int `cbor:"4,keyasint"`
+	Waiting int `cbor:"5,keyasint,omitempty"`
+	// Percent is the utilization, in percent.
+	Percent int `cbor:"6,keyasint"`
 }
 
 // Load is what an agent reports of itself. To its peers it is a hint.
@@ -202,8 +216,8 @@
 	// ServiceTime is the mean time a request holds a slot. Zero means not
 	// measured.
 	ServiceTime time.Duration `cbor:"8,keyasint,omitempty"`
-	// Utilization is the mean share of slots in use over about the last
-	// second.
+	// Utilization is the recent mean number of requests, running or waiting,
+	// per slot.
 	Utilization float64 `cbor:"9,keyasint,omitempty"`
 }
 
