Conflict test waits until the second content has arrived

Cause: TestConflictHasOneWinner fails in 6 of 6 runs (go test -race ./node/confsync). With the present example configurations the content published first wins, so the loop over the hashes ends before any process has seen the second content, and no process has reported a conflict yet. Ruled out: a missing alarm. The alarm comes when a process sees the manifest. Change: the test waits for the alarm first, within the same limit of 10 s, and compares the hashes afterwards. It is stricter: before, it did not show that the second content had arrived. Checked: 6 of 6 runs pass with -race.

--- a/node/confsync/confsync_test.go
+++ b/node/confsync/confsync_test.go
@@ -84,17 +84,27 @@
 		winner = config.HeadOf(other)
 	}
 	deadline := time.Now().Add(10 * time.Second)
+	// The processes have the first content already. If it is the winner, only
+	// the alarm shows that the other one has arrived.
+	for !f.alarmed("version_conflict") {
+		assert.Assert(t, time.Now().Before(deadline), "no process reports the conflict")
+		time.Sleep(10 * time.Millisecond)
+	}
 	for _, n := range f.nodes {
 		for n.Status().Hash != winner.Hash.String() {
 			assert.Assert(t, time.Now().Before(deadline), "%s has %+v", n.name, n.Status())
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
+}
+
+// alarmed reports whether any process counts an alarm of the kind.
+func (f *testFleet) alarmed(kind string) bool {
 	var out bytes.Buffer
 	for _, n := range f.nodes {
 		n.metrics.WritePrometheus(&out)
 	}
-	assert.Assert(t, bytes.Contains(out.Bytes(), []byte(`trefoilweir_config_alarms_total{kind="version_conflict"}`)))
+	return bytes.Contains(out.Bytes(), []byte(`trefoilweir_config_alarms_total{kind="`+kind+`"}`))
 }
 
 // Guards against a configuration that is not valid being put in force, and
