Agent: requests under a ticket run at most once

Cause: a caller that lost the answer of a request that may not be repeated had no safe way to send it again.

Ruled out: ending a ticketed request with its caller's connection; the repeat would find an unknown outcome instead of the answer. Reporting a run without a known outcome as nothing: the home would answer Busy until the ticket expires; it keeps an answer with the verdict may-have-run instead. Taking a refusal of a successor for final after a transfer without an answer: it may have adopted the table.

Change: the ticket address and Next-Ticket, claim before admission, release before a refusal is answered, Complete with the kept answer, replay, transfer to a successor at the end of a drain, succession notes and lookup, and the peer paths for them. node/keys gives a ticket codec.

Checked: go test -race -count 2 ./agent ./keys ./peer passes (36 s for agent). With the release before a refusal removed, or the transfer removed, tests fail.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -68,6 +68,7 @@
 	callers   *callers
 	target    *targetLink
 	gate      *gate
+	tickets   *tickets
 
 	current     atomic.Pointer[view]
 	refreshing  sync.Mutex
@@ -77,6 +78,8 @@
 	nextRequest atomic.Uint64
 	// open is the number of requests without an answer.
 	open atomic.Int64
+	// reports is the number of reports to the homes of tickets on their way.
+	reports atomic.Int64
 }
 
 // New binds the datagram address and prepares the agent. The configuration
@@ -145,6 +148,7 @@
 		socket: socket, keys: store, self: a.self, now: a.now, view: a.view, metrics: a.metrics,
 		balancers: a.balancers, redirects: newRedirects(), load: a.load, control: a.receiveControl,
 	}
+	a.tickets = newTickets(store, a.self, a.settings.PeerAddress, a.now)
 	a.gate.now, a.gate.load = a.now, a.load
 	a.gate.send, a.gate.resumed, a.gate.create = a.sendControl, a.resumed, a.newMachine
 }
@@ -172,6 +176,7 @@
 func (a *Agent) PeerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+runPath, a.handleRun)
+	a.mountTickets(mux)
 	return mux
 }
 
--- a/node/agent/callerconn.go
+++ b/node/agent/callerconn.go
@@ -20,6 +20,9 @@
 	closeGrace = 3 * time.Second
 )
 
+// callerConnKey is the context key of a request's *callerConn.
+type callerConnKey struct{}
+
 // callerConn is one caller's connection.
 type callerConn struct {
 	quic     *quic.Conn
@@ -43,7 +46,7 @@
 			c.quietSince.Store(int64(c.now()))
 			c.open.Add(-1)
 		}()
-		handler(w, r)
+		handler(w, r.WithContext(context.WithValue(r.Context(), callerConnKey{}, c)))
 	})
 }
 
--- /dev/null
+++ b/node/agent/capture.go
@@ -0,0 +1,113 @@
+package agent
+
+import (
+	"cmp"
+	"errors"
+	"net/http"
+
+	"trefoilweir.example/core/ticket"
+	"trefoilweir.example/core/verdict"
+)
+
+// unknownAnswer is kept for a ticket whose attempt ended without a known
+// outcome. It ends the ticket: nothing may run under it again.
+var unknownAnswer = ticket.Answer{
+	Status: http.StatusBadGateway,
+	Header: []ticket.Field{{Name: verdict.Header, Value: verdict.MayHaveRun.String()}},
+	Body:   []byte("outcome unknown\n"),
+}
+
+// capture passes an answer on and keeps a copy for repeats of the request. As
+// long as the copy is whole, a caller who has gone does not end the answer.
+type capture struct {
+	http.ResponseWriter
+	status int
+	header http.Header
+	body   []byte
+	// overflow says that the body is too large to keep.
+	overflow bool
+	// gone says that the caller does not take the answer.
+	gone bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (c *capture) WriteHeader(status int) {
+	if c.status == 0 {
+		c.status = status
+		c.header = c.Header().Clone()
+	}
+	c.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (c *capture) Write(p []byte) (int, error) {
+	if len(c.body)+len(p) > ticket.DefaultMaxAnswer {
+		c.body, c.overflow = nil, true
+	}
+	if !c.overflow {
+		c.body = append(c.body, p...)
+	}
+	if c.gone {
+		return len(p), c.lost(nil)
+	}
+	if _, err := c.ResponseWriter.Write(p); err != nil {
+		return len(p), c.lost(err)
+	}
+	return len(p), nil
+}
+
+// FlushError lets http.ResponseController flush.
+func (c *capture) FlushError() error {
+	if c.gone {
+		return c.lost(nil)
+	}
+	if err := http.NewResponseController(c.ResponseWriter).Flush(); err != nil {
+		return c.lost(err)
+	}
+	return nil
+}
+
+var errCallerGone = errors.New("the caller has gone and the answer is too large to keep")
+
+// lost notes that the caller has gone. It returns an error if nobody is left
+// to take the answer.
+func (c *capture) lost(err error) error {
+	c.gone = true
+	if !c.overflow {
+		return nil
+	}
+	return cmp.Or(err, errCallerGone)
+}
+
+// answer returns the copy.
+func (c *capture) answer() ticket.Answer {
+	if c.overflow {
+		return ticket.Answer{Status: c.status, StatusOnly: true}
+	}
+	a := ticket.Answer{Status: c.status, Body: c.body}
+	for name, values := range c.header {
+		if name == nextTicketHeader {
+			continue
+		}
+		for _, value := range values {
+			a.Header = append(a.Header, ticket.Field{Name: name, Value: value})
+		}
+	}
+	return a
+}
+
+// replay gives the kept answer to a repeat of a request.
+func (a *Agent) replay(w http.ResponseWriter, answer *ticket.Answer) string {
+	a.metrics.event("answer_replayed")
+	if answer == nil || answer.StatusOnly {
+		refusal{status: http.StatusConflict, verdict: verdict.Ran, reason: "answer_not_kept"}.write(w)
+		return outcomeFinished
+	}
+	header := w.Header()
+	for _, f := range answer.Header {
+		header.Add(f.Name, f.Value)
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+	return outcomeFinished
+}
--- a/node/agent/drain.go
+++ b/node/agent/drain.go
@@ -13,6 +13,8 @@
 	sweepInterval = 50 * time.Millisecond
 	// drainPoll is how often Drain looks for the last request.
 	drainPoll = 20 * time.Millisecond
+	// cutWait bounds the wait for requests to notice that they were cut off.
+	cutWait = 2 * time.Second
 )
 
 // sweep sends GOAWAY to the connections of a draining agent and to those that
@@ -65,7 +67,8 @@
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
 	for {
-		if a.open.Load() == 0 && len(a.callers.list()) == 0 {
+		if a.open.Load() == 0 && a.reports.Load() == 0 && len(a.callers.list()) == 0 {
+			a.handOnTickets(ctx)
 			a.log.Info("drained")
 			return nil
 		}
@@ -74,6 +77,7 @@
 			return trace.Wrap(ctx.Err(), "drain")
 		case <-cut:
 			a.cutOff()
+			a.handOnTickets(ctx)
 			return nil
 		case <-ticker.C:
 		}
@@ -88,4 +92,7 @@
 	for _, c := range a.callers.list() {
 		c.cutOff("drain limit")
 	}
+	for deadline := a.now() + cutWait; a.open.Load()+a.reports.Load() > 0 && a.now() < deadline; {
+		time.Sleep(drainPoll)
+	}
 }
--- a/node/agent/flow.go
+++ b/node/agent/flow.go
@@ -20,10 +20,17 @@
 	outcomeBroken    = "answer_broken"
 )
 
-// serve takes a request through admission, its attempts and its answer. It
-// returns the outcome.
+// serve takes a request to its end and returns the outcome.
 func (a *Agent) serve(w http.ResponseWriter, rq *request) string {
-	ctx := rq.in.Context()
+	if rq.ticketed() {
+		return a.serveTicketed(w, rq)
+	}
+	return a.serveOnce(w, rq)
+}
+
+// serveOnce takes a request through admission, its attempts and its answer.
+func (a *Agent) serveOnce(w http.ResponseWriter, rq *request) string {
+	ctx := rq.ctx
 	if !a.gate.post(gateInput{event: rq.arrive(), arrival: rq}) {
 		return a.refuse(w, rq, "stopping", time.Second)
 	}
@@ -46,11 +53,13 @@
 func (a *Agent) act(ctx context.Context, w http.ResponseWriter, rq *request, action admission.Action) (string, bool) {
 	switch action := action.(type) {
 	case admission.Run:
+		rq.attempting = true
 		err, broken := a.deliver(w, rq, a.target.send(ctx, rq, a.answerLimit(rq)))
 		return a.conclude(ctx, rq, broken, admission.Done{
 			ID: rq.id, Verdict: attemptVerdict(err), Shed: isShedError(err),
 		})
 	case admission.HandOver:
+		rq.attempting = true
 		err, broken := a.deliver(w, rq, a.sendToPeer(ctx, rq, action))
 		return a.conclude(ctx, rq, broken, admission.PeerResult{
 			ID: rq.id, Peer: action.Peer, Verdict: attemptVerdict(err), Shed: isShedError(err),
@@ -65,8 +74,8 @@
 // conclude reports the end of an attempt to the gate. The request has ended if
 // an answer went out or the caller has gone.
 func (a *Agent) conclude(ctx context.Context, rq *request, broken error, result admission.Event) (string, bool) {
-	finished := rq.committed && broken == nil
-	if !finished && ctx.Err() != nil {
+	rq.finished = rq.committed && broken == nil
+	if !rq.finished && ctx.Err() != nil {
 		a.gate.post(gateInput{event: admission.Cancel{ID: rq.id}})
 		return outcomeCancelled, true
 	}
@@ -75,7 +84,7 @@
 	case broken != nil:
 		a.log.Info("answer broken off", zap.String("class", rq.class.Name), zap.Error(broken))
 		return outcomeBroken, true
-	case finished:
+	case rq.finished:
 		return outcomeFinished, true
 	default:
 		return "", false
@@ -132,6 +141,7 @@
 
 // refuse answers a request that admission did not start.
 func (a *Agent) refuse(w http.ResponseWriter, rq *request, reason string, retry time.Duration) string {
+	a.releaseBeforeRefusal(rq)
 	if rq.verdict != verdict.NotRun {
 		return a.answer(w, rq)
 	}
@@ -145,6 +155,7 @@
 
 // answer ends a request whose last attempt failed.
 func (a *Agent) answer(w http.ResponseWriter, rq *request) string {
+	a.releaseBeforeRefusal(rq)
 	reason := "not_started"
 	if rq.last != nil {
 		reason = rq.last.Reason
--- a/node/agent/handler.go
+++ b/node/agent/handler.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -14,6 +15,10 @@
 
 // handleCaller serves a caller's request.
 func (a *Agent) handleCaller(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == ticketPath && r.Method == http.MethodPost {
+		a.handleTicket(w, r)
+		return
+	}
 	class := a.view().class(r.URL.Path)
 	rq := a.newRequest(r, class)
 	wanted, ok := parseMilliseconds(r.Header.Get(deadlineHeader))
@@ -28,14 +33,49 @@
 	if wanted > 0 {
 		rq.deadline = rq.arrived + wanted
 	}
+	if class.Tickets {
+		w.Header().Set(nextTicketHeader, a.tickets.issue())
+	}
+	if rq.ticketed() {
+		var cancel context.CancelFunc
+		rq.ctx, cancel = untilCancelled(r.Context())
+		defer cancel()
+	}
 	a.serveContained(w, rq)
 }
 
+// lossTime is how much later than its streams a lost connection may be known
+// to have ended.
+const lossTime = 100 * time.Millisecond
+
+// untilCancelled returns a context that ends when the caller cancels the
+// request, but not when its connection is lost: a request under a ticket then
+// goes on, because the caller will ask for its answer.
+func untilCancelled(ctx context.Context) (context.Context, context.CancelFunc) {
+	conn, ok := ctx.Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return ctx, func() {}
+	}
+	detached, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		select {
+		case <-conn.quic.Context().Done():
+		case <-time.After(lossTime):
+			cancel()
+		}
+	})
+	return detached, func() {
+		stop()
+		cancel()
+	}
+}
+
 // newRequest registers a request. It has no deadline yet.
 func (a *Agent) newRequest(in *http.Request, class config.Class) *request {
 	return &request{
 		id:      admission.RequestID(a.nextRequest.Add(1)),
 		in:      in,
+		ctx:     in.Context(),
 		class:   class,
 		arrived: a.now(),
 		body:    newReplayBody(in),
--- a/node/agent/request.go
+++ b/node/agent/request.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -12,8 +13,10 @@
 // request is one request from its arrival to its answer. One goroutine serves
 // it; the gate only sends to actions.
 type request struct {
-	id    admission.RequestID
-	in    *http.Request
+	id admission.RequestID
+	in *http.Request
+	// ctx ends when nobody waits for the answer any more.
+	ctx   context.Context
 	class config.Class
 	// fromPeer says that a peer handed the request over, with grant.
 	fromPeer bool
@@ -26,12 +29,18 @@
 	// the gate never sends more than an attempt and its end ahead.
 	actions chan admission.Action
 
-	attempts int
+	// held is set if the request runs under a ticket.
+	held *held
+
+	// attempting says that an attempt is in progress.
+	attempting bool
 	// verdict is what all attempts so far say together: NotRun only while
 	// every one of them certainly did not run.
 	verdict verdict.Verdict
 	// committed says that the first byte of an answer went to the caller.
 	committed bool
+	// finished says that the whole answer went out.
+	finished bool
 	// last is the failure of the last attempt.
 	last *verdict.Error
 }
@@ -100,7 +109,7 @@
 
 // ended notes the result of an attempt.
 func (rq *request) ended(err *verdict.Error) {
-	rq.attempts++
+	rq.attempting = false
 	rq.last = err
 	if err != nil && err.Verdict != verdict.NotRun {
 		rq.verdict = verdict.MayHaveRun
--- /dev/null
+++ b/node/agent/ticket_test.go
@@ -0,0 +1,236 @@
+package agent
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilweir.example/core/ticket"
+	"trefoilweir.example/core/verdict"
+)
+
+// newTicket gets a ticket from agent 0.
+func newTicket(t *testing.T, c *cluster) string {
+	t.Helper()
+	c.forward.route(c.agents[0].Address())
+	response, err := c.client().Post(c.url(ticketPath), "", nil)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	return string(body)
+}
+
+type ticketAnswer struct {
+	status  int
+	verdict string
+	body    string
+	header  http.Header
+}
+
+// hold sends a request under a key through an agent.
+func (c *cluster) hold(agent *testAgent, key string) ticketAnswer {
+	c.t.Helper()
+	c.forward.route(agent.Address())
+	request, err := http.NewRequest(http.MethodPost, c.url("/hold"), strings.NewReader("seat 1"))
+	assert.NilError(c.t, err)
+	request.Header.Set(keyHeader, key)
+	response, err := c.client().Do(request)
+	assert.NilError(c.t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(c.t, err)
+	return ticketAnswer{response.StatusCode, response.Header.Get(verdict.Header), string(body), response.Header}
+}
+
+// numbered answers with the number of the run, so that a replayed answer shows.
+func numbered(runs *atomic.Int64) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("X-Seat", "1")
+		fmt.Fprintf(w, "run %d", runs.Add(1))
+	}
+}
+
+func assertRan(t *testing.T, a ticketAnswer, body string) {
+	t.Helper()
+	assert.Equal(t, a.status, http.StatusOK, a.body)
+	assert.Equal(t, a.body, body)
+	assert.Equal(t, a.verdict, verdict.Ran.String())
+}
+
+// Guards against a second run of a repeated request (I5), through the same or
+// another agent, and against a repeat without the answer of the run.
+func TestRepeatWithTicketGetsTheKeptAnswer(t *testing.T) {
+	var runs atomic.Int64
+	c := newCluster(t, numbered(&runs), numbered(&runs))
+	key := newTicket(t, c)
+	first := c.hold(c.agents[1], key)
+	assertRan(t, first, "run 1")
+	eventually(t, "a completed ticket", func() bool { return c.agents[1].reports.Load() == 0 })
+	for _, a := range c.agents {
+		again := c.hold(a, key)
+		assertRan(t, again, "run 1")
+		assert.Equal(t, again.header.Get("X-Seat"), "1")
+	}
+	next := first.header.Get(nextTicketHeader)
+	assertRan(t, c.hold(c.agents[0], next), "run 2")
+}
+
+// Guards against keys that are not tickets of the service: no home knows them.
+func TestOtherKeysAreRefused(t *testing.T) {
+	var runs atomic.Int64
+	c := newCluster(t, numbered(&runs))
+	foreign := c.keys.Ticket().Issue(ticket.Ticket{Home: c.agents[0].Address(), Incarnation: 1, Service: testService + 1})
+	key := newTicket(t, c)
+	for _, faulty := range []string{"mine", foreign, key[:len(key)-2] + "zz"} {
+		answer := c.hold(c.agents[0], faulty)
+		assert.Equal(t, answer.status, http.StatusPreconditionRequired)
+		assert.Equal(t, answer.verdict, verdict.NotRun.String())
+		assert.Assert(t, strings.Contains(answer.header.Get("Link"), ticketPath))
+	}
+	assert.Equal(t, runs.Load(), int64(0))
+}
+
+// Guards against a ticket that is used up by an attempt which did not run.
+func TestTicketOfARefusedRequestStaysUsable(t *testing.T) {
+	var runs atomic.Int64
+	shedding := atomic.Bool{}
+	shedding.Store(true)
+	c := newCluster(t, func(w http.ResponseWriter, r *http.Request) {
+		if shedding.Load() {
+			sheds(w, r)
+			return
+		}
+		numbered(&runs)(w, r)
+	})
+	key := newTicket(t, c)
+	refused := c.hold(c.agents[0], key)
+	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
+	assert.Equal(t, refused.verdict, verdict.NotRun.String())
+	shedding.Store(false)
+	assertRan(t, c.hold(c.agents[0], key), "run 1")
+}
+
+// Guards against a refusal that says not-run of the last attempt, while the
+// home does not know that it ended: a repeat could find it running.
+func TestRefusalWithoutItsHomeIsNoProof(t *testing.T) {
+	var c *cluster
+	c = newCluster(t, says("one"), func(w http.ResponseWriter, r *http.Request) {
+		c.agents[0].stop()
+		sheds(w, r)
+	})
+	answer := c.hold(c.agents[1], newTicket(t, c))
+	assert.Equal(t, answer.status, http.StatusBadGateway)
+	assert.Equal(t, answer.verdict, verdict.MayHaveRun.String())
+}
+
+// Guards against a second run after an attempt whose outcome is unknown, and
+// against two runs at the same time.
+func TestUnknownOutcomeAndConcurrentAttemptsRunOnce(t *testing.T) {
+	var runs atomic.Int64
+	proceed := make(chan struct{})
+	c := newCluster(t, counting(&runs, func(w http.ResponseWriter, r *http.Request) {
+		<-proceed
+		breaks(w, r)
+	}), counting(&runs, says("ok")))
+	key := newTicket(t, c)
+	first := make(chan ticketAnswer, 1)
+	go func() { first <- c.hold(c.agents[0], key) }()
+	eventually(t, "a run", func() bool { return runs.Load() == 1 })
+	busy := c.hold(c.agents[1], key)
+	assert.Equal(t, busy.status, http.StatusConflict)
+	assert.Equal(t, busy.verdict, verdict.MayHaveRun.String())
+	close(proceed)
+	broken := <-first
+	assert.Equal(t, broken.status, http.StatusBadGateway)
+	assert.Equal(t, broken.verdict, verdict.MayHaveRun.String())
+	eventually(t, "a reported end", func() bool { return c.agents[0].reports.Load() == 0 })
+	again := c.hold(c.agents[1], key)
+	assert.Equal(t, again.status, http.StatusBadGateway)
+	assert.Equal(t, again.verdict, verdict.MayHaveRun.String())
+	assert.Equal(t, runs.Load(), int64(1))
+}
+
+// Guards against a run whose home is gone: only the home knew whether the
+// ticket was used.
+func TestHomeGoneOrReplaced(t *testing.T) {
+	var runs atomic.Int64
+	c := newCluster(t, numbered(&runs), numbered(&runs))
+	key := newTicket(t, c)
+	c.agents[0].stop()
+	silent := c.hold(c.agents[1], key)
+	assert.Equal(t, silent.status, http.StatusBadGateway)
+	assert.Equal(t, silent.verdict, verdict.MayHaveRun.String())
+	assert.Equal(t, silent.body, "ticket home silent\n")
+	c.agents[0] = c.startAgent(0, 2, numbered(&runs))
+	eventually(t, "an answer of the new process", func() bool {
+		gone := c.hold(c.agents[1], key)
+		assert.Equal(t, gone.verdict, verdict.MayHaveRun.String())
+		return gone.body == "ticket home gone\n"
+	})
+	assert.Equal(t, runs.Load(), int64(0))
+}
+
+// Guards against tickets that a planned stop loses: used ones must not run
+// again, unused ones must stay usable, also at agents that did not hear of the
+// succession.
+func TestPlannedStopHandsTicketsOn(t *testing.T) {
+	var runs atomic.Int64
+	c := newCluster(t, numbered(&runs), numbered(&runs), numbered(&runs))
+	used, unused := newTicket(t, c), newTicket(t, c)
+	assertRan(t, c.hold(c.agents[0], used), "run 1")
+	assert.NilError(t, c.agents[0].Drain(t.Context()))
+	c.agents[0].stop()
+	assert.Equal(t, c.agents[0].eventCount("tickets_lost"), uint64(0))
+	late := c.startAgent(0, 2, numbered(&runs))
+	for _, a := range []*testAgent{c.agents[1], c.agents[2], late} {
+		assertRan(t, c.hold(a, used), "run 1")
+	}
+	assertRan(t, c.hold(late, unused), "run 2")
+	assertRan(t, c.hold(c.agents[1], unused), "run 2")
+}
+
+// Guards against a request under a ticket that ends with its caller's
+// connection, so that the repeat finds an unknown outcome.
+func TestTicketedRequestOutlivesItsConnection(t *testing.T) {
+	var runs atomic.Int64
+	entered, proceed := make(chan struct{}, 1), make(chan struct{})
+	c := newCluster(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		entered <- struct{}{}
+		<-proceed
+		numbered(&runs)(w, r)
+	})
+	a := c.agents[0]
+	key := newTicket(t, c)
+	lost := make(chan struct{})
+	go func() {
+		defer close(lost)
+		request, _ := http.NewRequest(http.MethodPost, c.url("/hold"), strings.NewReader("seat 1"))
+		request.Header.Set(keyHeader, key)
+		if response, err := c.client().Do(request); err == nil {
+			response.Body.Close()
+			t.Error("the connection was not lost")
+		}
+	}()
+	<-entered
+	for _, conn := range a.callers.list() {
+		conn.cutOff("test")
+	}
+	<-lost
+	time.Sleep(10 * time.Millisecond)
+	close(proceed)
+	eventually(t, "the kept answer", func() bool {
+		again := c.hold(a, key)
+		return again.status == http.StatusOK && again.body == "run 1"
+	})
+	assert.Equal(t, runs.Load(), int64(1))
+}
--- /dev/null
+++ b/node/agent/ticketlink.go
@@ -0,0 +1,153 @@
+package agent
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"trefoilweir.example/core/ticket"
+)
+
+// Paths of tickets on the peer link. All take and give CBOR.
+const (
+	claimPath      = "/ticket/claim"
+	completePath   = "/ticket/complete"
+	releasePath    = "/ticket/release"
+	transferPath   = "/ticket/transfer"
+	successionPath = "/ticket/succession"
+	lookupPath     = "/ticket/lookup"
+	identityPath   = "/ticket/identity"
+)
+
+const (
+	// maxTicketMessage bounds a message, in bytes. A kept answer has at most
+	// 64 KiB.
+	maxTicketMessage = 128 << 10
+	// maxTransfer bounds the table of a home, in bytes: its default limits
+	// are 16 MiB of answers and 131,072 tickets.
+	maxTransfer = 128 << 20
+)
+
+// recordReply answers Complete and Release.
+type recordReply struct {
+	// Fault is the key of an error of core/ticket. Empty means success.
+	Fault string `cbor:"1,keyasint,omitempty"`
+	// Successor is set if the fault is that the home is frozen and the
+	// successor is known.
+	Successor ticket.Identity `cbor:"2,keyasint"`
+}
+
+// transfer hands the table of a home to the agent To.
+type transfer struct {
+	To       ticket.Identity `cbor:"1,keyasint"`
+	Snapshot ticket.Snapshot `cbor:"2,keyasint"`
+}
+
+// ticketFaults are the errors that cross the peer link, by stable key.
+var ticketFaults = map[string]error{
+	"running":     ticket.ErrRunning,
+	"completed":   ticket.ErrCompleted,
+	"expired":     ticket.ErrExpired,
+	"not_granted": ticket.ErrNotGranted,
+	"full":        ticket.ErrFull,
+	"frozen":      ticket.ErrFrozen,
+	"not_home":    ticket.ErrNotHome,
+}
+
+func faultKey(err error) string {
+	for key, fault := range ticketFaults {
+		if errors.Is(err, fault) {
+			return key
+		}
+	}
+	return ""
+}
+
+func (a *Agent) mountTickets(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+claimPath, handleMessage(a, maxTicketMessage, func(c ticket.Claim) (any, error) {
+		return a.tickets.claim(c), nil
+	}))
+	mux.HandleFunc("POST "+completePath, handleMessage(a, maxTicketMessage, func(c ticket.Complete) (any, error) {
+		return a.recorded(a.tickets.complete(c)), nil
+	}))
+	mux.HandleFunc("POST "+releasePath, handleMessage(a, maxTicketMessage, func(r ticket.Release) (any, error) {
+		return a.recorded(a.tickets.release(r)), nil
+	}))
+	mux.HandleFunc("POST "+transferPath, handleMessage(a, maxTransfer, a.receiveTransfer))
+	mux.HandleFunc("POST "+successionPath, handleMessage(a, maxTicketMessage, a.receiveSuccession))
+	mux.HandleFunc("POST "+lookupPath, handleMessage(a, maxTicketMessage, func(id ticket.Identity) (any, error) {
+		return a.tickets.path(id), nil
+	}))
+	mux.HandleFunc("POST "+identityPath, handleMessage(a, maxTicketMessage, func(struct{}) (any, error) {
+		if a.load.draining.Load() {
+			return nil, errDraining
+		}
+		return a.tickets.self, nil
+	}))
+}
+
+var (
+	errDraining = errors.New("this agent drains")
+	errNotSelf  = errors.New("the message is for another process")
+)
+
+func (a *Agent) recorded(err error) recordReply {
+	reply := recordReply{Fault: faultKey(err)}
+	if errors.Is(err, ticket.ErrFrozen) {
+		reply.Successor, _ = a.tickets.movedTo()
+	}
+	return reply
+}
+
+// handleMessage decodes a message, and answers 400 for one that cannot be
+// read and 409 for one that is refused.
+func handleMessage[T any](a *Agent, limit int64, handle func(T) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var message T
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+		if err == nil {
+			err = cbor.Unmarshal(body, &message)
+		}
+		if err != nil {
+			a.metrics.rejected("ticket", "message")
+			http.Error(w, "message cannot be read", http.StatusBadRequest)
+			return
+		}
+		reply, err := handle(message)
+		if err != nil {
+			a.metrics.rejected("ticket", "refused")
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		}
+		data, err := cbor.Marshal(reply)
+		if err != nil {
+			http.Error(w, "reply cannot be encoded", http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(data)
+	}
+}
+
+// receiveTransfer adopts the table of a home that stops.
+func (a *Agent) receiveTransfer(t transfer) (any, error) {
+	if t.To != a.tickets.self {
+		return nil, errNotSelf
+	}
+	if a.load.draining.Load() {
+		return nil, errDraining
+	}
+	if err := a.tickets.adopt(t.Snapshot); err != nil {
+		return nil, err
+	}
+	a.metrics.event("tickets_adopted")
+	return struct{}{}, nil
+}
+
+func (a *Agent) receiveSuccession(list []ticket.Succession) (any, error) {
+	if err := a.tickets.record(list); err != nil {
+		return nil, err
+	}
+	return struct{}{}, nil
+}
--- a/node/keys/file.go
+++ b/node/keys/file.go
@@ -27,11 +27,11 @@
 }
 
 // parse checks one purpose and names every faulty field.
-func (p *filePurpose) parse(field string, highest, keyLen int) (Generations, error) {
+func (p *filePurpose) parse(field string, highest, keyLen int) (generations, error) {
 	if p == nil {
-		return Generations{}, trace.BadParameter("%s: missing", field)
+		return generations{}, trace.BadParameter("%s: missing", field)
 	}
-	result := Generations{Keys: make(map[uint8][]byte, len(p.Generations))}
+	result := generations{keys: make(map[uint8][]byte, len(p.Generations))}
 	var faults []error
 	names := make([]string, 0, len(p.Generations))
 	for name := range p.Generations {
@@ -44,12 +44,12 @@
 			faults = append(faults, trace.BadParameter("%s.generations.%s: %v", field, name, err))
 			continue
 		}
-		result.Keys[generation] = key
+		result.keys[generation] = key
 	}
 	if err := p.checkActive(field); err != nil {
 		faults = append(faults, err)
 	} else {
-		result.Active = uint8(*p.Active)
+		result.active = uint8(*p.Active)
 	}
 	return result, trace.NewAggregate(faults...)
 }
--- a/node/keys/keys.go
+++ b/node/keys/keys.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"trefoilweir.example/core/connid"
+	"trefoilweir.example/core/ticket"
 	"trefoilweir.example/core/wire"
 )
 
@@ -24,18 +25,17 @@
 type keySet struct {
 	connID *connid.Codec
 	wire   *wire.Codec
-	ticket Generations
+	ticket *ticket.Codec
 	// master is the active connection ID key, from which reset and token
 	// keys are derived.
 	master []byte
 }
 
-// Generations are the keys of one purpose.
-type Generations struct {
-	// Active is the generation to issue with.
-	Active uint8
-	// Keys has the key of every loaded generation.
-	Keys map[uint8][]byte
+// generations are the keys of one purpose.
+type generations struct {
+	// active is the generation to issue with.
+	active uint8
+	keys   map[uint8][]byte
 }
 
 // Open reads the keys file at path.
@@ -67,8 +67,8 @@
 // Wire returns the codec for keyed datagrams.
 func (s *Store) Wire() *wire.Codec { return s.current.Load().wire }
 
-// Ticket returns the keys for tickets. The caller must not change them.
-func (s *Store) Ticket() Generations { return s.current.Load().ticket }
+// Ticket returns the codec for tickets.
+func (s *Store) Ticket() *ticket.Codec { return s.current.Load().ticket }
 
 func parse(data []byte) (*keySet, error) {
 	var file fileContent
@@ -86,19 +86,23 @@
 	return newKeySet(connIDKeys, wireKeys, ticketKeys)
 }
 
-func newKeySet(connIDKeys, wireKeys, ticketKeys Generations) (*keySet, error) {
-	connIDCodec, err := connid.NewCodec(connIDKeys.Keys, connIDKeys.Active)
+func newKeySet(connIDKeys, wireKeys, ticketKeys generations) (*keySet, error) {
+	connIDCodec, err := connid.NewCodec(connIDKeys.keys, connIDKeys.active)
 	if err != nil {
 		return nil, trace.BadParameter("connid: %v", err)
 	}
-	wireCodec, err := wire.NewCodec(wireKeys.Keys, wireKeys.Active)
+	wireCodec, err := wire.NewCodec(wireKeys.keys, wireKeys.active)
 	if err != nil {
 		return nil, trace.BadParameter("datagram: %v", err)
 	}
+	ticketCodec, err := ticket.NewCodec(ticketKeys.keys, ticketKeys.active)
+	if err != nil {
+		return nil, trace.BadParameter("ticket: %v", err)
+	}
 	return &keySet{
 		connID: connIDCodec,
 		wire:   wireCodec,
-		ticket: ticketKeys,
-		master: connIDKeys.Keys[connIDKeys.Active],
+		ticket: ticketCodec,
+		master: connIDKeys.keys[connIDKeys.active],
 	}, nil
 }
