Agent: service on hand-over, time for slow uploads

The limit on the wait for an answer also cut uploads of callers with slow links.

Ruled out: reading bodies before admission; large bodies would need a bound and streaming in both directions would end.

Change: /run names the service and a mismatch is refused as not run. The wait for an answer starts again with each piece of the body.

Conclusion: a request reaches only targets of its own service.

--- a/node/agent/body.go
+++ b/node/agent/body.go
@@ -47,14 +47,14 @@
 }
 
 // attempt returns a reader from the start of the body, and false if the start
-// is no longer kept.
-func (b *replayBody) attempt() (io.ReadCloser, bool) {
+// is no longer kept. progress is called after each piece that is read.
+func (b *replayBody) attempt(progress func()) (io.ReadCloser, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.overflow {
 		return nil, false
 	}
-	return &attemptBody{body: b}, true
+	return &attemptBody{body: b, progress: progress}, true
 }
 
 func (b *replayBody) readAt(p []byte, offset int) (int, error) {
@@ -117,12 +117,17 @@
 type attemptBody struct {
 	body   *replayBody
 	offset int
+	// progress is called after each piece.
+	progress func()
 }
 
 // Read implements io.Reader.
 func (a *attemptBody) Read(p []byte) (int, error) {
 	n, err := a.body.readAt(p, a.offset)
 	a.offset += n
+	if n > 0 {
+		a.progress()
+	}
 	return n, err
 }
 
--- a/node/agent/exchange.go
+++ b/node/agent/exchange.go
@@ -94,35 +94,34 @@
 }
 
 // exchange sends out with roundTrip and classifies a failure: before there was
-// a connection, the request certainly did not run.
+// a connection, the request certainly did not run. limit bounds the wait for
+// the answer, from the last piece of the body that was sent.
 func (rq *request) exchange(ctx context.Context, out *http.Request, limit time.Duration,
 	roundTrip func(*http.Request) (*http.Response, error),
 ) attempt {
-	if !rq.attachBody(out) {
+	ctx, cancel := context.WithCancel(ctx)
+	wait := newAnswerWait(limit, cancel)
+	if !rq.attachBody(out, wait.restart) {
+		wait.end()
+		cancel()
 		return attempt{err: &verdict.Error{Verdict: verdict.NotRun, Reason: reasonBody}}
 	}
 	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	ctx, cancel := context.WithCancel(ctx)
-	inTime := func() bool { return true }
-	if limit > 0 {
-		inTime = time.AfterFunc(limit, cancel).Stop
-	}
-	response, err := roundTrip(out.WithContext(ctx))
-	switch stopped := inTime(); {
-	case err == nil && stopped:
+	response, err := roundTrip(out.WithContext(traced))
+	inTime := wait.end()
+	if err == nil && inTime {
 		return attempt{response: response, cancel: cancel}
-	case err == nil:
+	}
+	cancel()
+	if err == nil {
 		// The limit passed while the answer came in.
 		_ = response.Body.Close()
 		err = context.DeadlineExceeded
-		fallthrough
-	default:
-		cancel()
-		return attempt{err: classify(err, connected.Load(), !stopped)}
 	}
+	return attempt{err: classify(err, connected.Load(), !inTime)}
 }
 
 // Reasons of failed attempts, as stable keys.
--- a/node/agent/handover.go
+++ b/node/agent/handover.go
@@ -19,6 +19,7 @@
 // Headers of a handed-over request and its answer. They never leave the peer
 // link.
 const (
+	linkService   = "Run-Service"
 	linkMethod    = "Run-Method"
 	linkURI       = "Run-Uri"
 	linkAuthority = "Run-Authority"
@@ -33,7 +34,7 @@
 )
 
 var linkHeaders = []string{
-	linkMethod, linkURI, linkAuthority, linkGrant, linkClass, linkDeadline, linkOutcome, linkReason,
+	linkService, linkMethod, linkURI, linkAuthority, linkGrant, linkClass, linkDeadline, linkOutcome, linkReason,
 }
 
 // sendToPeer hands a request over and returns when the response header is
@@ -45,6 +46,7 @@
 	}
 	out := rq.outgoing()
 	out.Method, out.URL = http.MethodPost, &url.URL{Path: runPath}
+	out.Header.Set(linkService, strconv.FormatUint(uint64(a.self.service), 10))
 	out.Header.Set(linkMethod, rq.in.Method)
 	out.Header.Set(linkURI, rq.in.URL.RequestURI())
 	out.Header.Set(linkAuthority, rq.in.Host)
@@ -85,6 +87,11 @@
 // that cannot be read.
 func (a *Agent) handedOver(r *http.Request) (*request, string) {
 	header := r.Header
+	// The sender may know the address from an older configuration in which
+	// it belonged to another service.
+	if header.Get(linkService) != strconv.FormatUint(uint64(a.self.service), 10) {
+		return nil, "service"
+	}
 	uri, err := url.ParseRequestURI(header.Get(linkURI))
 	if err != nil || header.Get(linkMethod) == "" {
 		return nil, "request_line"
--- a/node/agent/request.go
+++ b/node/agent/request.go
@@ -90,7 +90,7 @@
 
 // attachBody gives out a reader of the body. It reports false if an earlier
 // attempt has taken more of the body than is kept.
-func (rq *request) attachBody(out *http.Request) bool {
+func (rq *request) attachBody(out *http.Request, progress func()) bool {
 	if rq.body == nil {
 		out.Body, out.ContentLength = http.NoBody, 0
 		if rq.in.Method != http.MethodGet && rq.in.Method != http.MethodHead {
@@ -99,7 +99,7 @@
 		}
 		return true
 	}
-	body, ok := rq.body.attempt()
+	body, ok := rq.body.attempt(progress)
 	if !ok {
 		return false
 	}
