Panics of part fetches are contained; cancelled polls in the model

Cause: a panic while a part is fetched would have ended the process, because the workers did not recover. And the model network still answered polls that a process had replaced, which hid the cost of wrong lists of VMs. Change: the worker turns a panic into a failed fetch; a test has a transport that panics. The model drops answers to replaced polls, and lists are wrong for 10 s before the change.

--- a/core/distribution/fleet_test.go
+++ b/core/distribution/fleet_test.go
@@ -45,6 +45,7 @@
 			n.list = list
 			n.step(distribution.VMList{VMs: list})
 		}
+		s.runFor(10 * time.Second)
 		return nil
 	}},
 	{"partition", func(s *simulation, _ *rand.Rand) func() {
--- a/core/distribution/sim_test.go
+++ b/core/distribution/sim_test.go
@@ -203,6 +203,10 @@
 }
 
 func (n *simNode) step(ev distribution.Event) {
+	// The I/O cancels a poll when another replaces it.
+	if p, ok := ev.(distribution.Polled); ok && p.ID != n.pollID {
+		return
+	}
 	if f, ok := ev.(distribution.Fetched); ok && config.Less(n.naive, f.Head) {
 		n.naive = f.Head
 	}
--- a/node/confsync/confsync_test.go
+++ b/node/confsync/confsync_test.go
@@ -159,3 +159,22 @@
 		}
 	}
 }
+
+// Guards against a panic in a task that ends the process or the following of
+// the configuration.
+func TestPanicsAreContained(t *testing.T) {
+	f := newFleet(t, 5, 1)
+	f.platform.publish(example(1, 2))
+	f.start(t, 0, 5)
+	f.await(t, 1, 10*time.Second)
+	for version := uint64(2); version < 6; version++ {
+		f.panics.Store(int32(version))
+		f.platform.publish(example(version, int(version)))
+		f.await(t, version, 15*time.Second)
+	}
+	counted := 0.0
+	for _, n := range f.nodes {
+		counted += n.counter(`trefoilweir_panics_total{part="confsync"}`)
+	}
+	assert.Assert(t, counted >= 4, "%f panics", counted)
+}
--- a/node/confsync/fetch.go
+++ b/node/confsync/fetch.go
@@ -248,7 +248,14 @@
 	return context.Cause(ctx)
 }
 
-func (r *run) fetchPart(ctx context.Context, from distribution.Origin, ref config.Ref, into *partSet) error {
+func (r *run) fetchPart(ctx context.Context, from distribution.Origin, ref config.Ref, into *partSet) (err error) {
+	// A panic on this goroutine would end the process.
+	defer func() {
+		if p := recover(); p != nil {
+			r.meters.panics.Inc()
+			err = trace.Errorf("part %s: panic: %v", ref.Name, p)
+		}
+	}()
 	ctx, cancel := context.WithTimeout(ctx, partTimeout)
 	defer cancel()
 	compressed, plain, err := r.readPart(ctx, from, ref)
--- a/node/confsync/fleet_test.go
+++ b/node/confsync/fleet_test.go
@@ -121,9 +121,14 @@
 	client  *http.Client
 	blocked *sync.Map
 	from    string
+	// panics is how many of the next requests panic.
+	panics *atomic.Int32
 }
 
 func (l loopback) RoundTrip(ctx context.Context, addr netip.AddrPort, method, path string, _ []byte) ([]byte, error) {
+	if l.panics.Add(-1) >= 0 {
+		panic("fault in the transport")
+	}
 	if _, ok := l.blocked.Load(l.from + ">" + addr.String()); ok {
 		return nil, trace.ConnectionProblem(nil, "no route to %s", addr)
 	}
@@ -158,6 +163,7 @@
 	nodes    []*node
 	vms      []config.VM
 	blocked  sync.Map
+	panics   atomic.Int32
 	client   *http.Client
 }
 
@@ -190,7 +196,7 @@
 		reader, err := platform.New(platform.Options{URLs: []string{f.platform.server.URL + "/" + n.name}, Seed: uint64(i), Metrics: n.metrics})
 		assert.NilError(t, err)
 		n.Sync, err = confsync.New(confsync.Options{Name: n.name, DataCentre: f.vms[i].DataCentre, Platform: reader,
-			Transport: loopback{f.client, &f.blocked, n.name}, Seed: uint64(i + 1), Metrics: n.metrics})
+			Transport: loopback{f.client, &f.blocked, n.name, &f.panics}, Seed: uint64(i + 1), Metrics: n.metrics})
 		assert.NilError(t, err)
 		handler := n.Handler()
 		n.handler.Store(&handler)
