Test with two dead readers of a data centre

Cause: the model showed dead parents; real processes had not been tried. Change: a test stops two of three readers without telling anyone. Conclusion: each of two changes is at every living process within 6 s.

--- a/node/confsync/confsync_test.go
+++ b/node/confsync/confsync_test.go
@@ -160,6 +160,35 @@
 	}
 }
 
+// Guards against dead parents that keep their children from a change: two of
+// the three readers of a data centre die, and stay in the list of VMs.
+func TestDeadParents(t *testing.T) {
+	f := newFleet(t, 12, 1)
+	f.platform.publish(example(1, 2))
+	f.start(t, 0, 12)
+	f.await(t, 1, 10*time.Second)
+	for _, n := range f.nodes {
+		<-n.Ready()
+	}
+	var alive []*node
+	dead := 0
+	for _, n := range f.nodes {
+		if n.Status().Reader && dead < 2 {
+			dead++
+			n.stop()
+			n.server.CloseClientConnections()
+			continue
+		}
+		alive = append(alive, n)
+	}
+	for version := uint64(2); version < 4; version++ {
+		f.platform.publish(example(version, 2))
+		for _, n := range alive {
+			await(t, n, version, 6*time.Second)
+		}
+	}
+}
+
 // Guards against a panic in a task that ends the process or the following of
 // the configuration.
 func TestPanicsAreContained(t *testing.T) {
