--- a/core/admission/grants.go
+++ b/core/admission/grants.go
@@ -70,8 +70,3 @@
 	}
 	return n
 }
-
-// offered says whether a place offered to the peer is still held.
-func (g *givenGrants) offered(peer PeerID) bool {
-	return slices.ContainsFunc(g.list, func(x givenGrant) bool { return x.peer == peer && x.token == 0 })
-}
--- a/core/admission/machine_test.go
+++ b/core/admission/machine_test.go
@@ -41,7 +41,7 @@
 			}
 		}
 	}
-	return strings.Join(parts, "; ")
+	return joined(parts)
 }
 
 // lastMessage returns the newest message in actions.
@@ -63,6 +63,11 @@
 
 func reply(kind MessageKind) Event { return PeerMessage{From: "b", Message: Message{Kind: kind}} }
 
+// crowded is a message of a peer with requests waiting.
+func crowded(kind MessageKind) Message {
+	return Message{Kind: kind, Load: Load{Slots: 1, Busy: 1, Waiting: 3, Utilization: 4}}
+}
+
 func runScript(t *testing.T, limits Limits, steps []step) {
 	t.Helper()
 	m := New(limits, testPeers(), 1)
@@ -73,6 +78,10 @@
 			p.Message.Token, p.Message.Grant = sent.Token, 77
 			ev = p
 		}
+		if p, ok := ev.(PeerMessage); ok && p.Message.Kind == Release {
+			p.Message.Grant = sent.Grant
+			ev = p
+		}
 		if a, ok := ev.(Arrive); ok && a.Grant == 1 {
 			a.Grant = sent.Grant
 			ev = a
@@ -181,6 +190,12 @@
 			{0, PeerMessage{From: "b", Message: Message{Kind: Reserve, Token: 9, Score: 1.5}}, "send b 3"},
 			{1 * ms, Done{ID: 1, Verdict: verdict.Ran}, "answer 1 ran; send b 4"},
 		}},
+		// Shrunk from TestMachineAgainstNaive, which did not end.
+		{"a declined offer is repeated without a pause", testLimits(), []step{
+			{0, PeerMessage{From: "b", Message: crowded(Report)}, "send b 4"},
+			{0, PeerMessage{From: "b", Message: crowded(Release)}, ""},
+			{10 * ms, PeerMessage{From: "b", Message: crowded(Release)}, "send b 4"},
+		}},
 		{"a repeated offer takes a second request", testLimits(), []step{
 			{0, Arrive{ID: 1}, "run 1"}, {0, Arrive{ID: 2}, "send b 1"}, {1 * ms, reply(Deny), ""},
 			{1 * ms, Arrive{ID: 3}, "send b 1"}, {2 * ms, reply(Deny), ""},
@@ -236,3 +251,14 @@
 	assert.NilError(t, cbor.Unmarshal(data, &out))
 	assert.DeepEqual(t, out, in)
 }
+
+func joined(parts []string) string { return strings.Join(parts, "; ") }
+
+// Guards against decisions on views from before a pause.
+func TestPauseForgetsPeers(t *testing.T) {
+	m := New(testLimits(), testPeers(), 1)
+	m.Step(0, PeerMessage{From: "b", Message: crowded(Report)})
+	assert.Assert(t, m.peers.byID["b"].known)
+	m.Step(PauseLimit+1, Arrive{ID: 1})
+	assert.Assert(t, !m.peers.byID["b"].known)
+}
--- /dev/null
+++ b/core/admission/naive_test.go
@@ -0,0 +1,306 @@
+package admission
+
+import (
+	"fmt"
+	"time"
+
+	"trefoilweir.example/core/verdict"
+)
+
+// naive is a second reading of section 2.6 of the design, without indexes or
+// policy. It follows one machine and says which actions break a rule.
+type naive struct {
+	limits   Limits
+	draining bool
+	now      time.Duration
+	lastTick time.Duration
+	requests map[RequestID]*naiveRequest
+	ended    map[RequestID]bool
+	grants   map[GrantID]naiveGrant
+	arrivals []time.Duration
+	retries  []time.Duration
+}
+
+type naiveRequest struct {
+	granted, honoured, slotless, repeatable bool
+	local, away, cancelled, mayHaveRun      bool
+	deadline                                time.Duration
+	runs, hops                              int
+	last                                    verdict.Verdict
+	shed                                    bool
+	peer                                    PeerID
+}
+
+type naiveGrant struct {
+	peer     PeerID
+	token    uint64
+	slotless bool
+	expires  time.Duration
+}
+
+func newNaive(l Limits) *naive {
+	return &naive{limits: l.withDefaults(), requests: map[RequestID]*naiveRequest{},
+		ended: map[RequestID]bool{}, grants: map[GrantID]naiveGrant{}}
+}
+
+// before applies an event, ahead of the actions that answer it.
+func (n *naive) before(now time.Duration, ev Event) {
+	n.now = now
+	paused := now-n.lastTick > PauseLimit
+	for id, g := range n.grants {
+		if paused || g.expires <= now {
+			delete(n.grants, id)
+		}
+	}
+	if _, ok := ev.(Tick); ok || paused {
+		n.lastTick = now
+	}
+	switch ev := ev.(type) {
+	case Arrive:
+		n.arrive(ev)
+	case Done:
+		if r := n.requests[ev.ID]; r != nil && r.local {
+			r.finish(ev.Verdict, ev.Shed)
+		}
+	case PeerResult:
+		if r := n.requests[ev.ID]; r != nil && r.away && r.peer == ev.Peer {
+			r.finish(ev.Verdict, ev.Shed)
+		}
+	case Cancel:
+		if r := n.requests[ev.ID]; r != nil {
+			r.cancelled = true
+		}
+	case Drain:
+		n.draining = true
+	case Reconfigure:
+		n.limits = ev.Limits.withDefaults()
+	case PeerMessage:
+		if ev.Message.Kind == Release {
+			n.release(ev)
+		}
+	}
+}
+
+func (n *naive) release(ev PeerMessage) {
+	for id, g := range n.grants {
+		named := ev.Message.Grant == id || ev.Message.Token != 0 && ev.Message.Token == g.token
+		if g.peer == ev.From && named {
+			delete(n.grants, id)
+		}
+	}
+}
+
+func (n *naive) arrive(ev Arrive) {
+	r := &naiveRequest{repeatable: ev.Repeatable, granted: ev.Grant != 0, deadline: ev.Deadline}
+	r.slotless = ev.Class == "ticker"
+	if r.granted {
+		g, ok := n.grants[ev.Grant]
+		r.honoured, r.slotless = ok, ok && g.slotless
+		delete(n.grants, ev.Grant)
+	} else {
+		n.arrivals = append(n.arrivals, n.now)
+	}
+	n.requests[ev.ID] = r
+}
+
+func (r *naiveRequest) finish(v verdict.Verdict, shed bool) {
+	r.local, r.away, r.last, r.shed = false, false, v, shed
+	r.mayHaveRun = r.mayHaveRun || v == verdict.MayHaveRun
+}
+
+func (n *naive) running(slotless bool) int {
+	count := 0
+	for _, r := range n.requests {
+		if r.local && r.slotless == slotless {
+			count++
+		}
+	}
+	return count
+}
+
+func (n *naive) held() int {
+	count := 0
+	for _, g := range n.grants {
+		if !g.slotless {
+			count++
+		}
+	}
+	return count
+}
+
+// after checks the actions of a step, in order.
+func (n *naive) after(ev Event, actions []Action) error {
+	for _, a := range actions {
+		if err := n.action(ev, a); err != nil {
+			return fmt.Errorf("%#v after %#v: %w", a, ev, err)
+		}
+	}
+	for id, r := range n.requests {
+		if r.cancelled {
+			return fmt.Errorf("request %d is open after its Cancel", id)
+		}
+		if _, tick := ev.(Tick); tick && !r.local && !r.away && r.deadline <= n.now {
+			return fmt.Errorf("request %d waits past its deadline", id)
+		}
+	}
+	return nil
+}
+
+func (n *naive) action(ev Event, a Action) error {
+	switch a := a.(type) {
+	case Run:
+		return n.run(a)
+	case HandOver:
+		return n.handOver(a)
+	case Answer:
+		return n.answer(a)
+	case Refuse:
+		r := n.requests[a.ID]
+		if r == nil || r.runs+r.hops > 0 {
+			return fmt.Errorf("refused after its end or an attempt")
+		}
+		n.end(a.ID)
+	case Send:
+		return n.send(ev, a)
+	}
+	return nil
+}
+
+func (n *naive) end(id RequestID) {
+	delete(n.requests, id)
+	n.ended[id] = true
+}
+
+// attempt checks the rules that Run and HandOver share.
+func (n *naive) attempt(id RequestID) (*naiveRequest, error) {
+	r := n.requests[id]
+	switch {
+	case r == nil:
+		return nil, fmt.Errorf("attempt after the end")
+	case r.local || r.away:
+		return nil, fmt.Errorf("two attempts at once")
+	case r.deadline <= n.now:
+		return nil, fmt.Errorf("start at or after the deadline")
+	case r.runs+r.hops == 0:
+		return r, nil
+	case r.last == verdict.Ran || r.mayHaveRun && !r.repeatable:
+		return nil, fmt.Errorf("another attempt of a request that may have run")
+	}
+	if r.last == verdict.MayHaveRun || r.shed {
+		n.retries = append(n.retries, n.now)
+		if got, limit := n.lastWindow(n.retries), max(n.lastWindow(n.arrivals)/10, 10); got > limit {
+			return nil, fmt.Errorf("%d retries in 10 s, limit %d", got, limit)
+		}
+	}
+	return r, nil
+}
+
+func (n *naive) lastWindow(times []time.Duration) int {
+	count := 0
+	for _, at := range times {
+		if at > n.now-10*time.Second {
+			count++
+		}
+	}
+	return count
+}
+
+func (n *naive) run(a Run) error {
+	r, err := n.attempt(a.ID)
+	switch {
+	case err != nil:
+		return err
+	case r.granted && !r.honoured:
+		return fmt.Errorf("run without a valid grant")
+	case n.draining && !r.granted:
+		return fmt.Errorf("local start after Drain")
+	case r.runs > 0:
+		return fmt.Errorf("second local run")
+	case !r.slotless && n.running(false) >= n.limits.Slots:
+		return fmt.Errorf("no free slot")
+	}
+	r.local = true
+	r.runs++
+	return nil
+}
+
+func (n *naive) handOver(a HandOver) error {
+	r, err := n.attempt(a.ID)
+	switch {
+	case err != nil:
+		return err
+	case r.granted:
+		return fmt.Errorf("granted request handed on")
+	case !n.limits.HandOver:
+		return fmt.Errorf("hand-over is disabled")
+	case r.hops > 1 || r.hops == 1 && r.last != verdict.NotRun:
+		return fmt.Errorf("too many hand-overs")
+	}
+	r.away, r.peer = true, a.Peer
+	r.hops++
+	return nil
+}
+
+func (n *naive) answer(a Answer) error {
+	r := n.requests[a.ID]
+	if r == nil || r.runs+r.hops == 0 {
+		return fmt.Errorf("answer after the end or without an attempt")
+	}
+	if !r.cancelled && (r.local || r.away) {
+		return fmt.Errorf("answer during an attempt")
+	}
+	want := r.last
+	if r.local || r.away || r.mayHaveRun && r.last == verdict.NotRun {
+		want = verdict.MayHaveRun
+	}
+	if a.Verdict != want {
+		return fmt.Errorf("verdict is %s, want %s", a.Verdict, want)
+	}
+	n.end(a.ID)
+	return nil
+}
+
+func (n *naive) send(ev Event, a Send) error {
+	id := a.Message.Grant
+	if a.Message.Kind != Grant && a.Message.Kind != Offer || n.grants[id].expires != 0 {
+		return nil
+	}
+	if n.draining || !n.limits.HandOver {
+		return fmt.Errorf("new grant while draining or without hand-over")
+	}
+	g := naiveGrant{peer: a.To, token: a.Message.Token, expires: n.now + GrantLifetime}
+	if p, ok := ev.(PeerMessage); ok && a.Message.Kind == Grant {
+		g.slotless = p.Message.Slotless
+	}
+	n.grants[id] = g
+	if a.Message.Kind == Offer && n.running(false)+n.held() > n.limits.Slots {
+		return fmt.Errorf("offer without an idle slot")
+	}
+	return nil
+}
+
+// compare checks the figures and the queue of the machine.
+func (n *naive) compare(m *Machine) error {
+	l := m.Load()
+	if want := n.running(false) + n.held(); l.Busy != want {
+		return fmt.Errorf("busy is %d, want %d", l.Busy, want)
+	}
+	if want := n.running(true); l.Connections != want {
+		return fmt.Errorf("connections is %d, want %d", l.Connections, want)
+	}
+	if len(m.requests) != len(n.requests) {
+		return fmt.Errorf("%d requests open, want %d", len(m.requests), len(n.requests))
+	}
+	if len(m.tokens) != askCount(m) {
+		return fmt.Errorf("%d tokens for %d asks", len(m.tokens), askCount(m))
+	}
+	for _, r := range m.waiting {
+		if r.hold && len(r.asks) == 0 {
+			return fmt.Errorf("request %d is on hold without an ask", r.id)
+		}
+		if !r.hold && !r.slotless && m.localAllowed(r) && m.free() > 0 {
+			return fmt.Errorf("request %d waits beside a free slot", r.id)
+		}
+	}
+	return nil
+}
--- a/core/admission/peers.go
+++ b/core/admission/peers.go
@@ -9,6 +9,9 @@
 const (
 	// distrustTime is how long a peer is not asked after it gave reason to.
 	distrustTime = 500 * time.Millisecond
+	// offerPause spaces unasked offers to a peer. Without it, a peer whose
+	// waiting request may not move declines and is offered again at once.
+	offerPause = 10 * time.Millisecond
 	// maxUtilization bounds a reported utilization.
 	maxUtilization = 16
 	// seenOffers is how many offers of a peer are remembered, so that a
@@ -27,6 +30,8 @@
 	inUse     []GrantID
 	offers    [seenOffers]GrantID
 	offerNext int
+	// nextOffer is when the peer may be offered a place it has not asked for.
+	nextOffer time.Duration
 }
 
 // peerSet holds the peers in order of ID.
--- a/core/admission/pump.go
+++ b/core/admission/pump.go
@@ -42,7 +42,8 @@
 		m.wanted = m.wanted[1:]
 		m.offer(w.peer)
 	}
-	if p := m.likelyWaiting(); m.free() > 0 && p != nil && !m.given.offered(p.ID) {
+	if p := m.likelyWaiting(); m.free() > 0 && p != nil {
+		p.nextOffer = m.now + offerPause
 		m.offer(p)
 	}
 }
@@ -61,7 +62,7 @@
 	var best *peer
 	most := 0.0 // A peer without an estimated queue is not offered anything.
 	for _, p := range m.peers.list {
-		if !p.known {
+		if !p.known || m.now < p.nextOffer {
 			continue
 		}
 		queue := (m.peerOccupied(p) - float64(p.load.Slots)) / float64(p.load.Slots)
