Agent: a refusal closes its ticket

Cause: a refused ticket stayed usable, so a delayed claim of an older attempt could run the request after the caller was told that it did not run (variant NO_CLOSE of spec/request.pml). Change: the release before a refusal is final.

--- a/node/agent/ticketflow.go
+++ b/node/agent/ticketflow.go
@@ -150,7 +150,9 @@
 }
 
 // releaseBeforeRefusal makes NotRun true for the ticket and not only for this
-// attempt. If the home does not confirm it, the verdict is MayHaveRun.
+// attempt: it closes the ticket, so that a delayed claim of an older attempt
+// cannot run the request later. If the home does not confirm it, the verdict
+// is MayHaveRun.
 func (a *Agent) releaseBeforeRefusal(rq *request) {
 	if rq.held == nil || rq.held.settled || rq.verdict != verdict.NotRun {
 		return
@@ -158,7 +160,7 @@
 	rq.held.settled = true
 	ctx, cancel := context.WithTimeout(rq.ctx, claimTime)
 	defer cancel()
-	err := a.release(ctx, ticket.Release{Ticket: rq.held.ticket, Attempt: rq.held.attempt})
+	err := a.release(ctx, ticket.Release{Ticket: rq.held.ticket, Attempt: rq.held.attempt, Final: true})
 	if err == nil {
 		return
 	}
