Agent: answers on the peer link are told from those of targets

Cause: a target could set the header with which an agent marks its own answer to a handed-over request, and a 503 of something else on the peer link, such as a process whose role is not running, would have gone to the caller as an answer.

Ruled out: telling them by status; a target may answer 503 itself.

Change: every answer of /run is marked as answered or failed, an unmarked one counts as not run, and the link headers are removed from what callers and targets send. A test that cancelling a request under a ticket frees its slot.

Conclusion: hand-over does not depend on what targets send.

--- a/node/agent/exchange.go
+++ b/node/agent/exchange.go
@@ -78,6 +78,8 @@
 	// been read.
 	cancel context.CancelFunc
 	err    *verdict.Error
+	// peer says that the request was sent to a peer.
+	peer bool
 }
 
 // send runs a request on the target and returns when the response header is
--- a/node/agent/flow.go
+++ b/node/agent/flow.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// deliver passes the response of an attempt on to the caller, unless the
-// target shed the request. err is the failure of the attempt; broken says that
+// deliver passes the response of an attempt on to the caller, unless it stands
+// for a refusal. err is the failure of the attempt; broken says that
 // the answer broke off after its first byte.
 func (a *Agent) deliver(w http.ResponseWriter, rq *request, at attempt) (err *verdict.Error, broken error) {
 	if at.err != nil {
@@ -101,27 +101,39 @@
 		return at.err, nil
 	}
 	defer at.cancel()
-	if shed := refusedByTarget(at.response); shed != nil {
+	if refusal := at.refusal(); refusal != nil {
 		_ = at.response.Body.Close()
-		rq.ended(shed)
-		return shed, nil
+		rq.ended(refusal)
+		return refusal, nil
 	}
 	rq.committed = true
 	rq.ended(nil)
+	stripLinkHeaders(at.response.Header)
+	if rq.fromPeer {
+		w.Header().Set(linkOutcome, linkAnswered)
+	}
 	return nil, respond(w, at.response)
 }
 
-// refusedByTarget returns the refusal that a response stands for, or nil for
-// an answer.
-func refusedByTarget(response *http.Response) *verdict.Error {
-	if response.Header.Get(linkOutcome) == linkFailed {
-		v, _ := verdict.Parse(response.Header.Get(verdict.Header))
-		return &verdict.Error{Verdict: v, Reason: response.Header.Get(linkReason)}
-	}
-	if isShed(response) {
-		return &verdict.Error{Verdict: verdict.NotRun, Reason: reasonShed}
+// refusal returns the failure that a response stands for, or nil for an answer
+// of the target.
+func (at *attempt) refusal() *verdict.Error {
+	if !at.peer {
+		if isShed(at.response) {
+			return &verdict.Error{Verdict: verdict.NotRun, Reason: reasonShed}
+		}
+		return nil
+	}
+	switch header := at.response.Header; header.Get(linkOutcome) {
+	case linkAnswered:
+		return nil
+	case linkFailed:
+		v, _ := verdict.Parse(header.Get(verdict.Header))
+		return &verdict.Error{Verdict: v, Reason: header.Get(linkReason)}
+	default:
+		// The handler of /run marks all its answers, so another one answered.
+		return &verdict.Error{Verdict: verdict.NotRun, Reason: "peer_not_serving"}
 	}
-	return nil
 }
 
 func attemptVerdict(err *verdict.Error) verdict.Verdict {
--- a/node/agent/handover.go
+++ b/node/agent/handover.go
@@ -28,15 +28,24 @@
 	linkDeadline  = "Run-Deadline-Ms"
 	linkOutcome   = "Run-Outcome"
 	linkReason    = "Run-Reason"
-	// linkFailed is the value of linkOutcome for an answer that the agent
-	// itself gave.
-	linkFailed = "failed"
+	// linkAnswered and linkFailed are the values of linkOutcome for an answer
+	// of the target and of the agent itself.
+	linkAnswered = "answered"
+	linkFailed   = "failed"
 )
 
 var linkHeaders = []string{
 	linkService, linkMethod, linkURI, linkAuthority, linkGrant, linkClass, linkDeadline, linkOutcome, linkReason,
 }
 
+// stripLinkHeaders removes what must not leave the peer link, and must not enter
+// it from callers and targets.
+func stripLinkHeaders(header http.Header) {
+	for _, name := range linkHeaders {
+		header.Del(name)
+	}
+}
+
 // sendToPeer hands a request over and returns when the response header is
 // there.
 func (a *Agent) sendToPeer(ctx context.Context, rq *request, h admission.HandOver) attempt {
@@ -60,7 +69,7 @@
 		// The peer bounds the target's answer; this bounds the peer's.
 		limit += admission.GrantLifetime
 	}
-	return rq.exchange(ctx, out, limit, func(r *http.Request) (*http.Response, error) {
+	at := rq.exchange(ctx, out, limit, func(r *http.Request) (*http.Response, error) {
 		response, err := a.peers.Do(r.Context(), peer.link, r)
 		var h3 *http3.Error
 		if errors.As(err, &h3) && h3.Remote && h3.ErrorCode == http3.ErrCodeRequestRejected {
@@ -68,6 +77,8 @@
 		}
 		return response, err
 	})
+	at.peer = true
+	return at
 }
 
 // handleRun serves a request that a peer handed over.
--- a/node/agent/request.go
+++ b/node/agent/request.go
@@ -77,9 +77,7 @@
 func (rq *request) outgoing() *http.Request {
 	header := endToEnd(rq.in.Header)
 	header.Del(deadlineHeader)
-	for _, name := range linkHeaders {
-		header.Del(name)
-	}
+	stripLinkHeaders(header)
 	return &http.Request{
 		Method: rq.in.Method,
 		Host:   rq.in.Host,
--- a/node/agent/ticket_test.go
+++ b/node/agent/ticket_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -234,3 +235,26 @@
 	})
 	assert.Equal(t, runs.Load(), int64(1))
 }
+
+// Guards against a target that works on for a caller who has cancelled a
+// request under a ticket.
+func TestCancelledTicketedRequestIsCancelledAtTheTarget(t *testing.T) {
+	cancelled := make(chan struct{}, 1)
+	c := newCluster(t, hangs(cancelled))
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url("/hold"), strings.NewReader("seat 1"))
+	assert.NilError(t, err)
+	request.Header.Set(keyHeader, newTicket(t, c))
+	failed := make(chan error, 1)
+	client := c.client()
+	go func() {
+		_, err := client.Do(request)
+		failed <- err
+	}()
+	eventually(t, "a busy slot", func() bool { return c.agents[0].Status().Busy == 1 })
+	started := time.Now()
+	cancel()
+	assert.ErrorIs(t, <-failed, context.Canceled)
+	eventually(t, "a free slot", func() bool { return c.agents[0].Status().Requests == 0 })
+	assert.Assert(t, time.Since(started) < testDeadline/2, "only the deadline ended the exchange")
+}
--- a/node/agent/verdict_test.go
+++ b/node/agent/verdict_test.go
@@ -296,3 +296,23 @@
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 	assert.Equal(t, string(answer), fmt.Sprint(pieces))
 }
+
+// Guards against an answer of a target that is taken for one of its agent, and
+// against an answer of something else on the peer link that reaches a caller.
+func TestAnswersOnThePeerLinkAreTold(t *testing.T) {
+	forges := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(linkOutcome, linkFailed)
+		w.Header().Set(verdict.Header, verdict.NotRun.String())
+		_, _ = io.WriteString(w, "forged")
+	}
+	c := newCluster(t, forges, forges)
+	for range 2 {
+		status, header, body := postUntil(t, c, "/hold", 1, http.StatusServiceUnavailable)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, body, "forged")
+		assert.Equal(t, header.Get(linkOutcome), "")
+		c.agents[0].upstream.Close()
+	}
+	other := &attempt{peer: true, response: &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{}}}
+	assert.Equal(t, other.refusal().Verdict, verdict.NotRun)
+}
