--- a/node/agent/edge.go
+++ b/node/agent/edge.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"trefoilweir.example/core/connid"
 	"trefoilweir.example/core/wire"
 	"trefoilweir.example/node/keys"
 )
@@ -44,8 +45,9 @@
 	control  func(from peerAgent, payload []byte)
 	sequence atomic.Uint64
 	buffers  sync.Pool
-	// in is the buffer of ReadFrom, which one goroutine calls.
-	in [wire.MaxDatagram]byte
+	// in and scratch are working memory of ReadFrom, which one goroutine calls.
+	in      [wire.MaxDatagram]byte
+	scratch connid.Scratch
 }
 
 var _ net.PacketConn = (*edge)(nil)
--- a/node/agent/harness_test.go
+++ b/node/agent/harness_test.go
@@ -85,7 +85,7 @@
 // cluster is a service with one agent per target, and a forwarder in place of
 // a balancer.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	source  *fakeSource
 	keys    *keys.Store
@@ -102,7 +102,7 @@
 }
 
 // newCluster starts an agent for each target handler.
-func newCluster(t *testing.T, targets ...http.HandlerFunc) *cluster {
+func newCluster(t testing.TB, targets ...http.HandlerFunc) *cluster {
 	c := &cluster{t: t, dir: t.TempDir()}
 	assert.NilError(t, os.WriteFile(filepath.Join(c.dir, "keys.json"), []byte(testKeysFile), 0o600))
 	var err error
@@ -143,7 +143,7 @@
 	return c
 }
 
-func freePort(t *testing.T, sockets *[]*net.UDPConn) netip.AddrPort {
+func freePort(t testing.TB, sockets *[]*net.UDPConn) netip.AddrPort {
 	s, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
 	assert.NilError(t, err)
 	*sockets = append(*sockets, s)
@@ -200,7 +200,7 @@
 // metric returns the value of a counter of an agent.
 func (a *testAgent) metric(name string) uint64 { return a.metrics.set.GetOrCreateCounter(name).Get() }
 
-func writeCertificate(t *testing.T, dir string) {
+func writeCertificate(t testing.TB, dir string) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	assert.NilError(t, err)
 	template := &x509.Certificate{
@@ -222,7 +222,7 @@
 // forwarder stands in for the fabric and a balancer: packets with an issued
 // connection ID go to its agent, first packets to the chosen one.
 type forwarder struct {
-	t        *testing.T
+	t        testing.TB
 	keys     *keys.Store
 	front    *net.UDPConn
 	back     *net.UDPConn
@@ -235,7 +235,7 @@
 	muted uint64
 }
 
-func newForwarder(t *testing.T, store *keys.Store) *forwarder {
+func newForwarder(t testing.TB, store *keys.Store) *forwarder {
 	f := &forwarder{t: t, keys: store, pongs: make(map[uint64]wire.Header)}
 	var err error
 	f.front, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
--- a/node/agent/receive.go
+++ b/node/agent/receive.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 
-	"trefoilweir.example/core/connid"
 	"trefoilweir.example/core/placement"
 	"trefoilweir.example/core/wire"
 )
@@ -107,8 +106,7 @@
 // QUIC stack. A short packet of an earlier incarnation is: the stack answers
 // it with a stateless reset. QUIC has no reset for long headers.
 func (e *edge) ownFlow(id []byte, long bool) bool {
-	var scratch connid.Scratch
-	decoded, err := e.keys.ConnID().Decode(id, &scratch)
+	decoded, err := e.keys.ConnID().Decode(id, &e.scratch)
 	if err != nil {
 		e.metrics.dropped("connection_id")
 		return false
