--- a/core/admission/ask.go
+++ b/core/admission/ask.go
@@ -30,12 +30,6 @@
 	expires time.Duration
 }
 
-// heldGrant is a place at a peer that a request may use.
-type heldGrant struct {
-	peer  *peer
-	grant GrantID
-}
-
 // want is a Reserve that was denied and may be met by an Offer.
 type want struct {
 	peer    *peer
@@ -56,20 +50,19 @@
 	return m.ask(r, limit)
 }
 
-// ask sends Reserve to the best peers that were not yet tried and whose score
-// is below the limit. Zero means no limit.
+// ask sends Reserve to the best peer that was not yet tried and whose score is
+// below the limit. Zero means no limit. Peers are asked one after the other:
+// a place that is granted and not used stays idle for a round trip.
 func (m *Machine) ask(r *request, limit float64) bool {
-	if !m.peersAllowed(r) {
+	if !m.peersAllowed(r) || len(r.tried) >= m.limits.HandOverPeers {
 		return false
 	}
-	for len(r.asks) < m.tuning.parallel && len(r.tried) < m.limits.HandOverPeers {
-		p := m.bestPeer(r, limit)
-		if p == nil {
-			break
-		}
-		m.reserve(r, p, limit)
+	p := m.bestPeer(r, limit)
+	if p == nil {
+		return false
 	}
-	return len(r.asks) > 0
+	m.reserve(r, p, limit)
+	return true
 }
 
 // bestPeer returns the peer to ask next: one that seems to have room rather
@@ -124,7 +117,7 @@
 
 func (m *Machine) reserve(r *request, p *peer, limit float64) {
 	m.nextToken++
-	r.asks = append(r.asks, ask{p, m.nextToken, m.now + askTimeout})
+	r.ask = &ask{p, m.nextToken, m.now + askTimeout}
 	r.tried = append(r.tried, p.ID)
 	m.tokens[m.nextToken] = r
 	if limit > 0 {
@@ -136,110 +129,72 @@
 // takeAsk removes the ask that a message of a peer answers.
 func (m *Machine) takeAsk(p *peer, token uint64) *request {
 	r := m.tokens[token]
-	if r == nil {
+	if r == nil || r.ask.peer != p {
 		return nil
 	}
-	i := slices.IndexFunc(r.asks, func(a ask) bool { return a.token == token && a.peer == p })
-	if i < 0 {
-		return nil
-	}
-	r.asks = slices.Delete(r.asks, i, i+1)
 	delete(m.tokens, token)
+	r.ask = nil
 	return r
 }
 
-// withdraw ends the asks of a request.
+// withdraw ends the ask of a request.
 func (m *Machine) withdraw(r *request) {
-	for _, a := range r.asks {
-		delete(m.tokens, a.token)
+	if a := r.ask; a != nil {
+		m.takeAsk(a.peer, a.token)
 		m.send(a.peer, Message{Kind: Release, Token: a.token})
 	}
-	m.releaseHeld(r)
-	r.asks, r.hold = nil, false
+	r.hold = false
 }
 
-func (m *Machine) releaseHeld(r *request) {
-	for _, h := range r.held {
-		h.peer.release(h.grant)
-		m.send(h.peer, Message{Kind: Release, Grant: h.grant})
+// withdrawRemoved drops an ask to a peer that is no longer configured.
+func (m *Machine) withdrawRemoved(r *request) {
+	if r.ask != nil && m.peers.byID[r.ask.peer.ID] != r.ask.peer {
+		m.takeAsk(r.ask.peer, r.ask.token)
+		r.hold = false
 	}
-	r.held = nil
 }
 
-// useBest hands the request over to the best of the peers that granted a
-// place, unless the local target has become better.
-func (m *Machine) useBest(r *request) {
-	if !m.peersAllowed(r) || m.now >= r.deadline {
-		m.releaseHeld(r)
-		m.placeWithoutPeer(r)
-		return
-	}
-	var best heldGrant
-	bestScore := math.Inf(1)
-	for _, h := range r.held {
-		if s := m.grantedScore(h.peer); s < bestScore {
-			best, bestScore = h, s
-		}
-	}
-	if m.localAllowed(r) && !r.slotless && m.free() > 0 && m.ownScore(m.occupied()-1) <= bestScore {
-		m.releaseHeld(r)
+// askFailed goes on to the next peer, or leaves the request to the queue.
+func (m *Machine) askFailed(r *request) {
+	if !m.preferPeer(r) {
 		m.placeWithoutPeer(r)
-		return
 	}
-	r.held = slices.DeleteFunc(r.held, func(h heldGrant) bool { return h == best })
-	m.handOver(r, best.peer, best.grant)
 }
 
-// grantedScore rates a peer whose figures already count the granted place.
-func (m *Machine) grantedScore(p *peer) float64 {
-	l := p.load
-	return m.tuning.score(float64(l.Busy+l.Waiting-1), l.Utilization, l.Slots, m.peerSpeed(p)) + m.hopScore()
-}
-
-// withdrawRemoved drops asks to peers that are no longer configured.
-func (m *Machine) withdrawRemoved(r *request) {
-	r.asks = slices.DeleteFunc(r.asks, func(a ask) bool {
-		gone := m.peers.byID[a.peer.ID] != a.peer
-		if gone {
-			delete(m.tokens, a.token)
-		}
-		return gone
-	})
-	r.hold = r.hold && len(r.asks) > 0
+func (m *Machine) expireAsk(r *request) {
+	if r.ask.expires > m.now {
+		return
+	}
+	hold := r.hold
+	r.ask.peer.distrust(m.now)
+	m.withdraw(r)
+	r.hold = hold
+	m.askFailed(r)
 }
 
-// askFailed goes on to the next peer, or leaves the request to the queue.
-func (m *Machine) askFailed(r *request) {
+// granted uses a place, unless the local target has become better meanwhile.
+func (m *Machine) granted(r *request, p *peer, g GrantID) {
+	localNow := m.localAllowed(r) && !r.slotless && m.free() > 0
 	switch {
-	case len(r.asks) > 0:
-	case len(r.held) > 0:
-		m.useBest(r)
-	case !m.preferPeer(r):
+	case !m.peersAllowed(r) || m.now >= r.deadline,
+		localNow && m.ownScore(m.occupied()-1) <= m.grantedScore(p):
+		m.send(p, Message{Kind: Release, Grant: g})
 		m.placeWithoutPeer(r)
+	default:
+		m.handOver(r, p, g)
 	}
 }
 
-func (m *Machine) expireAsks(r *request) {
-	for _, a := range slices.Clone(r.asks) {
-		if a.expires > m.now {
-			continue
-		}
-		a.peer.distrust(m.now)
-		m.takeAsk(a.peer, a.token)
-		m.send(a.peer, Message{Kind: Release, Token: a.token})
-		if len(r.asks) == 0 {
-			m.askFailed(r)
-			return
-		}
-	}
+// grantedScore rates a peer whose figures already count the granted place.
+func (m *Machine) grantedScore(p *peer) float64 {
+	l := p.load
+	return m.tuning.score(float64(l.Busy+l.Waiting-1), l.Utilization, l.Slots, m.peerSpeed(p)) + m.hopScore()
 }
 
 func (m *Machine) handOver(r *request, p *peer, g GrantID) {
 	m.dequeue(r)
 	r.stage, r.began, r.peer, r.grant = away, m.now, p, g
 	r.handOver++
-	if !slices.Contains(p.inUse, g) {
-		p.use(g)
-	}
+	p.use(g)
 	m.emit(HandOver{ID: r.id, Peer: p.ID, Grant: g})
 }
--- a/core/admission/machine.go
+++ b/core/admission/machine.go
@@ -166,7 +166,7 @@
 		switch {
 		case !m.peersAllowed(r):
 			m.end(r, ReasonDraining)
-		case len(r.asks) == 0:
+		case r.ask == nil:
 			m.place(r)
 		}
 	}
--- a/core/admission/machine_test.go
+++ b/core/admission/machine_test.go
@@ -98,7 +98,9 @@
 func askCount(m *Machine) int {
 	n := 0
 	for _, r := range m.waiting {
-		n += len(r.asks)
+		if r.ask != nil {
+			n++
+		}
 	}
 	return n
 }
--- a/core/admission/message.go
+++ b/core/admission/message.go
@@ -69,11 +69,7 @@
 		m.send(p, Message{Kind: Release, Grant: msg.Grant})
 		return
 	}
-	p.use(msg.Grant)
-	r.held = append(r.held, heldGrant{p, msg.Grant})
-	if len(r.asks) == 0 {
-		m.useBest(r)
-	}
+	m.granted(r, p, msg.Grant)
 }
 
 func (m *Machine) onDeny(p *peer, msg Message) {
--- a/core/admission/naive_test.go
+++ b/core/admission/naive_test.go
@@ -295,7 +295,7 @@
 		return fmt.Errorf("%d tokens for %d asks", len(m.tokens), askCount(m))
 	}
 	for _, r := range m.waiting {
-		if r.hold && len(r.asks) == 0 {
+		if r.hold && r.ask == nil {
 			return fmt.Errorf("request %d is on hold without an ask", r.id)
 		}
 		if !r.hold && !r.slotless && m.localAllowed(r) && m.free() > 0 {
--- a/core/admission/pump.go
+++ b/core/admission/pump.go
@@ -93,8 +93,10 @@
 		m.end(r, m.waitReason())
 	case !m.localAllowed(r) && !m.peersAllowed(r):
 		m.end(r, ReasonDraining)
-	case len(r.asks) > 0:
-		m.expireAsks(r)
+	case r.ask != nil:
+		m.expireAsk(r)
+	case r.slotless:
+		m.place(r)
 	case m.now >= r.nextAsk && (m.draining || r == m.oldestMovable()):
 		m.askRound(r)
 	}
--- a/core/admission/request.go
+++ b/core/admission/request.go
@@ -40,13 +40,11 @@
 	// overflowed says that the request asked without a limit because the
 	// queue had no room.
 	overflowed bool
-	asks       []ask
+	ask        *ask
 	tried      []PeerID
-	// held are the grants received while other asks are open.
-	held    []heldGrant
-	nextAsk time.Duration
-	peer    *peer
-	grant   GrantID
+	nextAsk    time.Duration
+	peer       *peer
+	grant      GrantID
 }
 
 func (r *request) attempted() bool { return r.runs+r.handOver > 0 }
--- a/core/admission/score.go
+++ b/core/admission/score.go
@@ -20,8 +20,6 @@
 	margin float64
 	// places is how many requests per slot a peer's request may queue behind.
 	places float64
-	// parallel is how many peers are asked at once.
-	parallel int
 	// memory is the weight of the mean utilization in the balance score,
 	// relative to that of the present occupancy.
 	memory float64
@@ -29,9 +27,9 @@
 
 func tuningFor(b config.Bias) tuning {
 	if b == config.BiasLatency {
-		return tuning{latency: true, hop: 4 * time.Millisecond, margin: 0.1, places: 1, parallel: 1}
+		return tuning{latency: true, hop: 4 * time.Millisecond, margin: 0.1, places: 1}
 	}
-	return tuning{margin: 0.5, places: 1, parallel: 1, memory: 2}
+	return tuning{margin: 0.5, places: 1, memory: 2}
 }
 
 const (
