admission: compare a denial with the load that the peer claims

Cause: with the balance bias, every denial from a peer with an idle slot made the peer unusable for 500 ms. An honest peer denies like that whenever it would not be better, and a misreporting one was used too little. Change: a denial counts as a contradiction only if the claimed load would have been clearly better than what was asked for; the peer is then left out for 50 ms. Silence and failures still count for 500 ms.

--- a/core/admission/ask.go
+++ b/core/admission/ask.go
@@ -17,6 +17,9 @@
 	// freshView is the age up to which a peer's own word that it has no room
 	// spares the question.
 	freshView = 20 * time.Millisecond
+	// doubt is how far below the limit the score claimed with a denial must be
+	// to count as a contradiction. Estimates of speed differ by less.
+	doubt = 0.6
 	// wantLifetime is how long a denied Reserve is remembered for an Offer.
 	wantLifetime = 250 * time.Millisecond
 	// maxWants bounds the memory for denied Reserves.
@@ -28,6 +31,8 @@
 	peer    *peer
 	token   uint64
 	expires time.Duration
+	// score is what the peer has to undercut. Zero means any.
+	score float64
 }
 
 // want is a Reserve that was denied and may be met by an Offer.
@@ -117,12 +122,12 @@
 
 func (m *Machine) reserve(r *request, p *peer, limit float64) {
 	m.nextToken++
-	r.ask = &ask{p, m.nextToken, m.now + askTimeout}
 	r.tried = append(r.tried, p.ID)
 	m.tokens[m.nextToken] = r
 	if limit > 0 {
 		limit = max(limit-m.hopScore(), math.SmallestNonzeroFloat64)
 	}
+	r.ask = &ask{p, m.nextToken, m.now + askTimeout, limit}
 	m.send(p, Message{Kind: Reserve, Token: m.nextToken, Slotless: r.slotless, Score: limit})
 }
 
@@ -166,7 +171,7 @@
 		return
 	}
 	hold := r.hold
-	r.ask.peer.distrust(m.now)
+	r.ask.peer.avoid(m.now + silenceTime)
 	m.withdraw(r)
 	r.hold = hold
 	m.askFailed(r)
@@ -191,6 +196,17 @@
 	return m.tuning.score(float64(l.Busy+l.Waiting-1), l.Utilization, l.Slots, m.peerSpeed(p)) + m.hopScore()
 }
 
+// contradicts says whether a peer denies a place although, by the load it
+// reports with the denial, it would clearly have had one.
+func (m *Machine) contradicts(p *peer, a *ask) bool {
+	l := p.load
+	if l.Draining || l.Busy+l.Waiting >= l.Slots {
+		return false
+	}
+	claimed := m.tuning.score(float64(l.Busy+l.Waiting), l.Utilization, l.Slots, m.peerSpeed(p))
+	return a.score == 0 || claimed < a.score*doubt
+}
+
 func (m *Machine) handOver(r *request, p *peer, g GrantID) {
 	m.dequeue(r)
 	r.stage, r.began, r.peer, r.grant = away, m.now, p, g
--- a/core/admission/finish.go
+++ b/core/admission/finish.go
@@ -22,7 +22,7 @@
 		r.peer.answered(m.now - r.began)
 	}
 	if ev.Verdict != verdict.Ran {
-		r.peer.distrust(m.now)
+		r.peer.avoid(m.now + silenceTime)
 	}
 	m.attemptEnded(r, ev.Verdict, ev.Shed)
 }
--- a/core/admission/message.go
+++ b/core/admission/message.go
@@ -73,13 +73,14 @@
 }
 
 func (m *Machine) onDeny(p *peer, msg Message) {
-	r := m.takeAsk(p, msg.Token)
-	if r == nil {
+	open := m.tokens[msg.Token]
+	if open == nil || open.ask.peer != p {
 		return
 	}
-	// A peer that claims free slots and still denies misreports its load.
-	if msg.Load.Busy < msg.Load.Slots && msg.Load.Waiting == 0 && !m.tuning.latency {
-		p.distrust(m.now)
+	a := open.ask
+	r := m.takeAsk(p, msg.Token)
+	if !r.slotless && m.contradicts(p, a) {
+		p.avoid(m.now + doubtTime)
 	}
 	m.askFailed(r)
 }
--- a/core/admission/peers.go
+++ b/core/admission/peers.go
@@ -7,8 +7,13 @@
 )
 
 const (
-	// distrustTime is how long a peer is not asked after it gave reason to.
-	distrustTime = 500 * time.Millisecond
+	// silenceTime is how long a peer is not asked after it left a Reserve
+	// unanswered or failed a request.
+	silenceTime = 500 * time.Millisecond
+	// doubtTime is how long a peer is not asked after it denied a place that
+	// its own figures promised. It is short because such a peer may still be
+	// the fastest: at 500 ms, a misreporting one was used too little.
+	doubtTime = 50 * time.Millisecond
 	// offerPause spaces unasked offers to a peer. Without it, a peer whose
 	// waiting request may not move declines and is offered again at once.
 	offerPause = 10 * time.Millisecond
@@ -26,7 +31,7 @@
 	at        time.Duration
 	known     bool
 	answers   average
-	distrusts time.Duration
+	avoided   time.Duration
 	inUse     []GrantID
 	offers    [seenOffers]GrantID
 	offerNext int
@@ -61,7 +66,7 @@
 // forget drops the views, but not the hand-overs in progress.
 func (s *peerSet) forget() {
 	for _, p := range s.list {
-		p.load, p.at, p.known, p.distrusts, p.answers = Load{}, 0, false, 0, average{}
+		p.load, p.at, p.known, p.avoided, p.answers = Load{}, 0, false, 0, average{}
 	}
 }
 
@@ -72,7 +77,7 @@
 	p.load, p.at, p.known = l, now, true
 }
 
-func (p *peer) distrust(now time.Duration) { p.distrusts = now + distrustTime }
+func (p *peer) avoid(until time.Duration) { p.avoided = max(p.avoided, until) }
 
 func (p *peer) answered(d time.Duration) { p.answers.add(d) }
 
@@ -94,7 +99,7 @@
 
 // usable says whether the peer can be asked at all.
 func (p *peer) usable(now time.Duration, slotless bool) bool {
-	if p.Draining || now < p.distrusts {
+	if p.Draining || now < p.avoided {
 		return false
 	}
 	return !p.known || !p.load.Draining && !(slotless && p.load.Full)
