--- a/core/admission/request.go
+++ b/core/admission/request.go
@@ -36,12 +36,15 @@
 	last       verdict.Verdict
 	mayHaveRun bool
 	// hold keeps the request from starting locally while it asks.
-	hold    bool
-	asks    []ask
-	tried   []PeerID
-	nextAsk time.Duration
-	peer    *peer
-	grant   GrantID
+	hold bool
+	// overflowed says that the request asked without a limit because the
+	// queue had no room.
+	overflowed bool
+	ask        *ask
+	tried      []PeerID
+	nextAsk    time.Duration
+	peer       *peer
+	grant      GrantID
 }
 
 func (r *request) attempted() bool { return r.runs+r.handOver > 0 }
