--- a/node/confsync/confsync_test.go
+++ b/node/confsync/confsync_test.go
@@ -169,3 +169,68 @@
 		}
 	}
 }
+
+// Guards against dead parents that keep their children from a change: two of
+// the three readers of a data centre die, and stay in the list of VMs.
+func TestDeadParents(t *testing.T) {
+	f := newFleet(t, 12, 1)
+	f.platform.publish(example(1, 2))
+	f.start(t, 0, 12)
+	f.await(t, 1, 10*time.Second)
+	for _, n := range f.nodes {
+		<-n.Ready()
+	}
+	var alive []*node
+	dead := 0
+	for _, n := range f.nodes {
+		if n.Status().Reader && dead < 2 {
+			dead++
+			n.stop()
+			n.server.CloseClientConnections()
+			continue
+		}
+		alive = append(alive, n)
+	}
+	for version := uint64(2); version < 4; version++ {
+		f.platform.publish(example(version, 2))
+		for _, n := range alive {
+			await(t, n, version, 6*time.Second)
+		}
+	}
+}
+
+// Guards against readers that wait for a revision of the time before the
+// platform was replaced, and against a slow return after an outage.
+func TestPlatformComesBackWithNewRevisions(t *testing.T) {
+	f := newFleet(t, 4, 1)
+	f.platform.publish(example(1, 2))
+	f.start(t, 0, 4)
+	f.await(t, 1, 10*time.Second)
+	f.platform.setCut("", true)
+	time.Sleep(3 * time.Second)
+	f.platform.mu.Lock()
+	f.platform.revision = 0
+	f.platform.mu.Unlock()
+	f.platform.publish(example(2, 2))
+	f.platform.setCut("", false)
+	f.await(t, 2, 5*time.Second)
+}
+
+// Guards against a panic in a task that ends the process or the following of
+// the configuration.
+func TestPanicsAreContained(t *testing.T) {
+	f := newFleet(t, 5, 1)
+	f.platform.publish(example(1, 2))
+	f.start(t, 0, 5)
+	f.await(t, 1, 10*time.Second)
+	for version := uint64(2); version < 6; version++ {
+		f.panics.Store(int32(version))
+		f.platform.publish(example(version, int(version)))
+		f.await(t, version, 15*time.Second)
+	}
+	counted := 0.0
+	for _, n := range f.nodes {
+		counted += n.counter(`trefoilweir_panics_total{part="confsync"}`)
+	}
+	assert.Assert(t, counted >= 4, "%f panics", counted)
+}
