--- a/core/admission/message.go
+++ b/core/admission/message.go
@@ -69,21 +69,18 @@
 		m.send(p, Message{Kind: Release, Grant: msg.Grant})
 		return
 	}
-	p.use(msg.Grant)
-	r.held = append(r.held, heldGrant{p, msg.Grant})
-	if len(r.asks) == 0 {
-		m.useBest(r)
-	}
+	m.granted(r, p, msg.Grant)
 }
 
 func (m *Machine) onDeny(p *peer, msg Message) {
-	r := m.takeAsk(p, msg.Token)
-	if r == nil {
+	open := m.tokens[msg.Token]
+	if open == nil || open.ask.peer != p {
 		return
 	}
-	// A peer that claims free slots and still denies misreports its load.
-	if msg.Load.Busy < msg.Load.Slots && msg.Load.Waiting == 0 && !m.tuning.latency {
-		p.distrust(m.now)
+	a := open.ask
+	r := m.takeAsk(p, msg.Token)
+	if !r.slotless && m.contradicts(p, a) {
+		p.avoid(m.now + doubtTime)
 	}
 	m.askFailed(r)
 }
