Measure the slopes of balancer, agent and list of VMs; make slopes

Cause: docs/CAPACITY.md has to derive state, messages, CPU time and memory of each role from measured slopes, and most of them had no measurement.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint demo faults
+.PHONY: build test lint demo faults slopes
 
 build:
 	go build -o bin/ ./node/cmd/... ./lab/cmd/...
@@ -17,3 +17,7 @@
 # Fault tests with real processes, one at a time, under 6 minutes.
 faults: build
 	bash scripts/gotest.sh -count=1 -v ./lab/faults
+
+# Measurements behind docs/CAPACITY.md, one line a slope, under 5 minutes.
+slopes:
+	bash scripts/slopes.sh
--- a/core/ticket/ticket_test.go
+++ b/core/ticket/ticket_test.go
@@ -304,7 +304,7 @@
 		assert.Equal(t, h.Claim(0, Claim{ticketOf(selfID, 0, uint64(i)), attempt(i)}).Outcome, Granted)
 	}
 	used := heapSize() - before
-	t.Logf("%d tickets: %d bytes, %d each", DefaultMaxTickets, used, used/DefaultMaxTickets)
+	t.Logf("slope: %d tickets: %d bytes, %d each", DefaultMaxTickets, used, used/DefaultMaxTickets)
 	assert.Assert(t, used+DefaultMaxAnswerBytes < 48<<20)
 	runtime.KeepAlive(h)
 }
--- a/node/agent/harness_test.go
+++ b/node/agent/harness_test.go
@@ -231,6 +231,8 @@
 	sequence uint64
 	pongs    map[uint64]wire.Header
 	pings    int
+	// sent and received count datagrams to and from agents, by kind.
+	sent, received [wire.Control + 1]int
 	// muted is an incarnation whose responses are dropped.
 	muted uint64
 }
@@ -277,6 +279,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sequence++
+	f.sent[h.Kind]++
 	h.Sequence = f.sequence
 	buffer := make([]byte, wire.HeaderLen, wire.MaxDatagram)
 	buffer = append(buffer, payload...)
@@ -319,6 +322,9 @@
 		if err := f.keys.Wire().Open(buffer[:n], &h); err != nil {
 			continue
 		}
+		f.mu.Lock()
+		f.received[h.Kind]++
+		f.mu.Unlock()
 		switch h.Kind {
 		case wire.Return:
 			if f.isMuted(h.Incarnation) {
--- /dev/null
+++ b/node/balancer/measure_test.go
@@ -0,0 +1,128 @@
+package balancer
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"trefoilweir.example/core/config"
+	"trefoilweir.example/core/wire"
+)
+
+// BenchmarkDatagramWithSockets gives the time that a balancer spends on a
+// datagram in each direction, system calls and delivery over loopback
+// included. The work of the caller and the agent is not part of the figures.
+func BenchmarkDatagramWithSockets(b *testing.B) {
+	for _, kind := range []string{"first", "established"} {
+		b.Run(kind, func(b *testing.B) {
+			f, a, e := manual(b)
+			datagram := initial(1)
+			if kind == "established" {
+				datagram = append(short(connectionID(b, f.keys, a.addr(), 1)), make([]byte, 1170)...)
+			}
+			answer := sealed(a.keys, wire.Header{Kind: wire.Return, Service: 1, Caller: localAddr(f.caller)}, string(datagram))
+			in, out := newReader(), newReader()
+			var buf [wire.MaxDatagram]byte
+			timed := func(step func() error) time.Duration {
+				begun := time.Now()
+				if err := step(); err != nil {
+					b.Fatal(err)
+				}
+				return time.Since(begun)
+			}
+			var forward, back time.Duration
+			for b.Loop() {
+				_, _ = f.caller.WriteToUDPAddrPort(datagram, f.address(0))
+				forward += timed(func() error { return e.step(in) })
+				_, _, _ = a.conn.ReadFromUDPAddrPort(buf[:])
+				_, _ = a.conn.WriteToUDPAddrPort(answer, f.Status().Datagram)
+				back += timed(func() error { return f.stepInternal(out) })
+				_, _, _ = f.caller.ReadFromUDPAddrPort(buf[:])
+			}
+			b.ReportMetric(float64(forward.Nanoseconds())/float64(b.N), "ns/forwarded")
+			b.ReportMetric(float64(back.Nanoseconds())/float64(b.N), "ns/returned")
+		})
+	}
+}
+
+// memory returns the live heap and the stacks in use, in bytes.
+func memory() (heap, stack float64) {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc), float64(m.StackInuse)
+}
+
+// services returns a configuration of a number of services, whose addresses
+// are free ports of the loopback address.
+func services(version uint64, count, targets int) *config.Config {
+	all := make([]config.Service, count)
+	for i := range all {
+		agents := make([]netip.AddrPort, targets)
+		for j := range agents {
+			n := i*targets + j
+			agents[j] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(n >> 16), byte(n >> 8), byte(n)}), 7000)
+		}
+		all[i] = service(uint32(i+1), agents...)
+		all[i].Name = fmt.Sprintf("service-%05d", i)
+	}
+	return configuration(version, all...)
+}
+
+// BenchmarkMemoryPerServiceAddress gives what a balancer holds per open
+// service address without targets and, in addition, per target. The parsed
+// configuration and the kernel's part of a socket are not in the figures. Run
+// it with -benchtime 1x.
+func BenchmarkMemoryPerServiceAddress(b *testing.B) {
+	for _, count := range []int{500, 2000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			const targets = 16
+			empty, full := services(2, count, 0), services(3, count, targets)
+			f := newFixture(b, func(*testKeys) *config.Config { return services(1, 1, 0) }).serve()
+			heap, stack := memory()
+			routines := runtime.NumGoroutine()
+			f.source.publish(empty)
+			f.wait("open", func(s Status) bool { return s.ConfigVersion == 2 && len(s.Services) == count })
+			time.Sleep(time.Second)
+			openHeap, openStack := memory()
+			n := float64(count - 1)
+			b.ReportMetric((openHeap-heap)/n, "heap-B/address")
+			b.ReportMetric((openStack-stack)/n, "stack-B/address")
+			b.ReportMetric(float64(runtime.NumGoroutine()-routines)/n, "goroutines/address")
+			f.source.publish(full)
+			f.wait("targets", func(s Status) bool { return s.ConfigVersion == 3 })
+			fullHeap, _ := memory()
+			b.ReportMetric((fullHeap-openHeap)/float64(count*targets), "heap-B/target")
+			for i := range full.Services {
+				for _, t := range full.Services[i].Targets {
+					f.echoed(full.Services[i].ID, t.Agent)
+				}
+			}
+			watched, _ := memory()
+			b.ReportMetric((watched-fullHeap)/float64(count*targets), "heap-B/watched-agent")
+			runtime.KeepAlive(empty)
+			runtime.KeepAlive(full)
+		})
+	}
+}
+
+// BenchmarkApply gives the CPU time with which a balancer puts a new version
+// of the configuration into effect, parsing not included.
+func BenchmarkApply(b *testing.B) {
+	for _, count := range []int{100, 1000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			f, _, _ := manual(b)
+			versions := []*config.Config{services(1, count, 16), services(2, count, 16)}
+			f.apply(versions[0], nil)
+			n := 0
+			for b.Loop() {
+				n++
+				f.apply(versions[n%2], nil)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*count), "ns/service")
+		})
+	}
+}
--- /dev/null
+++ b/node/confsync/vms_measure_test.go
@@ -0,0 +1,84 @@
+package confsync
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"trefoilweir.example/core/config"
+	"trefoilweir.example/core/distribution"
+)
+
+// vmsOf returns a list of VMs in 23 data centres, one in twelve of which is a
+// balancer.
+func vmsOf(n int) []config.VM {
+	vms := make([]config.VM, n)
+	for i := range vms {
+		address := netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
+		vms[i] = config.VM{
+			Name: fmt.Sprintf("vm-%06d", i), Role: config.RoleAgent, Service: fmt.Sprintf("service-%05d", i%10_000), DataCentre: fmt.Sprintf("dc-%02d", i%23),
+			PeerAddress: netip.AddrPortFrom(address, 7200), DatagramAddress: netip.AddrPortFrom(address, 7100), State: config.VMLive,
+		}
+		if i%12 == 0 {
+			vms[i].Role, vms[i].Service = config.RoleBalancer, ""
+		}
+	}
+	return vms
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkVMListChange gives what a replaced VM costs: the bytes and the
+// decoding of the whole list at a reader of the platform, the bytes of a
+// change between peers, the time to apply it, and the time to find the place
+// in the tree; and the memory of the list.
+func BenchmarkVMListChange(b *testing.B) {
+	for _, n := range []int{1000, 14_000, 174_000} {
+		vms := vmsOf(n)
+		whole, err := json.Marshal(vms)
+		assert.NilError(b, err)
+		b.Run(fmt.Sprintf("decode/vms=%d", n), func(b *testing.B) {
+			before := heapInUse()
+			var list []config.VM
+			for b.Loop() {
+				list = nil
+				assert.NilError(b, json.Unmarshal(whole, &list))
+			}
+			b.ReportMetric(float64(heapInUse()-before)/float64(n), "heap-B/VM")
+			b.ReportMetric(float64(len(whole))/float64(n), "JSON-B/VM")
+			runtime.KeepAlive(list)
+		})
+		before := vmList{revision: 1, vms: vms, listed: true}
+		replaced := vmList{revision: 2, vms: slices.Clone(vms), listed: true}
+		replaced.vms[n/2].Name = "vm-new"
+		next := replaced.after(before)
+		b.Run(fmt.Sprintf("delta/vms=%d", n), func(b *testing.B) {
+			var data []byte
+			for b.Loop() {
+				data, _ = next.updateSince(1).encode()
+			}
+			b.ReportMetric(float64(len(data)), "B/delta")
+		})
+		b.Run(fmt.Sprintf("apply/vms=%d", n), func(b *testing.B) {
+			u := next.updateSince(1)
+			for b.Loop() {
+				_ = before.apply(u).after(before)
+			}
+		})
+		b.Run(fmt.Sprintf("place/vms=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				distribution.PlaceOf(vms, "vm-000007", "dc-07")
+			}
+		})
+	}
+}
