Balancer remakes only the targets that a change concerns

Cause: apply made the list of targets of every service anew at each change of the configuration and of the leaving VMs. Ruled out: a comparison of old and new targets by value, which visits all 160,000 at each change. Configurations are immutable and share the lists of unchanged services, so the identity of the list tells. Change: an entry remembers the list its targets were made from. It is remade if the list is another one or if an agent in it began or ceased to be leaving. A run that panicked lets the next one remake all. The test, which compares with a full calculation, fails without the comparison of leaving agents, without the full run after a panic, and without forgetting the list of a removed service.

--- a/node/balancer/balancer.go
+++ b/node/balancer/balancer.go
@@ -107,6 +107,9 @@
 	mu      sync.Mutex
 	entries map[entryKey]*entry
 	config  *config.Config
+	// left are the agents on leaving VMs that the entries' targets were made
+	// with, or nil if not all were made with the same.
+	left map[netip.AddrPort]bool
 	// unopened counts the addresses that could not be opened at the last try.
 	unopened int
 	started  bool
--- a/node/balancer/control.go
+++ b/node/balancer/control.go
@@ -111,7 +111,9 @@
 	return slices.Clone(b.health.Tick(b.now()))
 }
 
-// apply makes a configuration take effect. New addresses are opened; those
+// apply makes a configuration take effect. It remakes the list of targets only
+// of services whose targets or leaving agents changed: a fleet has hundreds of
+// times more services than a change concerns. New addresses are opened; those
 // that are no longer configured stay open for their flows until shutdown, but
 // take no new ones.
 func (b *Balancer) apply(current *config.Config, leaving []netip.AddrPort) {
@@ -123,6 +125,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	moved, all := difference(b.left, left), b.left == nil
+	// A panic below leaves this unset, and the next run remakes every list.
+	b.left = nil
 	wanted := make(map[entryKey]bool, len(current.Services))
 	returns := b.latestEntries()
 	b.unopened = 0
@@ -135,17 +140,22 @@
 		}
 		wanted[e.key] = true
 		returns[s.ID] = e
-		targets := targetsOf(s, left)
-		e.targets.Store(&targets)
+		if all || !sameTargets(e.source, s.Targets) || anyOf(s.Targets, moved) {
+			targets := targetsOf(s, left)
+			e.targets.Store(&targets)
+			e.source = s.Targets
+		}
 		e.configured.Store(true)
 	}
 	for key, e := range b.entries {
 		if !wanted[key] && e.configured.Swap(false) {
 			e.targets.Store(new([]placement.Target))
+			e.source = nil
 			b.log.Info("service address left the configuration", zap.String("service", e.name), zap.Stringer("listen", e.key.listen))
 		}
 	}
 	b.returns.Store(&returns)
+	b.left = left
 	if b.config != current {
 		b.config = current
 		b.counters.configurations.Inc()
--- a/node/balancer/entry.go
+++ b/node/balancer/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"trefoilweir.example/core/config"
 	"trefoilweir.example/core/connid"
 	"trefoilweir.example/core/placement"
 	"trefoilweir.example/core/wire"
@@ -28,6 +29,9 @@
 	name    string
 	conn    *net.UDPConn
 	targets atomic.Pointer[[]placement.Target]
+	// source is the part of the configuration that targets was made from.
+	// Balancer.mu guards it.
+	source []config.Target
 	// configured is false once the service or its address has left the
 	// configuration; open flows go on.
 	configured atomic.Bool
--- a/node/balancer/table.go
+++ b/node/balancer/table.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"unsafe"
 
 	"trefoilweir.example/core/config"
 	"trefoilweir.example/core/placement"
@@ -56,3 +57,32 @@
 	slices.SortFunc(out, netip.AddrPort.Compare)
 	return out
 }
+
+// sameTargets says that two lists are one and the same. Configurations are
+// immutable, and a new one shares the lists of services that did not change.
+func sameTargets(a, b []config.Target) bool {
+	return len(a) == len(b) && unsafe.SliceData(a) == unsafe.SliceData(b)
+}
+
+// difference returns the agents that are in one of two sets.
+func difference(a, b map[netip.AddrPort]bool) map[netip.AddrPort]bool {
+	out := make(map[netip.AddrPort]bool)
+	for agent := range a {
+		if !b[agent] {
+			out[agent] = true
+		}
+	}
+	for agent := range b {
+		if !a[agent] {
+			out[agent] = true
+		}
+	}
+	return out
+}
+
+func anyOf(targets []config.Target, agents map[netip.AddrPort]bool) bool {
+	if len(agents) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(targets, func(t config.Target) bool { return agents[t.Agent] })
+}
--- a/node/balancer/table_test.go
+++ b/node/balancer/table_test.go
@@ -1,7 +1,9 @@
 package balancer
 
 import (
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -28,3 +30,56 @@
 	s.Targets[0].State = config.TargetDraining
 	assert.Equal(t, len(targetsOf(&s, nil)), 1)
 }
+
+// Guards against a target that keeps an old state because its service did not
+// change: after any sequence of changes of services, leaving VMs and removed
+// services, the targets are those that a full calculation gives.
+func TestApplyRemakesWhatChanged(t *testing.T) {
+	f, _, _ := manual(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	current := services(1, 4, 3)
+	everyone := slices.Clone(current.Services)
+	for range 300 {
+		next := *current
+		next.Services = slices.Clone(current.Services)
+		switch i := random.IntN(len(next.Services)); random.IntN(3) {
+		case 0:
+			next.Services[i].Targets = slices.Clone(next.Services[i].Targets)
+			next.Services[i].Targets[random.IntN(3)].Slots++
+		case 1:
+			next.Services = slices.Delete(next.Services, i, i+1)
+		}
+		for _, s := range everyone {
+			known := slices.ContainsFunc(next.Services, func(o config.Service) bool { return o.ID == s.ID })
+			if !known && random.IntN(2) == 0 || len(next.Services) == 0 {
+				next.Services = append(next.Services, s)
+			}
+		}
+		current = &next
+		left := make(map[netip.AddrPort]bool)
+		for range random.IntN(5) {
+			s := everyone[random.IntN(len(everyone))]
+			left[s.Targets[random.IntN(3)].Agent] = true
+		}
+		if random.IntN(10) == 0 {
+			// A run that panicked leaves this behind.
+			f.left = nil
+		}
+		var leaving []netip.AddrPort
+		for agent := range left {
+			leaving = append(leaving, agent)
+		}
+		f.apply(current, leaving)
+		for _, s := range everyone {
+			var want []placement.Target
+			if at := slices.IndexFunc(current.Services, func(o config.Service) bool { return o.ID == s.ID }); at >= 0 {
+				want = targetsOf(&current.Services[at], left)
+			}
+			if e := f.entryFor(s.ID); e != nil {
+				assert.Assert(t, slices.Equal(*e.targets.Load(), want), "service %d", s.ID)
+			} else {
+				assert.Assert(t, want == nil, "service %d has no entry", s.ID)
+			}
+		}
+	}
+}
