An open ticker waits with a buffer of 2 KB instead of 32 KB

Cause: a response held a copy buffer of 32 KB for as long as it was open. With 1,750 open tickers per agent these were 57 MB of mostly unused memory. Ruled out: 2 KB for all responses, which flushes large downloads in 16 times more pieces; returning the buffer while waiting, for which a read from net/http has no call that waits without a buffer. Change: a response waits with a small buffer and changes to a pooled large one while pieces fill it.

--- a/node/agent/respond.go
+++ b/node/agent/respond.go
@@ -9,8 +9,15 @@
 	"trefoilweir.example/core/verdict"
 )
 
-// copyBuffer is the size of the buffers that copy response bodies, in bytes.
-const copyBuffer = 32 << 10
+const (
+	// copyBuffer is the size of the buffers that copy large response bodies,
+	// in bytes.
+	copyBuffer = 32 << 10
+	// waitBuffer is the size of the buffer with which a response waits for
+	// its next piece, in bytes. An agent has thousands of open tickers, which
+	// mostly wait.
+	waitBuffer = 2 << 10
+)
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
 
@@ -41,25 +48,47 @@
 }
 
 func copyFlushing(w io.Writer, controller *http.ResponseController, body io.Reader) error {
+	small := make([]byte, waitBuffer)
+	for {
+		n, end, err := copyPiece(w, controller, body, small)
+		if err == nil && !end && n == len(small) {
+			end, err = copyBurst(w, controller, body)
+		}
+		if err != nil || end {
+			return err
+		}
+	}
+}
+
+// copyBurst copies with a large buffer until a small piece shows that the
+// body has to be waited for.
+func copyBurst(w io.Writer, controller *http.ResponseController, body io.Reader) (end bool, err error) {
 	buffer := copyBuffers.Get().(*[copyBuffer]byte)
 	defer copyBuffers.Put(buffer)
 	for {
-		n, err := body.Read(buffer[:])
-		if n > 0 {
-			if _, err := w.Write(buffer[:n]); err != nil {
-				return err
-			}
-			if err := controller.Flush(); err != nil {
-				return err
-			}
+		n, end, err := copyPiece(w, controller, body, buffer[:])
+		if err != nil || end || n < waitBuffer {
+			return end, err
 		}
-		if err == io.EOF {
-			return nil
+	}
+}
+
+// copyPiece copies and flushes what one read gives. end says that the body is
+// complete.
+func copyPiece(w io.Writer, controller *http.ResponseController, body io.Reader, buffer []byte) (n int, end bool, err error) {
+	n, readErr := body.Read(buffer)
+	if n > 0 {
+		if _, err := w.Write(buffer[:n]); err != nil {
+			return n, false, err
 		}
-		if err != nil {
-			return err
+		if err := controller.Flush(); err != nil {
+			return n, false, err
 		}
 	}
+	if readErr == io.EOF {
+		return n, true, nil
+	}
+	return n, false, readErr
 }
 
 // isShed says that the target refused a request for lack of capacity and did
