--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint demo faults measure
+.PHONY: build test lint demo faults measure slopes
 
 build:
 	go build -o bin/ ./node/cmd/... ./lab/cmd/...
@@ -23,3 +23,7 @@
 measure: build
 	bin/trefoilweir-lab measure
 	bin/trefoilweir-lab policy --policy central-least-busy --policy central-fastest --size 7x7 --size 7x3 --ratio 4 --load 0.7 --load 0.9 --seed 11
+
+# Measurements behind docs/CAPACITY.md, one line a slope, under 5 minutes.
+slopes:
+	bash scripts/slopes.sh
