Agent: short ticks while a slot is held for a peer

Cause: with ticks every 100 ms, a place that a peer did not use would be offered to others up to 100 ms late.

Change: the gate ticks every 10 ms while it has requests or busy slots.

Conclusion: only an agent without any work ticks slowly.

--- a/node/agent/gate.go
+++ b/node/agent/gate.go
@@ -109,16 +109,19 @@
 			g.checkPause()
 			g.tick()
 		}
-		g.load.setAdmission(g.current.Load())
-		if wanted := g.tickInterval(); wanted != interval {
+		load := g.current.Load()
+		g.load.setAdmission(load)
+		if wanted := g.tickInterval(load); wanted != interval {
 			interval = wanted
 			ticker.Reset(interval)
 		}
 	}
 }
 
-func (g *gate) tickInterval() time.Duration {
-	if len(g.requests) == 0 {
+// tickInterval is short also while a slot is held for a peer, because the slot
+// is offered to others when the peer does not use it.
+func (g *gate) tickInterval(load admission.Load) time.Duration {
+	if len(g.requests) == 0 && load.Busy == 0 {
 		return idleTick
 	}
 	return admission.TickInterval
