--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -44,7 +44,7 @@
 group agent-messages ./node/agent -run TestSizeOfControlMessages -v
 group tickets ./core/ticket -run TestMemoryOfFullTable -bench ClaimCompleteForget -benchtime 300ms -v
 group configuration ./core/config -run "$none" -bench 'Parse|Heap|Assemble' -benchtime 300ms
-group distribution ./core/distribution -run "$none" -bench 'Fleet/undisturbed' -benchtime 1x
+group distribution ./core/distribution -run "$none" -bench 'Fleet/(undisturbed|partition)' -benchtime 1x
 group change ./node/confsync -run "$none" -bench 'Reconverge/10/' -benchtime 20x
 group process-memory ./node/confsync -run "$none" -bench Memory -benchtime 1x
 group vm-list ./node/confsync -run "$none" -bench VMListChange -benchtime 300ms
