--- a/node/confsync/fetch.go
+++ b/node/confsync/fetch.go
@@ -47,6 +47,11 @@
 		return
 	}
 	if err != nil {
+		if p.From == distribution.Platform {
+			// Revisions may start again with a platform that comes back, so
+			// that a poll after the old one would wait in vain.
+			r.platformState.forget()
+		}
 		r.meters.pollFailures.Inc()
 		r.log.Debug("poll failed", zap.Stringer(telemetry.KeyPeer, p.From), telemetry.Error(err))
 		r.post(ctx, input{event: distribution.PollFailed{ID: p.ID, From: p.From}})
@@ -248,7 +253,14 @@
 	return context.Cause(ctx)
 }
 
-func (r *run) fetchPart(ctx context.Context, from distribution.Origin, ref config.Ref, into *partSet) error {
+func (r *run) fetchPart(ctx context.Context, from distribution.Origin, ref config.Ref, into *partSet) (err error) {
+	// A panic on this goroutine would end the process.
+	defer func() {
+		if p := recover(); p != nil {
+			r.meters.panics.Inc()
+			err = trace.Errorf("part %s: panic: %v", ref.Name, p)
+		}
+	}()
 	ctx, cancel := context.WithTimeout(ctx, partTimeout)
 	defer cancel()
 	compressed, plain, err := r.readPart(ctx, from, ref)
