--- a/core/admission/machine_test.go
+++ b/core/admission/machine_test.go
@@ -41,7 +41,7 @@
 			}
 		}
 	}
-	return strings.Join(parts, "; ")
+	return joined(parts)
 }
 
 // lastMessage returns the newest message in actions.
@@ -61,7 +61,15 @@
 	want string
 }
 
-func reply(kind MessageKind) Event { return PeerMessage{From: "b", Message: Message{Kind: kind}} }
+// reply is an answer of a peer whose one slot is busy.
+func reply(kind MessageKind) Event {
+	return PeerMessage{From: "b", Message: Message{Kind: kind, Load: Load{Slots: 1, Busy: 1}}}
+}
+
+// crowded is a message of a peer with requests waiting.
+func crowded(kind MessageKind) Message {
+	return Message{Kind: kind, Load: Load{Slots: 1, Busy: 1, Waiting: 3, Utilization: 4}}
+}
 
 func runScript(t *testing.T, limits Limits, steps []step) {
 	t.Helper()
@@ -73,6 +81,10 @@
 			p.Message.Token, p.Message.Grant = sent.Token, 77
 			ev = p
 		}
+		if p, ok := ev.(PeerMessage); ok && p.Message.Kind == Release {
+			p.Message.Grant = sent.Grant
+			ev = p
+		}
 		if a, ok := ev.(Arrive); ok && a.Grant == 1 {
 			a.Grant = sent.Grant
 			ev = a
@@ -89,7 +101,9 @@
 func askCount(m *Machine) int {
 	n := 0
 	for _, r := range m.waiting {
-		n += len(r.asks)
+		if r.ask != nil {
+			n++
+		}
 	}
 	return n
 }
@@ -181,6 +195,17 @@
 			{0, PeerMessage{From: "b", Message: Message{Kind: Reserve, Token: 9, Score: 1.5}}, "send b 3"},
 			{1 * ms, Done{ID: 1, Verdict: verdict.Ran}, "answer 1 ran; send b 4"},
 		}},
+		{"a peer that denies and still claims to be idle is asked at once again", testLimits(), []step{
+			{0, Arrive{ID: 1}, "run 1"}, {0, Arrive{ID: 2}, "send b 1"},
+			{1 * ms, PeerMessage{From: "b", Message: Message{Kind: Deny, Load: Load{Slots: 1}}}, ""},
+			{1 * ms, Arrive{ID: 3}, ""}, {2*ms + doubtTime, Arrive{ID: 4}, "send b 1"},
+		}},
+		// Shrunk from TestMachineAgainstNaive, which did not end.
+		{"a declined offer is repeated without a pause", testLimits(), []step{
+			{0, PeerMessage{From: "b", Message: crowded(Report)}, "send b 4"},
+			{0, PeerMessage{From: "b", Message: crowded(Release)}, ""},
+			{10 * ms, PeerMessage{From: "b", Message: crowded(Release)}, "send b 4"},
+		}},
 		{"a repeated offer takes a second request", testLimits(), []step{
 			{0, Arrive{ID: 1}, "run 1"}, {0, Arrive{ID: 2}, "send b 1"}, {1 * ms, reply(Deny), ""},
 			{1 * ms, Arrive{ID: 3}, "send b 1"}, {2 * ms, reply(Deny), ""},
@@ -228,10 +253,22 @@
 // Guards against fields that do not survive the encoding.
 func TestMessageRoundTrip(t *testing.T) {
 	in := Message{Kind: Deny, Token: 1, Grant: 2, Slotless: true, Score: 0.5, Load: Load{Slots: 3, Busy: 2,
-		Waiting: 1, Connections: 9, Draining: true, Cold: true, Full: true, ServiceTime: ms, Utilization: 0.25}}
+		Waiting: 1, Connections: 9, Draining: true, Cold: true, Full: true, ServiceTime: ms, Utilization: 0.25},
+		Views: []View{{Peer: "b", AgeMS: 3, Slots: 3, Busy: 2, Waiting: 1, Percent: 90}}}
 	data, err := cbor.Marshal(in)
 	assert.NilError(t, err)
 	var out Message
 	assert.NilError(t, cbor.Unmarshal(data, &out))
-	assert.Equal(t, out, in)
+	assert.DeepEqual(t, out, in)
+}
+
+func joined(parts []string) string { return strings.Join(parts, "; ") }
+
+// Guards against decisions on views from before a pause.
+func TestPauseForgetsPeers(t *testing.T) {
+	m := New(testLimits(), testPeers(), 1)
+	m.Step(0, PeerMessage{From: "b", Message: crowded(Report)})
+	assert.Assert(t, m.peers.byID["b"].known)
+	m.Step(PauseLimit+1, Arrive{ID: 1})
+	assert.Assert(t, !m.peers.byID["b"].known)
 }
