Demo and fault tests use tickets

Cause: the agent runs requests under tickets now. Change: the demo and the fault tests send Idempotency-Key headers.

--- a/lab/demo.sh
+++ b/lab/demo.sh
@@ -66,7 +66,7 @@
 
 $lab load --service "booking=$fabric:4431" --service "gallery=$fabric:4432" --weight booking=7 --weight gallery=3 \
 	--ca "$logs/keys/ca.pem" --target-log "$logs/logs/*.jsonl" --leaving "$logs/leaving.log" \
-	--seed "$seed" --requests 2200 --rate 110 --work-ms 400 --no-tickets --check >"$logs/report.json" 2>"$logs/load.log" &
+	--seed "$seed" --requests 2200 --rate 110 --work-ms 400 --check >"$logs/report.json" 2>"$logs/load.log" &
 load=$!
 pids+=($load)
 
--- a/lab/faults/harness_test.go
+++ b/lab/faults/harness_test.go
@@ -72,7 +72,7 @@
 	})
 	assert.NilError(t, f.Start())
 	f.options.Requests, f.options.Rate, f.options.Tickers = 800, 100, 3
-	f.options.Timeout, f.options.IdleTimeout, f.options.NoTickets = 6*time.Second, 3*time.Second, true
+	f.options.Timeout, f.options.IdleTimeout = 6*time.Second, 3*time.Second
 	if change != nil {
 		change(&f.options)
 	}
