--- a/lab/platform/store.go
+++ b/lab/platform/store.go
@@ -97,9 +97,16 @@
 	return e.newest, ok, s.changed
 }
 
-// wait returns the value of key as soon as its revision differs from after,
+// staleAnswer is how long a waiting read lasts whose answer is older than what
+// the reader has.
+const staleAnswer = 200 * time.Millisecond
+
+// wait returns the value of key as soon as its revision is higher than after,
 // and the current value when the wait is over.
 func (s *store) wait(ctx context.Context, key string, after uint64, limit time.Duration) (Value, bool) {
+	if v, ok, _ := s.get(key); ok && v.Revision < after {
+		limit = min(limit, staleAnswer)
+	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
