returnpath: callers' datagrams stand in for pings

Cause: at the planned size an agent with 1,750 flows pinged 6 balancers every 100 ms, which is 62 KB/s in each direction at a balancer, against 22 KB/s. Ruled out: 2 pings per round, which leaves no spare when a balancer falls silent and still needs 21 KB/s. Change: no pings while callers' datagrams of the last 50 ms came from as many balancers as share the responses. One that falls silent is replaced by one of those. The naive version of the differential test has the same rule.

--- a/core/returnpath/measure_test.go
+++ b/core/returnpath/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"testing"
@@ -48,3 +49,42 @@
 		})
 	}
 }
+
+// Guards against pings of an agent whose callers' datagrams already show which
+// balancers are alive, and against none when they do not: 1,750 flows behind
+// 600 balancers with a datagram each second, and 10 such flows behind 3
+// balancers. With a keep-alive every 15 s only, the number is reported.
+func TestTrafficReplacesPings(t *testing.T) {
+	most := 10 * DefaultPingMax * int(time.Second/DefaultPingEvery)
+	for _, c := range []struct{ balancers, perSecond, least, most int }{
+		{600, 1750, 0, 0}, {600, 1750 / 15, 0, most}, {3, 10, 100, most / 2},
+	} {
+		pings := pingsUnderLoad(c.balancers, c.perSecond)
+		t.Logf("slope: %d balancers, %d datagrams/s of callers: %.1f pings/s", c.balancers, c.perSecond, float64(pings)/10)
+		assert.Assert(t, pings <= c.most && pings >= c.least, "%d pings in 10 s", pings)
+	}
+}
+
+// pingsUnderLoad counts the pings of ten seconds in which callers' datagrams
+// arrive as a Poisson process over random balancers, each with a response.
+func pingsUnderLoad(balancers, perSecond int) int {
+	s := New(Limits{})
+	random := rand.New(rand.NewPCG(1, 0))
+	pings, next := 0, time.Duration(0)
+	for now := time.Duration(0); now < 11*time.Second; now += time.Millisecond {
+		for ; next <= now; next += time.Duration(random.ExpFloat64() / float64(perSecond) * float64(time.Second)) {
+			s.Heard(now, addr(random.IntN(balancers)), false)
+			s.Next(now)
+		}
+		if now%(25*ms) != 0 {
+			continue
+		}
+		for _, to := range slices.Clone(s.Pings(now)) {
+			s.Heard(now, to, false)
+			if now >= time.Second {
+				pings++
+			}
+		}
+	}
+	return pings
+}
--- a/core/returnpath/rapid_test.go
+++ b/core/returnpath/rapid_test.go
@@ -115,14 +115,21 @@
 				}
 				n.pinged = now
 				var stay, need []netip.AddrPort
+				alive := 0
 				for _, e := range n.known {
 					if !e.leaving {
 						stay = append(stay, e.addr)
+						if !e.old && now-e.heard < limits.PingEvery/2 {
+							alive++
+						}
 						if e.old || now-e.heard >= limits.PingEvery/2 {
 							need = append(need, e.addr)
 						}
 					}
 				}
+				if alive >= limits.Spread {
+					need, stay = nil, nil
+				}
 				for i, a := range got {
 					if !slices.Contains(need, a) || slices.Contains(got[:i], a) {
 						t.Fatalf("%v needs no ping: %v", a, got)
--- a/core/returnpath/returnpath.go
+++ b/core/returnpath/returnpath.go
@@ -159,8 +159,11 @@
 
 // Pings returns the balancers to ping now. Call it on every tick; it returns
 // none while the agent sends no responses or before the interval has passed.
-// Balancers heard from within half an interval need no ping. The rest of the
-// budget goes to the balancers heard from most recently, so that replacements
+// Balancers heard from within half an interval need no ping, and none is
+// pinged while callers' datagrams alone show that enough balancers are alive:
+// a balancer in use that falls silent is then replaced by one of those. An
+// agent with many flows behind many balancers so sends no pings. The rest of
+// the budget goes to the balancers heard from most recently, so that replacements
 // are known to be alive when one in use is lost. The result is valid until
 // the next call.
 func (s *Set) Pings(now time.Duration) []netip.AddrPort {
@@ -174,6 +177,9 @@
 	s.pinged = instant{s.now, true}
 	s.dropUnusable()
 	s.batch = s.batch[:0]
+	if s.trafficSuffices() {
+		return nil
+	}
 	budget := s.limits.PingMax
 	for _, e := range s.used {
 		s.ping(e, &budget)
@@ -186,6 +192,23 @@
 	return s.batch
 }
 
+// trafficSuffices says that as many balancers as share the responses were
+// heard from within half a ping interval. A Pong of the last round is older, so
+// that answers to pings alone do not stretch the interval.
+func (s *Set) trafficSuffices() bool {
+	heard := 0
+	for el := s.recent.Front(); el != nil && heard < s.limits.Spread; el = el.Next() {
+		e := el.Value.(*entry)
+		if e.epoch != s.epoch || s.now-e.heard >= s.limits.PingEvery/2 {
+			break
+		}
+		if !e.leaving {
+			heard++
+		}
+	}
+	return heard >= s.limits.Spread
+}
+
 // ping spends one unit of the budget on a balancer, also if it was heard from
 // so recently that it needs no ping.
 func (s *Set) ping(e *entry, budget *int) {
