--- a/core/admission/machine.go
+++ b/core/admission/machine.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -136,23 +137,15 @@
 }
 
 func (l Limits) withDefaults() Limits {
-	l.Slots = orDefault(l.Slots, 1)
-	l.Speed = orDefault(l.Speed, 1)
-	l.QueuePerSlot = orDefault(l.QueuePerSlot, 4)
-	l.HandOverPeers = orDefault(l.HandOverPeers, 3)
-	l.RetryBudgetPercent = orDefault(l.RetryBudgetPercent, 10)
-	l.Bias = orDefault(l.Bias, config.BiasBalance)
+	l.Slots = cmp.Or(l.Slots, 1)
+	l.Speed = cmp.Or(l.Speed, 1)
+	l.QueuePerSlot = cmp.Or(l.QueuePerSlot, 4)
+	l.HandOverPeers = cmp.Or(l.HandOverPeers, 3)
+	l.RetryBudgetPercent = cmp.Or(l.RetryBudgetPercent, 10)
+	l.Bias = cmp.Or(l.Bias, config.BiasBalance)
 	return l
 }
 
-func orDefault[T comparable](v, fallback T) T {
-	var zero T
-	if v == zero {
-		return fallback
-	}
-	return v
-}
-
 // drain stops local starts. Waiting requests that came with a grant cannot go
 // anywhere else; their senders place them again.
 func (m *Machine) drain() {
--- a/core/admission/peers.go
+++ b/core/admission/peers.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -53,7 +54,7 @@
 		if p == nil {
 			p = &peer{}
 		}
-		c.Slots, c.Speed = max(c.Slots, 1), orDefault(c.Speed, 1)
+		c.Slots, c.Speed = max(c.Slots, 1), cmp.Or(c.Speed, 1)
 		p.Peer = c
 		if s.byID[c.ID] == nil {
 			s.list = append(s.list, p)
--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -35,20 +36,14 @@
 )
 
 func (l HealthLimits) withDefaults() HealthLimits {
-	setDefault(&l.Echoes, DefaultEchoes)
-	setDefault(&l.Silence, DefaultSilence)
-	setDefault(&l.ConfirmAfter, DefaultConfirmAfter)
-	setDefault(&l.ProbeEvery, DefaultProbeEvery)
-	setDefault(&l.PauseGap, DefaultPauseGap)
+	l.Echoes = cmp.Or(l.Echoes, DefaultEchoes)
+	l.Silence = cmp.Or(l.Silence, DefaultSilence)
+	l.ConfirmAfter = cmp.Or(l.ConfirmAfter, DefaultConfirmAfter)
+	l.ProbeEvery = cmp.Or(l.ProbeEvery, DefaultProbeEvery)
+	l.PauseGap = cmp.Or(l.PauseGap, DefaultPauseGap)
 	return l
 }
 
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v <= 0 {
-		*v = d
-	}
-}
-
 // Probe is a Ping to send.
 type Probe struct {
 	Agent   netip.AddrPort
--- a/core/returnpath/returnpath.go
+++ b/core/returnpath/returnpath.go
@@ -16,6 +16,7 @@
 package returnpath
 
 import (
+	"cmp"
 	"container/list"
 	"net/netip"
 	"slices"
@@ -60,22 +61,16 @@
 )
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.Fresh, DefaultFresh)
-	setDefault(&l.Spread, DefaultSpread)
-	setDefault(&l.Active, DefaultActive)
-	setDefault(&l.PingEvery, DefaultPingEvery)
-	setDefault(&l.PingMax, DefaultPingMax)
-	setDefault(&l.LeavingHold, DefaultLeavingHold)
-	setDefault(&l.Max, DefaultMax)
+	l.Fresh = cmp.Or(l.Fresh, DefaultFresh)
+	l.Spread = cmp.Or(l.Spread, DefaultSpread)
+	l.Active = cmp.Or(l.Active, DefaultActive)
+	l.PingEvery = cmp.Or(l.PingEvery, DefaultPingEvery)
+	l.PingMax = cmp.Or(l.PingMax, DefaultPingMax)
+	l.LeavingHold = cmp.Or(l.LeavingHold, DefaultLeavingHold)
+	l.Max = cmp.Or(l.Max, DefaultMax)
 	return l
 }
 
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v <= 0 {
-		*v = d
-	}
-}
-
 type entry struct {
 	addr    netip.AddrPort
 	heard   time.Duration
--- a/core/ticket/home.go
+++ b/core/ticket/home.go
@@ -174,19 +174,10 @@
 // granted or was released, nothing more is granted, and ErrNotGranted reports
 // the fault. ErrCompleted reports that another attempt completed before.
 func (h *Home) Complete(now time.Duration, c Complete) error {
-	k, e, err := h.find(now, c.Ticket)
+	e, err := h.findOrInsert(now, c.Ticket)
 	if err != nil {
 		return err
 	}
-	if e == nil {
-		if !h.valid(k) {
-			return ErrExpired
-		}
-		if len(h.entries) >= h.limits.MaxTickets {
-			return ErrFull
-		}
-		e = h.insert(k)
-	}
 	if e.state == stateDone {
 		if e.attempt == c.Attempt {
 			return nil
@@ -218,19 +209,10 @@
 // attempt is released but another one is running or has run. See Settled for
 // whether the Release must be sent again.
 func (h *Home) Release(now time.Duration, r Release) error {
-	k, e, err := h.find(now, r.Ticket)
+	e, err := h.findOrInsert(now, r.Ticket)
 	if err != nil {
 		return err
 	}
-	if e == nil {
-		if !h.valid(k) {
-			return ErrExpired
-		}
-		if len(h.entries) >= h.limits.MaxTickets {
-			return ErrFull
-		}
-		e = h.insert(k)
-	}
 	if e.state == stateDone {
 		return ErrCompleted
 	}
@@ -307,19 +289,27 @@
 	return Stats{len(h.entries), h.bytes, len(h.origins), h.frozen}
 }
 
-// find returns the key and the entry of a ticket. The entry is nil if the
-// ticket is unused or expired.
-func (h *Home) find(now time.Duration, t Ticket) (key, *entry, error) {
+// findOrInsert returns the entry of a ticket, and a new one if the ticket is
+// valid and unused.
+func (h *Home) findOrInsert(now time.Duration, t Ticket) (*entry, error) {
 	h.Tick(now)
 	if h.frozen {
-		return key{}, nil, ErrFrozen
+		return nil, ErrFrozen
 	}
 	o := h.origins[t.Origin()]
 	if o == nil {
-		return key{}, nil, ErrNotHome
+		return nil, ErrNotHome
 	}
 	k := keyOf(o, t)
-	return k, h.entries[k], nil
+	switch e := h.entries[k]; {
+	case e != nil:
+		return e, nil
+	case !h.valid(k):
+		return nil, ErrExpired
+	case len(h.entries) >= h.limits.MaxTickets:
+		return nil, ErrFull
+	}
+	return h.insert(k), nil
 }
 
 func keyOf(o *origin, t Ticket) key { return key{o, t.Issued, t.Nonce} }
--- a/core/ticket/messages.go
+++ b/core/ticket/messages.go
@@ -1,6 +1,7 @@
 package ticket
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -195,18 +196,12 @@
 )
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.Lifetime, DefaultLifetime)
-	setDefault(&l.MaxTickets, DefaultMaxTickets)
-	setDefault(&l.MaxReleased, DefaultMaxReleased)
-	setDefault(&l.MaxAnswer, DefaultMaxAnswer)
-	setDefault(&l.MaxAnswerBytes, DefaultMaxAnswerBytes)
-	setDefault(&l.AnswerKeep, DefaultAnswerKeep)
-	setDefault(&l.MaxOrigins, DefaultMaxOrigins)
+	l.Lifetime = cmp.Or(l.Lifetime, DefaultLifetime)
+	l.MaxTickets = cmp.Or(l.MaxTickets, DefaultMaxTickets)
+	l.MaxReleased = cmp.Or(l.MaxReleased, DefaultMaxReleased)
+	l.MaxAnswer = cmp.Or(l.MaxAnswer, DefaultMaxAnswer)
+	l.MaxAnswerBytes = cmp.Or(l.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	l.AnswerKeep = cmp.Or(l.AnswerKeep, DefaultAnswerKeep)
+	l.MaxOrigins = cmp.Or(l.MaxOrigins, DefaultMaxOrigins)
 	return l
 }
-
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v <= 0 {
-		*v = d
-	}
-}
--- a/core/ticket/successions.go
+++ b/core/ticket/successions.go
@@ -1,6 +1,7 @@
 package ticket
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -45,8 +46,8 @@
 
 // NewSuccessions returns an empty table.
 func NewSuccessions(limits SuccessionLimits) *Successions {
-	setDefault(&limits.Max, DefaultMaxSuccessions)
-	setDefault(&limits.Keep, DefaultSuccessionsKeep)
+	limits.Max = cmp.Or(limits.Max, DefaultMaxSuccessions)
+	limits.Keep = cmp.Or(limits.Keep, DefaultSuccessionsKeep)
 	return &Successions{limits: limits, table: make(map[Identity]recorded)}
 }
 
