--- a/core/distribution/machine.go
+++ b/core/distribution/machine.go
@@ -19,8 +19,8 @@
 	Current config.Head
 }
 
-// sighting is a head above the current one, and where it was seen.
-type sighting struct {
+// candidate is a head above the current one, and where it was seen.
+type candidate struct {
 	head config.Head
 	from Origin
 }
@@ -59,11 +59,11 @@
 	nextAsk     time.Duration
 	nextVersion time.Duration
 
-	fetching  bool
-	fetch     sighting
-	sightings []sighting
-	rejected  []config.Head
-	conflicts []config.Head
+	fetching   bool
+	fetch      candidate
+	candidates []candidate
+	rejected   []config.Head
+	conflicts  []config.Head
 }
 
 // New returns a Machine without a configuration.
@@ -233,24 +233,24 @@
 	if !config.Less(m.current, head) || slices.Contains(m.rejected, head) {
 		return
 	}
-	s := sighting{head, from}
-	if slices.Contains(m.sightings, s) || (m.fetching && m.fetch == s) {
+	s := candidate{head, from}
+	if slices.Contains(m.candidates, s) || (m.fetching && m.fetch == s) {
 		return
 	}
-	m.sightings = append(m.sightings, s)
-	if len(m.sightings) > maxSightings {
+	m.candidates = append(m.candidates, s)
+	if len(m.candidates) > maxCandidates {
 		m.dropLowest()
 	}
 }
 
 func (m *Machine) dropLowest() {
 	lowest := 0
-	for i, s := range m.sightings {
-		if config.Less(s.head, m.sightings[lowest].head) {
+	for i, s := range m.candidates {
+		if config.Less(s.head, m.candidates[lowest].head) {
 			lowest = i
 		}
 	}
-	m.sightings = slices.Delete(m.sightings, lowest, lowest+1)
+	m.candidates = slices.Delete(m.candidates, lowest, lowest+1)
 }
 
 // checkConflict reports a second content of one version, once per content.
@@ -272,14 +272,14 @@
 // startFetch fetches the highest head that was seen. A peer is preferred to
 // the platform, whose calls are limited.
 func (m *Machine) startFetch(now time.Duration) {
-	m.sightings = slices.DeleteFunc(m.sightings, func(s sighting) bool {
+	m.candidates = slices.DeleteFunc(m.candidates, func(s candidate) bool {
 		return !config.Less(m.current, s.head) || slices.Contains(m.rejected, s.head)
 	})
-	if m.fetching || len(m.sightings) == 0 {
+	if m.fetching || len(m.candidates) == 0 {
 		return
 	}
-	best := m.sightings[0]
-	for _, s := range m.sightings[1:] {
+	best := m.candidates[0]
+	for _, s := range m.candidates[1:] {
 		if c := config.Compare(s.head, best.head); c > 0 || (c == 0 && best.from == Platform) {
 			best = s
 		}
@@ -299,7 +299,7 @@
 }
 
 func (m *Machine) endFetch(from Origin, head config.Head) {
-	m.sightings = slices.DeleteFunc(m.sightings, func(s sighting) bool { return s == sighting{head, from} || s == m.fetch })
+	m.candidates = slices.DeleteFunc(m.candidates, func(s candidate) bool { return s == candidate{head, from} || s == m.fetch })
 	m.fetching = false
 }
 
@@ -335,7 +335,7 @@
 	if m.ready || m.current.IsZero() {
 		return
 	}
-	answered := len(m.asked) == 0 && m.listed && !m.fetching && len(m.sightings) == 0
+	answered := len(m.asked) == 0 && m.listed && !m.fetching && len(m.candidates) == 0
 	if answered || now >= m.startBefore {
 		m.ready = true
 		m.emit(Ready{})
--- a/core/distribution/types.go
+++ b/core/distribution/types.go
@@ -52,8 +52,8 @@
 	freePolls = 3
 	// maxRejected bounds the memory for heads that are not valid.
 	maxRejected = 64
-	// maxSightings bounds the memory for heads that could be fetched.
-	maxSightings = 8
+	// maxCandidates bounds the memory for heads that could be fetched.
+	maxCandidates = 8
 )
 
 // Origin is where a configuration can be fetched: the platform, or the VM of
--- a/lab/load/session.go
+++ b/lab/load/session.go
@@ -10,7 +10,7 @@
 // maxDials bounds the connections that a session opens for one attempt.
 const maxDials = 5
 
-// session is a caller with one connection at a time and a purse of tickets.
+// session is a caller with one connection at a time and its unused tickets.
 type session struct {
 	options *Options
 	service Service
--- a/node/balancer/balancer_test.go
+++ b/node/balancer/balancer_test.go
@@ -24,8 +24,8 @@
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
-// patience bounds waits, generously, because the machine may be busy.
-const patience = 20 * time.Second
+// waitLimit bounds waits, generously, because the machine may be busy.
+const waitLimit = 20 * time.Second
 
 type testKeys struct {
 	id    *connid.Codec
@@ -103,7 +103,7 @@
 // receive waits for the next datagram of the given kind.
 func (a *fakeAgent) receive(kind wire.Kind) (h wire.Header, payload []byte, from netip.AddrPort) {
 	a.t.Helper()
-	assert.NilError(a.t, a.conn.SetReadDeadline(time.Now().Add(patience)))
+	assert.NilError(a.t, a.conn.SetReadDeadline(time.Now().Add(waitLimit)))
 	for {
 		n, from, err := a.conn.ReadFromUDPAddrPort(a.buf[:])
 		assert.NilError(a.t, err)
@@ -200,7 +200,7 @@
 			return poll.Success()
 		}
 		return poll.Continue("waiting: %s: %+v", what, f.Status())
-	}, poll.WithTimeout(patience), poll.WithDelay(5*time.Millisecond))
+	}, poll.WithTimeout(waitLimit), poll.WithDelay(5*time.Millisecond))
 }
 
 func (f *fixture) address(service int) netip.AddrPort { return f.Status().Services[service].Listen }
@@ -232,7 +232,7 @@
 	a.send(from, wire.Header{Kind: wire.Pong, Service: 1, Sequence: h.Sequence}, "")
 	a.send(from, wire.Header{Kind: wire.Return, Service: 1, Caller: h.Caller}, "answer")
 	var buf [64]byte
-	assert.NilError(t, f.caller.SetReadDeadline(time.Now().Add(patience)))
+	assert.NilError(t, f.caller.SetReadDeadline(time.Now().Add(waitLimit)))
 	n, sender, err := f.caller.ReadFromUDPAddrPort(buf[:])
 	assert.NilError(t, err)
 	assert.Equal(t, string(buf[:n]), "answer")
