faults: a version counts when the role decides by it

Cause: TestTargetAdded passed with balancers that apply only their first configuration: the tests looked at the version that a process has adopted, and the new target got requests by hand-over. Ruled out: too little load; the new target had requests in both cases. Change: AwaitVersion also looks at the version that the balancer or the agent has applied. Result, in a scratch copy with the mechanism removed: TestTargetAdded passes before and fails after (balancer-1 does not meet the condition). TestPlatformDown fails when the wait between polls is an hour.

--- a/lab/system/operator.go
+++ b/lab/system/operator.go
@@ -76,14 +76,26 @@
 	return statuses
 }
 
-// AwaitVersion waits until every running balancer and agent is ready and has
-// the version or a higher one.
+// AwaitVersion waits until every running balancer and agent is ready, and its
+// role decides by the version or a higher one.
 func (s *System) AwaitVersion(version uint64, limit time.Duration) error {
 	return s.Await(limit, func(status process.Status) bool {
-		return status.Configuration.Ready && status.Configuration.Version >= version
+		return status.Configuration.Ready && min(status.Configuration.Version, roleVersion(status)) >= version
 	})
 }
 
+// roleVersion returns the configuration version that the role of a process has
+// applied. A process adopts a version before its role applies it.
+func roleVersion(status process.Status) uint64 {
+	detail, _ := status.Detail.(map[string]any)
+	for _, field := range []string{"config_version", "version"} {
+		if version, ok := detail[field].(float64); ok {
+			return uint64(version)
+		}
+	}
+	return 0
+}
+
 // Await waits until every running balancer and agent meets a condition.
 func (s *System) Await(limit time.Duration, met func(process.Status) bool) error {
 	deadline := time.Now().Add(limit)
