check: read the package lists before spin is installed

Cause: on a machine without package lists the installation of spin fails, and with it the check. Change: apt-get update first. Result: bash -n; the branch is not taken here, because spin is installed.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -41,7 +41,8 @@
 		return
 	fi
 	if ! command -v spin >/dev/null; then
-		apt-get install -y --no-install-recommends spin || fail "spin is missing and cannot be installed; the specification was not checked"
+		# A new machine has no package lists yet.
+		{ apt-get update -q && apt-get install -y -q --no-install-recommends spin; } || fail "spin is missing and cannot be installed; the specification was not checked"
 	fi
 	bash spec/check.sh
 }
