--- /dev/null
+++ b/core/dispatch/dispatch.go
@@ -0,0 +1,264 @@
+// Package dispatch decides at a balancer where a caller's packet goes: an
+// opening packet to the home of its flow, another packet to the owner of the
+// flow, or to the home if the owner is not known. It has no I/O and no clock.
+//
+// Invariants:
+//   - A packet that is reset here has reached no target.
+//   - The table of owners is bounded; a lost entry costs one detour.
+package dispatch
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/plane"
+	"trefoilweir.example/core/relay"
+)
+
+// Times and bounds.
+const (
+	// homeTimeout is how long the owner of a new flow may take to report
+	// before the opening packet goes to the next home.
+	homeTimeout = 60 * time.Millisecond
+	// suspectFor is how long a home that did not report is avoided.
+	suspectFor = time.Second
+	// entryIdle is how long an entry of an idle flow is kept.
+	entryIdle = 30 * time.Second
+	// maxEntries bounds the table of owners.
+	maxEntries = 200_000
+	// sweepEvery is the time between sweeps of the table.
+	sweepEvery = 2 * time.Second
+	// freshView is the age up to which the absence of a route is certain.
+	freshView = 3 * time.Second
+)
+
+type owner struct {
+	agent netip.Addr
+	seen  time.Duration
+}
+
+// opening is an opening packet whose owner has not reported yet.
+type opening struct {
+	raw     []byte
+	service string
+	sent    time.Duration
+	homes   []netip.Addr
+	next    int
+}
+
+// Machine is the state of one balancer. It is not safe for concurrent use.
+type Machine struct {
+	self       netip.Addr
+	dataCentre string
+	codec      flow.Codec
+	view       *fleet.View
+
+	owners   map[flow.Key]*owner
+	openings map[flow.Key]*opening
+	suspects map[netip.Addr]time.Duration
+	swept    time.Duration
+	scratch  []netip.Addr
+}
+
+// New returns a Machine that decides by a view.
+func New(self netip.Addr, dataCentre string, codec flow.Codec, view *fleet.View) *Machine {
+	return &Machine{
+		self: self, dataCentre: dataCentre, codec: codec, view: view,
+		owners: map[flow.Key]*owner{}, openings: map[flow.Key]*opening{}, suspects: map[netip.Addr]time.Duration{},
+	}
+}
+
+// Flows returns the number of flows in the table.
+func (m *Machine) Flows() int { return len(m.owners) }
+
+// Waiting reports whether Tick has timeouts to watch.
+func (m *Machine) Waiting() bool { return len(m.openings) > 0 }
+
+// FromCaller takes a packet of a caller.
+func (m *Machine) FromCaller(now time.Duration, raw []byte, out *plane.Out) {
+	p, err := m.codec.FromCaller(raw)
+	if err != nil {
+		out.Event(plane.Event{Kind: plane.EventDropped, Reason: "malformed"})
+		return
+	}
+	if p.Open {
+		m.open(now, &p, out)
+		return
+	}
+	if e := m.owners[p.Key]; e != nil {
+		e.seen = now
+		m.forward(e.agent, m.serviceOf(&p), &p, out)
+		return
+	}
+	m.forwardUnknown(now, &p, out)
+}
+
+// serviceOf returns the service of a packet's route, also of a removed one.
+func (m *Machine) serviceOf(p *flow.Packet) string {
+	r, ok := m.view.Route(p.Key.Service())
+	if !ok {
+		r, ok = m.view.RetiredRoute(p.Key.Service())
+	}
+	if !ok {
+		return ""
+	}
+	return r.ServiceOf(p.Key.Hash())
+}
+
+func (m *Machine) forward(to netip.Addr, service string, p *flow.Packet, out *plane.Out) {
+	out.Send(to, relay.Message{Kind: relay.Packet, Service: relay.ServiceTag(service), Origin: m.self, Body: p.Raw})
+}
+
+// forwardUnknown sends a packet of a flow whose owner is not known to the home
+// of the flow.
+func (m *Machine) forwardUnknown(now time.Duration, p *flow.Packet, out *plane.Out) {
+	service := m.serviceOf(p)
+	if service == "" {
+		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Reason: "no_route"})
+		return
+	}
+	homes := m.homes(now, service, p.Key)
+	if len(homes) == 0 {
+		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Reason: "no_target"})
+		return
+	}
+	m.forward(homes[0], service, p, out)
+}
+
+// homes returns the homes of a flow in order, suspects last.
+func (m *Machine) homes(now time.Duration, service string, key flow.Key) []netip.Addr {
+	hash := key.Hash()
+	m.scratch = m.scratch[:0]
+	for _, targets := range [][]*fleet.Target{m.ready(service), m.view.Targets(service), m.view.Former(service)} {
+		if m.scratch = fleet.Homes(m.scratch, targets, hash, m.dataCentre); len(m.scratch) > 0 {
+			break
+		}
+	}
+	slices.SortStableFunc(m.scratch, func(a, b netip.Addr) int { return m.suspect(now, a) - m.suspect(now, b) })
+	return m.scratch
+}
+
+func (m *Machine) ready(service string) []*fleet.Target {
+	var ready []*fleet.Target
+	for _, t := range m.view.Targets(service) {
+		if t.State == fleet.Ready {
+			ready = append(ready, t)
+		}
+	}
+	return ready
+}
+
+func (m *Machine) suspect(now time.Duration, agent netip.Addr) int {
+	if until, ok := m.suspects[agent]; ok && now < until {
+		return 1
+	}
+	return 0
+}
+
+func (m *Machine) open(now time.Duration, p *flow.Packet, out *plane.Out) {
+	r, ok := m.view.Route(p.Key.Service())
+	if !ok {
+		m.refuseRoute(now, p, out)
+		return
+	}
+	service := r.ServiceOf(p.Key.Hash())
+	homes := m.homes(now, service, p.Key)
+	if len(homes) == 0 {
+		m.reset(p, "no_target", out)
+		return
+	}
+	delete(m.owners, p.Key)
+	o := &opening{raw: slices.Clone(p.Raw), service: service, homes: slices.Clone(homes)}
+	// A copy says that the first home did not bring about an answer.
+	o.next = int(p.Ack) % len(homes)
+	m.openings[p.Key] = o
+	m.sendOpening(now, o, out)
+}
+
+func (m *Machine) sendOpening(now time.Duration, o *opening, out *plane.Out) {
+	home := o.homes[o.next%len(o.homes)]
+	o.next++
+	o.sent = now
+	out.Send(home, relay.Message{Kind: relay.Open, Service: relay.ServiceTag(o.service), Origin: m.self, Home: home, Body: o.raw})
+}
+
+// refuseRoute answers a caller whose address has no route. A view that may be
+// old says nothing, because the route may be new.
+func (m *Machine) refuseRoute(now time.Duration, p *flow.Packet, out *plane.Out) {
+	if age := m.view.Age(now); age > freshView {
+		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Reason: "no_route_old_view", Value: age.Milliseconds()})
+		return
+	}
+	m.reset(p, "no_route", out)
+}
+
+// reset refuses an opening packet. It has reached no target.
+func (m *Machine) reset(p *flow.Packet, reason string, out *plane.Out) {
+	out.ToCaller = append(out.ToCaller, plane.CallerPacket{IP: p.Key.CallerIP, Raw: m.codec.Reset(p.Key, 0)})
+	out.Event(plane.Event{Kind: plane.EventRefused, Flow: p.Key, Reason: reason, Value: int64(m.view.Version())})
+}
+
+// FromPeer takes a datagram of another process.
+func (m *Machine) FromPeer(now time.Duration, from netip.Addr, msg *relay.Message, out *plane.Out) {
+	if msg.Kind != relay.Owner {
+		return
+	}
+	m.owned(now, from, msg)
+}
+
+func (m *Machine) owned(now time.Duration, from netip.Addr, msg *relay.Message) {
+	if o := m.openings[msg.Flow]; o != nil {
+		// The home that was asked last is the one that works.
+		delete(m.suspects, o.homes[(o.next-1)%len(o.homes)])
+		delete(m.openings, msg.Flow)
+	}
+	e := m.owners[msg.Flow]
+	if e == nil {
+		if len(m.owners) >= maxEntries {
+			return
+		}
+		e = &owner{}
+		m.owners[msg.Flow] = e
+	}
+	e.agent, e.seen = from, now
+}
+
+// Tick passes time.
+func (m *Machine) Tick(now time.Duration, out *plane.Out) {
+	for key, o := range m.openings {
+		if now-o.sent < homeTimeout {
+			continue
+		}
+		failed := o.homes[(o.next-1)%len(o.homes)]
+		if m.suspect(now, failed) == 0 {
+			out.Event(plane.Event{Kind: plane.EventSuspected, Flow: key, Peer: failed, Reason: "no_owner_reported", Value: (now - o.sent).Milliseconds()})
+		}
+		m.suspects[failed] = now + suspectFor
+		if o.next >= len(o.homes) {
+			delete(m.openings, key)
+			continue
+		}
+		out.Event(plane.Event{Kind: plane.EventNextHome, Flow: key, Peer: o.homes[o.next]})
+		m.sendOpening(now, o, out)
+	}
+	if now-m.swept >= sweepEvery {
+		m.sweep(now)
+	}
+}
+
+func (m *Machine) sweep(now time.Duration) {
+	m.swept = now
+	for key, e := range m.owners {
+		if now-e.seen > entryIdle {
+			delete(m.owners, key)
+		}
+	}
+	for agent, until := range m.suspects {
+		if now >= until {
+			delete(m.suspects, agent)
+		}
+	}
+}
--- /dev/null
+++ b/core/fleet/rank.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"cmp"
+	"encoding/binary"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Homes appends the agents of a service in the order in which they are home
+// to a flow: those in the data centre first, and by rendezvous hash within.
+// All balancers of a data centre with the same view agree on the order.
+func Homes(dst []netip.Addr, targets []*Target, hash uint64, dataCentre string) []netip.Addr {
+	type ranked struct {
+		agent netip.Addr
+		near  bool
+		score uint64
+	}
+	order := make([]ranked, 0, len(targets))
+	for _, t := range targets {
+		order = append(order, ranked{t.Agent(), t.DataCentre == dataCentre, Score(hash, t.Agent())})
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		if a.near != b.near {
+			if a.near {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.score, a.score), a.agent.Compare(b.agent))
+	})
+	for _, r := range order {
+		dst = append(dst, r.agent)
+	}
+	return dst
+}
+
+// Score is the rendezvous score of an agent for a hash.
+func Score(hash uint64, agent netip.Addr) uint64 {
+	var b [8 + 4]byte
+	binary.BigEndian.PutUint64(b[:], hash)
+	ip := agent.As4()
+	copy(b[8:], ip[:])
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/core/fleet/view.go
@@ -0,0 +1,339 @@
+package fleet
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// entry is the newest known state of one ID.
+type entry struct {
+	revision uint64
+	target   *Target
+	// last is the last readable state of a removed entry.
+	last *Target
+	// since is when the entry was removed.
+	since time.Duration
+}
+
+// View is the fleet as one process knows it. It is not safe for concurrent
+// use.
+type View struct {
+	revision uint64
+	// floor is the lowest revision from which a delta is complete.
+	floor   uint64
+	entries map[string]*entry
+
+	config         *Config
+	configRevision uint64
+	routes         map[netip.AddrPort]*Route
+	retired        map[netip.AddrPort]retiredRoute
+
+	// confirmed is when the revision was last known to be the newest.
+	confirmed time.Duration
+	everKnown bool
+	// disturbed is when a reader last failed to reach the platform.
+	disturbed    time.Duration
+	wasDisturbed bool
+
+	services map[string][]*Target
+	sorted   bool
+}
+
+type retiredRoute struct {
+	route *Route
+	since time.Duration
+}
+
+// New returns an empty view.
+func New() *View {
+	return &View{entries: map[string]*entry{}, routes: map[netip.AddrPort]*Route{}, retired: map[netip.AddrPort]retiredRoute{}}
+}
+
+// Revision returns the revision of the newest change in the view.
+func (v *View) Revision() uint64 { return v.revision }
+
+// Version returns the version of the routes, 0 if there are none.
+func (v *View) Version() uint64 {
+	if v.config == nil {
+		return 0
+	}
+	return v.config.Version
+}
+
+// Usable reports whether new flows can be placed by the view.
+func (v *View) Usable() bool { return v.config != nil }
+
+// IdleTimeout returns after how long an idle flow may be discarded, 0 if it is
+// not known.
+func (v *View) IdleTimeout() time.Duration {
+	if v.config == nil {
+		return 0
+	}
+	return time.Duration(v.config.IdleTimeoutMS) * time.Millisecond
+}
+
+// Apply adds a delta and reports what it changed. A delta that is behind the
+// view changes nothing.
+func (v *View) Apply(now time.Duration, d *Delta) (targets, config bool) {
+	behind := d.Revision < v.revision
+	for i := range d.Changes {
+		targets = v.change(now, &d.Changes[i]) || targets
+	}
+	if d.Full {
+		at := cmp.Or(d.Listed, d.Revision)
+		targets = v.removeUnnamed(now, d, at) || targets
+		v.floor = max(v.floor, at)
+	}
+	if d.Config != nil && (v.config == nil || d.Config.Version > v.config.Version) {
+		v.setConfig(now, d.Config, d.ConfigRevision)
+		v.revision = max(v.revision, d.ConfigRevision)
+		config = true
+	}
+	v.revision = max(v.revision, d.Revision)
+	if !behind {
+		v.Confirm(now, time.Duration(d.ConfirmedMS)*time.Millisecond, v.revision)
+	}
+	if targets {
+		v.sorted = false
+	}
+	return targets, config
+}
+
+func (v *View) change(now time.Duration, c *Change) bool {
+	e := v.entries[c.ID]
+	if e == nil {
+		e = &entry{}
+		v.entries[c.ID] = e
+	}
+	if c.Revision <= e.revision {
+		return false
+	}
+	e.revision = c.Revision
+	v.revision = max(v.revision, c.Revision)
+	if c.Target == nil {
+		return v.remove(now, e)
+	}
+	e.target, e.last = c.Target, nil
+	return true
+}
+
+func (v *View) remove(now time.Duration, e *entry) bool {
+	if e.target == nil {
+		return false
+	}
+	e.last, e.target, e.since = e.target, nil, now
+	return true
+}
+
+// removeUnnamed removes the targets that a full delta does not name.
+func (v *View) removeUnnamed(now time.Duration, d *Delta, at uint64) (changed bool) {
+	named := make(map[string]bool, len(d.Changes))
+	for i := range d.Changes {
+		named[d.Changes[i].ID] = true
+	}
+	for id, e := range v.entries {
+		if !named[id] && e.target != nil && e.revision <= at {
+			e.revision = at
+			v.revision = max(v.revision, at)
+			changed = v.remove(now, e) || changed
+		}
+	}
+	return changed
+}
+
+func (v *View) setConfig(now time.Duration, c *Config, revision uint64) {
+	routes := make(map[netip.AddrPort]*Route, len(c.Routes))
+	for i := range c.Routes {
+		routes[c.Routes[i].Address] = &c.Routes[i]
+	}
+	for address, r := range v.routes {
+		if routes[address] == nil {
+			v.retired[address] = retiredRoute{r, now}
+		}
+	}
+	for address := range routes {
+		delete(v.retired, address)
+	}
+	v.config, v.configRevision, v.routes = c, max(revision, v.configRevision), routes
+}
+
+// Confirm notes that the newest change was known some time ago to be that of a
+// revision. It says nothing about a view that has a newer one.
+func (v *View) Confirm(now, age time.Duration, revision uint64) {
+	if revision < v.revision {
+		return
+	}
+	if at := now - age; !v.everKnown || at > v.confirmed {
+		v.confirmed, v.everKnown = at, true
+	}
+}
+
+// Age returns how long ago the view was known to be the newest.
+func (v *View) Age(now time.Duration) time.Duration {
+	if !v.everKnown {
+		return time.Duration(1<<63 - 1)
+	}
+	return max(0, now-v.confirmed)
+}
+
+// Disturbed notes that a reader could not reach the platform, or not in time.
+func (v *View) Disturbed(now time.Duration) { v.disturbed, v.wasDisturbed = now, true }
+
+// Since returns what changed after a revision. An after that is too old gives
+// a full delta.
+func (v *View) Since(now time.Duration, after uint64) Delta {
+	d := Delta{Revision: v.revision, Full: after == 0 || after < v.floor, ConfirmedMS: int64(min(v.Age(now), time.Hour) / time.Millisecond)}
+	for id, e := range v.entries {
+		if e.revision > after || d.Full {
+			d.Changes = append(d.Changes, Change{ID: id, Revision: e.revision, Target: e.target})
+		}
+	}
+	slices.SortFunc(d.Changes, func(a, b Change) int { return cmp.Compare(a.ID, b.ID) })
+	if v.config != nil && (v.configRevision > after || d.Full) {
+		d.Config, d.ConfigRevision = v.config, v.configRevision
+	}
+	return d
+}
+
+// Expire forgets what was removed long ago.
+func (v *View) Expire(now time.Duration) {
+	for id, e := range v.entries {
+		if e.target == nil && now-e.since > FormerFor {
+			v.floor = max(v.floor, e.revision)
+			delete(v.entries, id)
+			v.sorted = false
+		}
+	}
+	for address, r := range v.retired {
+		if now-r.since > RetiredFor {
+			delete(v.retired, address)
+		}
+	}
+}
+
+// Route returns the route for an address.
+func (v *View) Route(address netip.AddrPort) (*Route, bool) {
+	r, ok := v.routes[address]
+	return r, ok
+}
+
+// RetiredRoute returns a route that was removed a short while ago. Packets of
+// open flows may still pass on it.
+func (v *View) RetiredRoute(address netip.AddrPort) (*Route, bool) {
+	r, ok := v.retired[address]
+	return r.route, ok
+}
+
+// ServiceOf returns the service of a route for a flow. hash decides in a route
+// with several.
+func (r *Route) ServiceOf(hash uint64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += max(s.Weight, 0)
+	}
+	if total == 0 {
+		return r.Service
+	}
+	at := int(hash % uint64(total))
+	for _, s := range r.Split {
+		if at -= max(s.Weight, 0); at < 0 {
+			return s.Service
+		}
+	}
+	return r.Service
+}
+
+// Targets returns the listed targets of a service in the order of their IDs.
+// The result must not be changed.
+func (v *View) Targets(service string) []*Target {
+	v.index()
+	return v.services[service]
+}
+
+// Services returns the names of the services that have targets.
+func (v *View) Services() []string {
+	v.index()
+	names := make([]string, 0, len(v.services))
+	for name := range v.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (v *View) index() {
+	if v.sorted {
+		return
+	}
+	v.services = map[string][]*Target{}
+	for _, e := range v.entries {
+		if e.target != nil {
+			v.services[e.target.Service] = append(v.services[e.target.Service], e.target)
+		}
+	}
+	for _, targets := range v.services {
+		slices.SortFunc(targets, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	v.sorted = true
+}
+
+// Former returns the targets of a service that were removed in the last
+// FormerFor. They may hold open flows.
+func (v *View) Former(service string) []*Target {
+	var out []*Target
+	for _, e := range v.entries {
+		if e.target == nil && e.last != nil && e.last.Service == service && !v.addressTaken(e.last) {
+			out = append(out, e.last)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Lapsed returns the targets of a service whose entries vanished without a
+// drain, and that may come back because the platform was disturbed when they
+// vanished or a short while ago.
+func (v *View) Lapsed(now time.Duration, service string) []*Target {
+	if !v.wasDisturbed || now-v.disturbed > ReturnGrace {
+		return nil
+	}
+	return slices.DeleteFunc(v.Former(service), func(t *Target) bool { return t.State != Ready })
+}
+
+// addressTaken reports whether another target has the address now.
+func (v *View) addressTaken(t *Target) bool {
+	for _, e := range v.entries {
+		if e.target != nil && e.target.Address == t.Address {
+			return true
+		}
+	}
+	return false
+}
+
+// AtAgent returns the target that runs on the VM with an address.
+func (v *View) AtAgent(agent netip.Addr) *Target {
+	v.index()
+	for _, targets := range v.services {
+		for _, t := range targets {
+			if t.Agent() == agent {
+				return t
+			}
+		}
+	}
+	return nil
+}
+
+// Agents returns the addresses of the VMs of all listed targets in order.
+func (v *View) Agents() []netip.Addr {
+	v.index()
+	var out []netip.Addr
+	for _, targets := range v.services {
+		for _, t := range targets {
+			out = append(out, t.Agent())
+		}
+	}
+	slices.SortFunc(out, netip.Addr.Compare)
+	return slices.Compact(out)
+}
--- /dev/null
+++ b/core/ownership/placing.go
@@ -0,0 +1,297 @@
+package ownership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/plane"
+	"trefoilweir.example/core/relay"
+	"trefoilweir.example/core/spread"
+)
+
+// placement is a flow that a home has placed and no agent has reported yet.
+type placement struct {
+	raw    []byte
+	origin netip.Addr
+	tried  []netip.Addr
+	sent   time.Duration
+}
+
+// Distances of targets in other data centres, as time that a target nearby may
+// be slower. bytePrice is for each kilobyte that the flow is expected to send.
+const (
+	farDistance = 2 * time.Millisecond
+	bytePrice   = 800 * time.Microsecond
+	// warmingLimit bounds the distance.
+	maxDistance = 60 * time.Millisecond
+)
+
+// opening takes an opening packet as the home of its flow.
+func (m *Machine) opening(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
+	r := m.records[p.Key]
+	var tried []netip.Addr
+	if r != nil && r.seq == p.Seq {
+		r.seen = now
+		if r.confirmed && p.Ack == 0 {
+			// The network has repeated the packet.
+			return
+		}
+		// A copy: the first target did not answer, or its answer was lost.
+		tried = append(tried, r.owner)
+	}
+	m.place(now, p, msg, tried, out)
+}
+
+// place chooses a target and offers it the flow.
+func (m *Machine) place(now time.Duration, p *flow.Packet, msg *relay.Message, tried []netip.Addr, out *plane.Out) {
+	to, ok := m.choose(now, p.Key, tried)
+	if !ok {
+		m.reset(p, "no_target", out)
+		return
+	}
+	if len(m.records) < maxFlows || m.records[p.Key] != nil {
+		m.records[p.Key] = &record{owner: to, seq: p.Seq, seen: now}
+	}
+	reason := "by_load"
+	if len(tried) > 0 {
+		reason = "other_target"
+	}
+	out.Event(plane.Event{Kind: plane.EventPlaced, Flow: p.Key, Peer: to, Reason: reason, Value: int64(m.View.Age(now) / time.Millisecond)})
+	placed := *msg
+	placed.Home = m.Self
+	if to == m.Self {
+		m.offer(now, p, &placed, out)
+		return
+	}
+	m.unplace(p.Key)
+	m.placing[p.Key] = &placement{raw: slices.Clone(p.Raw), origin: msg.Origin, tried: append(tried, to), sent: now}
+	m.peer(to).placing++
+	m.pass(to, relay.Place, p, &placed, out)
+}
+
+// unplace ends the wait for the agent that was chosen last.
+func (m *Machine) unplace(key flow.Key) {
+	if pl := m.placing[key]; pl != nil {
+		m.peer(pl.tried[len(pl.tried)-1]).placing--
+		delete(m.placing, key)
+	}
+}
+
+// choose returns the agent of the target for a new flow.
+func (m *Machine) choose(now time.Duration, key flow.Key, tried []netip.Addr) (netip.Addr, bool) {
+	listed := m.View.Targets(m.Service)
+	for _, class := range []func(*fleet.Target) bool{
+		func(t *fleet.Target) bool {
+			return t.State == fleet.Ready && m.healthy(now, t.Agent()) && !slices.Contains(tried, t.Agent())
+		},
+		func(t *fleet.Target) bool {
+			return t.State == fleet.Ready && m.able(t.Agent()) && !slices.Contains(tried, t.Agent())
+		},
+		func(t *fleet.Target) bool { return t.State == fleet.Ready && m.able(t.Agent()) },
+	} {
+		if to, ok := m.chooseAmong(key, listed, class); ok {
+			return to, true
+		}
+	}
+	// Entries that lapsed while the platform was disturbed, or that were all
+	// removed at once: their agents tell whether they live.
+	former := append(m.View.Lapsed(now, m.Service), m.View.Former(m.Service)...)
+	return m.chooseAmong(key, former, func(t *fleet.Target) bool {
+		return t.State == fleet.Ready && m.healthy(now, t.Agent()) && !slices.Contains(tried, t.Agent())
+	})
+}
+
+func (m *Machine) chooseAmong(key flow.Key, targets []*fleet.Target, usable func(*fleet.Target) bool) (netip.Addr, bool) {
+	var candidates []spread.Candidate
+	bytes := m.stats.bytesPerFlow(key)
+	for _, t := range targets {
+		if usable(t) {
+			candidates = append(candidates, m.candidate(t, bytes))
+		}
+	}
+	i := spread.Choose(candidates, key.Hash())
+	if i < 0 {
+		return netip.Addr{}, false
+	}
+	return candidates[i].Agent, true
+}
+
+func (m *Machine) candidate(t *fleet.Target, bytes float64) spread.Candidate {
+	c := spread.Candidate{Agent: t.Agent(), Slots: t.Slots, Warming: t.WarmupMS > 0}
+	load, placing := m.Load(), 0
+	if t.Agent() != m.Self {
+		p := m.peer(t.Agent())
+		load, placing = p.load, p.placing
+	}
+	c.Busy = float64(load.Busy) + float64(placing)
+	c.Expected = float64(load.Expected) / 100
+	c.ServiceTime = time.Duration(load.ServiceTime) * 100 * time.Microsecond
+	if t.DataCentre != m.DataCentre {
+		c.Distance = min(maxDistance, farDistance+time.Duration(bytes/1000*float64(bytePrice)))
+	}
+	return c
+}
+
+// able reports whether an agent says that its target takes flows.
+func (m *Machine) able(a netip.Addr) bool {
+	if a == m.Self {
+		return !m.leaving
+	}
+	return m.peer(a).load.Flags&(relay.FlagLeaving|relay.FlagDraining) == 0
+}
+
+// healthy reports whether an agent and its target answered lately.
+func (m *Machine) healthy(now time.Duration, a netip.Addr) bool {
+	if a == m.Self {
+		return !m.leaving && (!m.silent || now >= m.retryAt)
+	}
+	p := m.peer(a)
+	if p.load.Flags&(relay.FlagLeaving|relay.FlagDraining|relay.FlagSilent) != 0 || now < p.suspect {
+		return false
+	}
+	return p.everHeard && now-p.heard <= beatTimeout
+}
+
+// offer gives an opening packet to the target, or passes it on.
+func (m *Machine) offer(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
+	if reason := m.refusal(now); reason != "" {
+		m.handOver(now, p, msg, reason, out)
+		return
+	}
+	f := m.flows[p.Key]
+	if f != nil && (f.opened || f.callerKnown) {
+		m.forget(now, p.Key, f)
+		f = nil
+	}
+	if f == nil {
+		if len(m.flows) >= maxFlows {
+			m.handOver(now, p, msg, "table_full", out)
+			return
+		}
+		f = &owned{created: now, origin: msg.Origin, home: msg.Home, hops: msg.Hops, refused: msg.Refused}
+		m.flows[p.Key] = f
+	}
+	f.seen, f.origin, f.home = now, msg.Origin, msg.Home
+	if !f.accepted && f.phase != phaseOffered {
+		f.raw = slices.Clone(p.Raw)
+		m.stats.enter(now, p.Key, f, phaseOffered)
+	}
+	if m.silent {
+		m.retryAt = now + retryTarget
+	}
+	out.ToTarget = append(out.ToTarget, m.Codec.Clean(p.Raw))
+}
+
+// refusal says why the target takes no new flow, or nothing.
+func (m *Machine) refusal(now time.Duration) string {
+	t := m.View.AtAgent(m.Self)
+	switch {
+	case m.leaving:
+		return "leaving"
+	case t != nil && (t.Service != m.Service || t.Address != m.Target):
+		return "other_service"
+	case t != nil && t.State == fleet.Draining:
+		return "draining"
+	case m.silent && now < m.retryAt:
+		return "silent"
+	}
+	return ""
+}
+
+// handOver passes an opening packet to another agent.
+func (m *Machine) handOver(now time.Duration, p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
+	tried := []netip.Addr{m.Self}
+	if msg.Refused.IsValid() {
+		tried = append(tried, msg.Refused)
+	}
+	to, ok := m.choose(now, p.Key, tried)
+	if !ok || slices.Contains(tried, to) || msg.Hops >= maxHops {
+		m.reset(p, reason, out)
+		return
+	}
+	passed := *msg
+	passed.Refused = m.Self
+	m.records[p.Key] = &record{owner: to, seq: p.Seq, seen: now}
+	out.Event(plane.Event{Kind: plane.EventHandedOver, Flow: p.Key, Peer: to, Reason: reason})
+	m.pass(to, relay.Place, p, &passed, out)
+}
+
+// accepted takes the target's answer to an opening packet.
+func (m *Machine) accepted(now time.Duration, f *owned, p *flow.Packet, out *plane.Out) {
+	if !f.accepted {
+		m.stats.enter(now, p.Key, f, phaseHalfOpen)
+	}
+	f.accepted, f.raw = true, nil
+	f.base, f.top, f.known = p.Seq, p.Seq+1, true
+	m.report(f, f.origin, p.Key, out)
+	m.report(f, f.home, p.Key, out)
+	if r := m.records[p.Key]; r != nil {
+		r.owner, r.confirmed = m.Self, true
+	}
+	m.unplace(p.Key)
+}
+
+// targetRefused takes back an opening packet that the target cannot accept.
+func (m *Machine) targetRefused(now time.Duration, f *owned, p *flow.Packet, out *plane.Out) {
+	if f == nil || f.accepted {
+		return
+	}
+	msg := relay.Message{Origin: f.origin, Home: f.home, Hops: f.hops, Refused: f.refused}
+	m.forget(now, p.Key, f)
+	clean := *p
+	clean.Raw = m.Codec.Clean(p.Raw)
+	m.handOver(now, &clean, &msg, "target_full", out)
+}
+
+// answers notes that the target sends packets.
+func (m *Machine) answers(out *plane.Out) {
+	if m.silent {
+		m.silent = false
+		out.Event(plane.Event{Kind: plane.EventTargetHeard})
+	}
+}
+
+// checkOffers hands over what the target has not accepted in time.
+func (m *Machine) checkOffers(now time.Duration, out *plane.Out) {
+	if !m.offering() {
+		return
+	}
+	for key, f := range m.flows {
+		if f.phase != phaseOffered || now-f.since < acceptTimeout {
+			continue
+		}
+		if !m.silent {
+			m.silent = true
+			out.Event(plane.Event{Kind: plane.EventTargetMute, Flow: key, Value: (now - f.since).Milliseconds()})
+		}
+		m.retryAt = now + retryTarget
+		m.stats.enter(now, key, f, phaseClosed)
+		p, err := m.Codec.FromCaller(f.raw)
+		if err != nil {
+			continue
+		}
+		msg := relay.Message{Origin: f.origin, Home: f.home, Hops: f.hops, Refused: f.refused}
+		m.handOver(now, &p, &msg, "target_silent", out)
+	}
+}
+
+// checkPlacements places flows again whose agent has not reported.
+func (m *Machine) checkPlacements(now time.Duration, out *plane.Out) {
+	for key, pl := range m.placing {
+		if now-pl.sent < ownerTimeout {
+			continue
+		}
+		failed := pl.tried[len(pl.tried)-1]
+		m.unplace(key)
+		m.peer(failed).suspect = now + suspectFor
+		out.Event(plane.Event{Kind: plane.EventSuspected, Flow: key, Peer: failed, Reason: "no_owner_reported", Value: (now - pl.sent).Milliseconds()})
+		p, err := m.Codec.FromCaller(pl.raw)
+		if err != nil || len(pl.tried) > maxHops {
+			continue
+		}
+		m.place(now, &p, &relay.Message{Origin: pl.origin, Home: m.Self}, pl.tried, out)
+	}
+}
--- /dev/null
+++ b/core/ownership/search.go
@@ -0,0 +1,214 @@
+package ownership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/plane"
+	"trefoilweir.example/core/relay"
+)
+
+// search looks for the owner of a flow.
+type search struct {
+	// began is when the last round began.
+	began time.Duration
+	// raw and msg are the packet that is looked for.
+	raw    []byte
+	origin netip.Addr
+	// asked are the agents that have not answered, unsure those whose target
+	// may hold the flow.
+	asked  map[netip.Addr]bool
+	unsure []netip.Addr
+	// found says that the owner has answered, done that the round is over.
+	found, done bool
+	// probes counts the packets that reached a target which may not hold the
+	// flow, since firstProbe.
+	probes     int
+	firstProbe time.Duration
+	// disowned says that the own target does not hold the flow.
+	disowned bool
+}
+
+// unknown takes a packet whose owner is not known here.
+func (m *Machine) unknown(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
+	if p.Reset || msg.Hops >= maxHops {
+		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Reason: "unknown_flow"})
+		return
+	}
+	s := m.search[p.Key]
+	if s != nil && !s.done {
+		// The caller's next packet comes by itself.
+		return
+	}
+	if s == nil {
+		s = &search{}
+		m.search[p.Key] = s
+	}
+	s.began, s.raw, s.origin, s.done, s.found = now, slices.Clone(p.Raw), msg.Origin, false, false
+	s.asked, s.unsure = map[netip.Addr]bool{}, s.unsure[:0]
+	for _, a := range m.searchable(now) {
+		s.asked[a] = true
+		m.pass(a, relay.Search, p, msg, out)
+	}
+	if m.unsure(now) && !s.disowned {
+		s.unsure = append(s.unsure, m.Self)
+	}
+	out.Event(plane.Event{Kind: plane.EventSearched, Flow: p.Key, Value: int64(len(s.asked))})
+	m.endSearch(now, p.Key, s, out)
+}
+
+// searchable returns the other agents that may hold flows of the service.
+func (m *Machine) searchable(now time.Duration) []netip.Addr {
+	var out []netip.Addr
+	add := func(t *fleet.Target) {
+		if a := t.Agent(); a != m.Self && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	for _, t := range m.View.Targets(m.Service) {
+		add(t)
+	}
+	for _, t := range m.View.Former(m.Service) {
+		if p := m.peers[t.Agent()]; p != nil && p.everHeard && now-p.heard <= beatTimeout {
+			add(t)
+		}
+	}
+	return out
+}
+
+// unsure reports whether the target may hold flows that the agent does not
+// know.
+func (m *Machine) unsure(now time.Duration) bool { return now < m.unsureUntil }
+
+// searched answers a search of another agent.
+func (m *Machine) searched(now time.Duration, from netip.Addr, p *flow.Packet, msg *relay.Message, out *plane.Out) {
+	answer := relay.Message{Kind: relay.NotOwner, Service: m.tag, Flow: p.Key, Load: m.Load(), Origin: msg.Origin}
+	f := m.flows[p.Key]
+	switch {
+	case f != nil && f.takes(p):
+		m.deliver(now, f, p, out)
+		m.report(f, msg.Origin, p.Key, out)
+		answer.Kind = relay.Owner
+	case m.unsure(now) && !m.disowned(p.Key):
+		answer.Kind = relay.MaybeOwner
+	}
+	out.Send(from, answer)
+}
+
+func (m *Machine) disowned(key flow.Key) bool {
+	s := m.search[key]
+	return s != nil && s.disowned
+}
+
+// answered takes what another agent says about a flow.
+func (m *Machine) answered(now time.Duration, from netip.Addr, msg *relay.Message, out *plane.Out) {
+	if msg.Service != m.tag {
+		return
+	}
+	p := m.peer(from)
+	p.load, p.heard, p.everHeard = msg.Load, now, true
+	s := m.search[msg.Flow]
+	if msg.Kind == relay.Owner {
+		p.suspect = 0
+		m.unplace(msg.Flow)
+		if r := m.records[msg.Flow]; r != nil {
+			r.owner, r.confirmed, r.seen = from, true, now
+		} else if len(m.records) < maxFlows {
+			m.records[msg.Flow] = &record{owner: from, confirmed: true, seen: now}
+		}
+		if s != nil {
+			s.found, s.done = true, true
+			out.Event(plane.Event{Kind: plane.EventFound, Flow: msg.Flow, Peer: from})
+		}
+		return
+	}
+	if s == nil || s.done || !s.asked[from] {
+		return
+	}
+	delete(s.asked, from)
+	if msg.Kind == relay.MaybeOwner {
+		s.unsure = append(s.unsure, from)
+	}
+	m.endSearch(now, msg.Flow, s, out)
+}
+
+// endSearch acts on the answers once all are there.
+func (m *Machine) endSearch(now time.Duration, key flow.Key, s *search, out *plane.Out) {
+	if s.done || len(s.asked) > 0 {
+		return
+	}
+	s.done = true
+	if len(s.unsure) > 0 {
+		// The owner is among them, because all others know that they are not.
+		m.probe(now, key, s, len(s.unsure), out)
+		return
+	}
+	p, err := m.Codec.FromCaller(s.raw)
+	if err == nil {
+		m.reset(&p, "no_target_holds_flow", out)
+	}
+}
+
+// checkSearches ends searches whose answers do not come.
+func (m *Machine) checkSearches(now time.Duration, out *plane.Out) {
+	for key, s := range m.search {
+		switch {
+		case !s.done && now-s.began >= searchTimeout:
+			s.done = true
+			m.probe(now, key, s, probeBudget, out)
+		case s.done && now-s.began >= max(searchKeep, probeWindow):
+			delete(m.search, key)
+		}
+	}
+}
+
+// probe gives the packet to targets that may hold the flow, up to a number of
+// them.
+func (m *Machine) probe(now time.Duration, key flow.Key, s *search, most int, out *plane.Out) {
+	if now-s.firstProbe > probeWindow {
+		s.probes, s.firstProbe = 0, now
+	}
+	p, err := m.Codec.FromCaller(s.raw)
+	if err != nil {
+		return
+	}
+	for _, a := range s.unsure {
+		if s.probes >= most {
+			return
+		}
+		s.probes++
+		out.Event(plane.Event{Kind: plane.EventProbed, Flow: key, Peer: a, Value: int64(s.probes)})
+		msg := &relay.Message{Origin: s.origin}
+		if a == m.Self {
+			m.probed(now, &p, msg, out)
+			continue
+		}
+		m.pass(a, relay.Probe, &p, msg, out)
+	}
+}
+
+// probed gives a packet to the target to learn whether it holds the flow.
+func (m *Machine) probed(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
+	if f := m.flows[p.Key]; f != nil && f.takes(p) {
+		m.deliver(now, f, p, out)
+		m.report(f, msg.Origin, p.Key, out)
+		return
+	}
+	if m.disowned(p.Key) || !m.unsure(now) {
+		return
+	}
+	out.ToTarget = append(out.ToTarget, m.Codec.Clean(p.Raw))
+}
+
+// notHeld notes that the target does not hold a flow that it was asked for.
+func (m *Machine) notHeld(now time.Duration, p *flow.Packet, out *plane.Out) {
+	s := m.search[p.Key]
+	if s == nil {
+		s = &search{began: now, done: true}
+		m.search[p.Key] = s
+	}
+	s.disowned = true
+}
--- /dev/null
+++ b/core/ownership/stats.go
@@ -0,0 +1,189 @@
+package ownership
+
+import (
+	"math"
+	"net/netip"
+	"time"
+
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/relay"
+)
+
+const (
+	// rateWindow is the time over which the load of a route's flows is
+	// averaged.
+	rateWindow = 5 * time.Second
+	// serviceTimeWeight is the weight of one request in the mean service time.
+	serviceTimeWeight = 0.05
+	// defaultConcurrency is the load of a flow of a route that is not known.
+	defaultConcurrency = 0.1
+	// defaultBytes is what a flow is expected to send, in bytes.
+	defaultBytes = 4000
+)
+
+// phase is what a flow is to its target's load.
+type phase uint8
+
+const (
+	// phaseClosed flows are no load. It is also the phase before the first.
+	phaseClosed phase = iota
+	// phaseOffered flows wait for the target to accept them.
+	phaseOffered
+	// phaseHalfOpen flows are accepted, and their request is about to arrive.
+	phaseHalfOpen
+	// phaseIdle flows have no request in progress.
+	phaseIdle
+	// phaseBusy flows have one.
+	phaseBusy
+	phases
+)
+
+// routeStats are of the flows of one route at the target.
+type routeStats struct {
+	count [phases]int
+	// openTime and busyTime decay over rateWindow, in seconds.
+	openTime, busyTime float64
+	// flows and bytes decay in the same way.
+	flows, bytes float64
+}
+
+func (r *routeStats) open() int {
+	return r.count[phaseOffered] + r.count[phaseHalfOpen] + r.count[phaseIdle] + r.count[phaseBusy]
+}
+
+// concurrency is the part of its time that a flow has a request in progress.
+func (r *routeStats) concurrency() float64 {
+	const enough = 0.5
+	if r.openTime < enough {
+		return defaultConcurrency
+	}
+	return r.busyTime / r.openTime
+}
+
+// stats are the loads of the target.
+type stats struct {
+	routes map[netip.AddrPort]*routeStats
+	count  [phases]int
+	// serviceTime is the mean time of a request that did not wait, in seconds.
+	serviceTime float64
+	last        time.Duration
+}
+
+func newStats(now time.Duration) *stats {
+	return &stats{routes: map[netip.AddrPort]*routeStats{}, last: now}
+}
+
+func (s *stats) route(key flow.Key) *routeStats {
+	r := s.routes[key.Service()]
+	if r == nil {
+		r = &routeStats{}
+		s.routes[key.Service()] = r
+	}
+	return r
+}
+
+// enter moves a flow to a phase.
+func (s *stats) enter(now time.Duration, key flow.Key, f *owned, to phase) {
+	if f.phase == to {
+		return
+	}
+	r := s.route(key)
+	if f.phase == phaseClosed {
+		r.flows++
+	} else {
+		r.count[f.phase]--
+		s.count[f.phase]--
+	}
+	if to != phaseClosed {
+		r.count[to]++
+		s.count[to]++
+	}
+	f.phase, f.since = to, now
+}
+
+// pending is the number of requests in progress or about to arrive.
+func (s *stats) pending() int {
+	return s.count[phaseOffered] + s.count[phaseHalfOpen] + s.count[phaseBusy]
+}
+
+func (s *stats) sent(key flow.Key, n int) { s.route(key).bytes += float64(n) }
+
+func (s *stats) bytesPerFlow(key flow.Key) float64 {
+	r := s.route(key)
+	if r.flows < 1 {
+		return defaultBytes
+	}
+	return r.bytes / r.flows
+}
+
+// advance adds the time since the last call to the averages.
+func (s *stats) advance(now time.Duration) {
+	step := (now - s.last).Seconds()
+	if step <= 0 {
+		return
+	}
+	s.last = now
+	keep := math.Exp(-step / rateWindow.Seconds())
+	for _, r := range s.routes {
+		r.openTime = r.openTime*keep + step*float64(r.open())
+		r.busyTime = r.busyTime*keep + step*float64(r.count[phaseBusy])
+		r.flows *= keep
+		r.bytes *= keep
+	}
+}
+
+// expected is the load of all open flows on average, in slots.
+func (s *stats) expected() float64 {
+	sum := 0.0
+	for _, r := range s.routes {
+		sum += float64(r.open()) * r.concurrency()
+	}
+	return sum
+}
+
+// beginRequest notes that the caller has sent a request.
+func (m *Machine) beginRequest(now time.Duration, f *owned, key flow.Key) {
+	if f.phase == phaseBusy {
+		return
+	}
+	m.stats.enter(now, key, f, phaseBusy)
+	f.alone = m.stats.count[phaseBusy] <= m.slots()
+}
+
+// endRequest notes that the target answers.
+func (m *Machine) endRequest(now time.Duration, f *owned, key flow.Key) {
+	if f.phase != phaseBusy {
+		return
+	}
+	if f.alone {
+		took := (now - f.since).Seconds()
+		if m.stats.serviceTime == 0 {
+			m.stats.serviceTime = took
+		}
+		m.stats.serviceTime += serviceTimeWeight * (took - m.stats.serviceTime)
+	}
+	m.stats.enter(now, key, f, phaseIdle)
+}
+
+func (m *Machine) slots() int {
+	if t := m.View.AtAgent(m.Self); t != nil {
+		return t.Slots
+	}
+	return 0
+}
+
+// Load returns the load of the target.
+func (m *Machine) Load() relay.Load {
+	l := relay.Load{
+		Flags: relay.FlagAgent, Busy: uint16(min(m.stats.pending(), math.MaxUint16)),
+		Expected: uint16(min(100*m.stats.expected(), math.MaxUint16)), Slots: uint16(m.slots()),
+		ServiceTime: uint16(min(m.stats.serviceTime*10_000, math.MaxUint16)),
+	}
+	if m.leaving {
+		l.Flags |= relay.FlagLeaving
+	}
+	if m.silent {
+		l.Flags |= relay.FlagSilent
+	}
+	return l
+}
--- /dev/null
+++ b/core/plane/out.go
@@ -0,0 +1,79 @@
+package plane
+
+import (
+	"net/netip"
+
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/relay"
+)
+
+// Out collects what a decision machine asks for. Its buffers refer to the
+// packet of the step and are valid until the next one.
+type Out struct {
+	// Sends are datagrams to other processes.
+	Sends []Send
+	// ToTarget are packets for the agent's target.
+	ToTarget [][]byte
+	// ToCaller are packets for callers.
+	ToCaller []CallerPacket
+	// Events are decisions, for the log and the metrics.
+	Events []Event
+}
+
+// Send is a datagram to another process.
+type Send struct {
+	To      netip.Addr
+	Message relay.Message
+}
+
+// CallerPacket is a packet for a caller.
+type CallerPacket struct {
+	IP  [4]byte
+	Raw []byte
+}
+
+// EventKind names a decision. It is a stable key for logs and metrics.
+type EventKind string
+
+// The decisions.
+const (
+	EventPlaced      EventKind = "placed"
+	EventHandedOver  EventKind = "handed_over"
+	EventRefused     EventKind = "refused"
+	EventReset       EventKind = "reset"
+	EventSearched    EventKind = "searched"
+	EventFound       EventKind = "found"
+	EventProbed      EventKind = "probed"
+	EventReturned    EventKind = "returned"
+	EventSuspected   EventKind = "suspected"
+	EventRecovered   EventKind = "recovered"
+	EventDropped     EventKind = "dropped"
+	EventNextHome    EventKind = "next_home"
+	EventTargetSwap  EventKind = "target_replaced"
+	EventTargetMute  EventKind = "target_silent"
+	EventTargetHeard EventKind = "target_answers"
+)
+
+// Event is one decision with what decided it.
+type Event struct {
+	Kind EventKind
+	Flow flow.Key
+	// Peer is the other process, if there is one.
+	Peer netip.Addr
+	// Reason is a short stable key.
+	Reason string
+	// Value is a number that decided, such as an age in milliseconds or a
+	// load in hundredths of a slot.
+	Value int64
+}
+
+// Clear empties the collection and keeps its memory.
+func (o *Out) Clear() {
+	o.Sends, o.ToTarget, o.ToCaller, o.Events = o.Sends[:0], o.ToTarget[:0], o.ToCaller[:0], o.Events[:0]
+}
+
+// Send adds a datagram.
+func (o *Out) Send(to netip.Addr, m relay.Message) { o.Sends = append(o.Sends, Send{to, m}) }
+
+// Event adds a decision.
+func (o *Out) Event(e Event) { o.Events = append(o.Events, e) }
--- /dev/null
+++ b/core/plane/settings.go
@@ -0,0 +1,46 @@
+// Package plane has the settings of a process of the packet plane. An adapter
+// fills them in from the settings file of its platform.
+package plane
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings of a balancer or an agent.
+type Settings struct {
+	// Name and DataCentre are the process's name and place.
+	Name, DataCentre string
+	// IP is the address of the VM.
+	IP netip.Addr
+	// Packets receives callers' packets at a balancer. Its port is also the
+	// port to which packets for callers are sent.
+	Packets netip.AddrPort
+	// Ready answers readiness probes over HTTP.
+	Ready netip.AddrPort
+	// Control answers processes that look for the view of the fleet. Only
+	// some processes have one.
+	Control netip.AddrPort
+	// FromTarget receives the target's packets at an agent.
+	FromTarget netip.AddrPort
+	// Target is the address of the agent's target, Service its service.
+	Target  netip.AddrPort
+	Service string
+	// PeerPort is the port for datagrams and HTTP between processes.
+	PeerPort uint16
+	// Seeds are Control addresses that may be stale.
+	Seeds []netip.AddrPort
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
+	// Store is the address of the platform's store.
+	Store string
+	// Heartbeat is how often targets renew their entries.
+	Heartbeat time.Duration
+	// Grace is the time between a request to stop and a kill.
+	Grace time.Duration
+	// FlowTTL is the age after which a flow may be discarded.
+	FlowTTL time.Duration
+}
+
+// Milliseconds converts a number of milliseconds.
+func Milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/core/relay/relay.go
@@ -0,0 +1,214 @@
+// Package relay encodes the datagrams that the processes of the packet plane
+// send each other. Integers are big-endian. A datagram has a kind, and each
+// kind has a fixed header; a packet of a caller may follow it.
+package relay
+
+import (
+	"encoding/binary"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"trefoilweir.example/core/flow"
+)
+
+// Version is the first byte of each datagram.
+const Version = 0xA1
+
+// Kind is the kind of a datagram.
+type Kind uint8
+
+// The kinds.
+const (
+	// Open carries an opening packet to the home of its flow.
+	Open Kind = iota + 1
+	// Place carries an opening packet to the target chosen for it.
+	Place
+	// Packet carries another packet of a flow.
+	Packet
+	// Search carries a packet to all agents of a service, because the sender
+	// does not know the flow's owner.
+	Search
+	// Probe carries a packet to an agent that may own the flow.
+	Probe
+	// Owner says that the sender owns a flow.
+	Owner
+	// NotOwner answers a Search.
+	NotOwner
+	// MaybeOwner answers a Search: the sender restarted and its target may
+	// hold the flow.
+	MaybeOwner
+	// Beat tells load and the revision of the sender's view.
+	Beat
+)
+
+var kindNames = [...]string{Open: "open", Place: "place", Packet: "packet", Search: "search", Probe: "probe",
+	Owner: "owner", NotOwner: "not_owner", MaybeOwner: "maybe_owner", Beat: "beat"}
+
+// String returns the name for logs and metrics.
+func (k Kind) String() string {
+	if int(k) < len(kindNames) && kindNames[k] != "" {
+		return kindNames[k]
+	}
+	return "unknown"
+}
+
+// Flags of a Load.
+const (
+	// FlagAgent says that the sender is an agent.
+	FlagAgent = 1 << iota
+	// FlagLeaving says that the sender's process is stopping.
+	FlagLeaving
+	// FlagSilent says that the target does not answer.
+	FlagSilent
+	// FlagDraining says that the target takes no new flows.
+	FlagDraining
+	// FlagReader says that the sender reads the platform.
+	FlagReader
+	// FlagAsk asks for a Beat in return.
+	FlagAsk
+)
+
+// Load is what an agent tells of its target.
+type Load struct {
+	Flags uint8
+	// Busy is the number of requests in progress, with those that are about
+	// to arrive.
+	Busy uint16
+	// Expected is the load that the open flows amount to on average, in
+	// hundredths of a slot.
+	Expected uint16
+	// Slots is the number of requests that the target runs at a time.
+	Slots uint16
+	// ServiceTime is the mean time of a request that does not wait, in units
+	// of 100 microseconds.
+	ServiceTime uint16
+}
+
+// Message is a decoded datagram. Fields that its kind does not have are zero.
+type Message struct {
+	Kind Kind
+	// Hops counts the agents that have passed the packet on.
+	Hops uint8
+	// Service is the tag of the service that the packet is for.
+	Service uint64
+	// Origin is the balancer that took the packet from the caller.
+	Origin netip.Addr
+	// Home is the agent that placed the flow, or the zero Addr.
+	Home netip.Addr
+	// Refused is an agent that could not take the flow, or the zero Addr.
+	Refused netip.Addr
+	// Flow is the key of the flow that an answer is about.
+	Flow flow.Key
+	// Load is the sender's.
+	Load Load
+	// Revision is that of the sender's view, Age how long ago it was known to
+	// be the newest.
+	Revision uint64
+	Age      time.Duration
+	// Body is the caller's packet.
+	Body []byte
+}
+
+// Sizes of the headers, in bytes.
+const (
+	commonSize = 4 + 8
+	packetSize = commonSize + 3*4
+	answerSize = commonSize + flow.KeySize + loadSize + 4
+	beatSize   = commonSize + loadSize + 8 + 2
+	loadSize   = 1 + 2*4
+	// MaxHeader is the largest header.
+	MaxHeader = answerSize
+)
+
+// maxAge is the longest Age that a datagram can tell.
+const maxAge = 0xFFFF * time.Millisecond
+
+// ErrMalformed says that a datagram is none of this package.
+var ErrMalformed = errors.New("relay: malformed datagram")
+
+// ServiceTag returns the tag of a service's name.
+func ServiceTag(service string) uint64 { return xxhash.Sum64String(service) }
+
+// Append appends the encoded message.
+func (m *Message) Append(b []byte) []byte {
+	b = append(b, Version, byte(m.Kind), m.Hops, 0)
+	b = binary.BigEndian.AppendUint64(b, m.Service)
+	switch m.Kind {
+	case Open, Place, Packet, Search, Probe:
+		b = appendAddr(appendAddr(appendAddr(b, m.Origin), m.Home), m.Refused)
+		return append(b, m.Body...)
+	case Owner, NotOwner, MaybeOwner:
+		b = m.Load.append(m.Flow.Append(b))
+		return appendAddr(b, m.Origin)
+	case Beat:
+		b = m.Load.append(b)
+		b = binary.BigEndian.AppendUint64(b, m.Revision)
+		return binary.BigEndian.AppendUint16(b, uint16(min(m.Age, maxAge)/time.Millisecond))
+	}
+	return b
+}
+
+func (l Load) append(b []byte) []byte {
+	b = append(b, l.Flags)
+	for _, v := range [...]uint16{l.Busy, l.Expected, l.Slots, l.ServiceTime} {
+		b = binary.BigEndian.AppendUint16(b, v)
+	}
+	return b
+}
+
+func appendAddr(b []byte, a netip.Addr) []byte {
+	if !a.Is4() {
+		return append(b, 0, 0, 0, 0)
+	}
+	ip := a.As4()
+	return append(b, ip[:]...)
+}
+
+// Decode decodes a datagram. Body refers to b.
+func Decode(b []byte) (m Message, err error) {
+	if len(b) < commonSize || b[0] != Version {
+		return m, ErrMalformed
+	}
+	m.Kind, m.Hops, m.Service = Kind(b[1]), b[2], binary.BigEndian.Uint64(b[4:])
+	rest := b[commonSize:]
+	switch m.Kind {
+	case Open, Place, Packet, Search, Probe:
+		if len(b) <= packetSize {
+			return m, ErrMalformed
+		}
+		m.Origin, m.Home, m.Refused, m.Body = parseAddr(rest), parseAddr(rest[4:]), parseAddr(rest[8:]), rest[12:]
+	case Owner, NotOwner, MaybeOwner:
+		if len(b) != answerSize {
+			return m, ErrMalformed
+		}
+		m.Flow, _ = flow.ParseKey(rest)
+		m.Load = parseLoad(rest[flow.KeySize:])
+		m.Origin = parseAddr(rest[flow.KeySize+loadSize:])
+	case Beat:
+		if len(b) != beatSize {
+			return m, ErrMalformed
+		}
+		m.Load, m.Revision = parseLoad(rest), binary.BigEndian.Uint64(rest[loadSize:])
+		m.Age = time.Duration(binary.BigEndian.Uint16(rest[loadSize+8:])) * time.Millisecond
+	default:
+		return m, ErrMalformed
+	}
+	return m, nil
+}
+
+func parseLoad(b []byte) Load {
+	return Load{
+		Flags: b[0], Busy: binary.BigEndian.Uint16(b[1:]), Expected: binary.BigEndian.Uint16(b[3:]),
+		Slots: binary.BigEndian.Uint16(b[5:]), ServiceTime: binary.BigEndian.Uint16(b[7:]),
+	}
+}
+
+func parseAddr(b []byte) netip.Addr {
+	ip := [4]byte(b)
+	if ip == [4]byte{} {
+		return netip.Addr{}
+	}
+	return netip.AddrFrom4(ip)
+}
--- a/node/cmd/trefoilweir/main.go
+++ b/node/cmd/trefoilweir/main.go
@@ -59,7 +59,7 @@
 		Commands: []*cli.Command{
 			{Name: "balancer", Usage: "run a balancer", Flags: []cli.Flag{settingsFlag}, Action: runBalancer},
 			{Name: "agent", Usage: "run an agent", Flags: []cli.Flag{settingsFlag}, Action: runAgent},
-			checkCommand(), diffCommand(), statusCommand(), versionCommand(),
+			packetCommand(), checkCommand(), diffCommand(), statusCommand(), versionCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/node/fleetsync/fleetsync.go
@@ -0,0 +1,319 @@
+// Package fleetsync keeps the view of the fleet of one process up to date. A
+// few processes watch the platform; the others learn of new revisions from the
+// datagrams of their peers and fetch what changed from them.
+package fleetsync
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/node/telemetry"
+)
+
+// PathFleet is the path at which processes give each other what changed.
+const PathFleet = "/fleet"
+
+const (
+	// batchDelay is the pause of a reader after a change, so that changes in
+	// quick succession cost one call.
+	batchDelay = 150 * time.Millisecond
+	// minBackoff and maxBackoff bound the pause after a call failed.
+	minBackoff = 150 * time.Millisecond
+	maxBackoff = 600 * time.Millisecond
+	// idleCheck is how often a process that is no reader looks at the age of
+	// its view.
+	idleCheck = 100 * time.Millisecond
+	// shortWait is the wait of a single question to the platform.
+	shortWait = time.Millisecond
+	// pullTimeout bounds a question to a peer.
+	pullTimeout = 600 * time.Millisecond
+	// maxDelta bounds the answer of a peer, in bytes.
+	maxDelta = 64 << 20
+)
+
+// Source is the platform.
+type Source interface {
+	// Snapshot reads everything.
+	Snapshot(ctx context.Context) (*fleet.Delta, error)
+	// Watch returns what changed after a revision, and where the next Watch
+	// continues. It waits for a change.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (*fleet.Delta, uint64, error)
+	// Compacted reports whether an error says that a Snapshot is needed.
+	Compacted(err error) bool
+}
+
+// Options of a Sync.
+type Options struct {
+	Self   netip.Addr
+	Source Source
+	// PeerPort is the port at which peers answer PathFleet.
+	PeerPort uint16
+	// Seeds are asked when the platform does not answer a starting process.
+	Seeds []netip.AddrPort
+	// Lock protects View.
+	Lock *sync.Mutex
+	View *fleet.View
+	// Now is the steady time of the process.
+	Now func() time.Duration
+	// Changed is called with the lock held after the view changed.
+	Changed func(targets, config bool)
+	Log     *zap.Logger
+	Metrics *metrics.Set
+}
+
+type hint struct {
+	from     netip.AddrPort
+	revision uint64
+}
+
+// Sync keeps a view up to date.
+type Sync struct {
+	Options
+	client *http.Client
+	hints  chan hint
+	cursor uint64
+	// reachable is whether the last call to the platform succeeded.
+	reachable, everCalled bool
+	failures              int
+	calls, failed, pulls  *metrics.Counter
+}
+
+// New returns a Sync.
+func New(o Options) *Sync {
+	return &Sync{
+		Options: o, hints: make(chan hint, 1),
+		client: &http.Client{Timeout: pullTimeout, Transport: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: pullTimeout}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second,
+		}},
+		calls:  o.Metrics.GetOrCreateCounter("trefoilweir_platform_calls_total"),
+		failed: o.Metrics.GetOrCreateCounter("trefoilweir_platform_errors_total"),
+		pulls:  o.Metrics.GetOrCreateCounter("trefoilweir_fleet_pulls_total"),
+	}
+}
+
+// Heard takes the revision and the age of a peer's view. The lock is held.
+func (s *Sync) Heard(from netip.Addr, revision uint64, age time.Duration) {
+	if revision <= s.View.Revision() {
+		s.View.Confirm(s.Now(), age, revision)
+		return
+	}
+	select {
+	case s.hints <- hint{netip.AddrPortFrom(from, s.PeerPort), revision}:
+	default:
+		// A fetch is pending, and the next datagram repeats the hint.
+	}
+}
+
+// Read reads the platform until ctx ends.
+func (s *Sync) Read(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := s.readOnce(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	return ctx.Err()
+}
+
+// readOnce makes at most one call and returns the pause before the next.
+func (s *Sync) readOnce(ctx context.Context) time.Duration {
+	s.Lock.Lock()
+	place := fleet.PlaceOf(s.View.Agents(), s.Self)
+	age, usable := s.View.Age(s.Now()), s.View.Usable()
+	s.Lock.Unlock()
+	if usable && !place.Reader && age < place.TakeoverAge {
+		return min(idleCheck, place.TakeoverAge-age)
+	}
+	wait := shortWait
+	if place.Reader && age < place.TakeoverAge+fleet.WatchWait {
+		wait = fleet.WatchWait
+	}
+	changed, err := s.call(ctx, wait)
+	if err != nil {
+		return s.callFailed(ctx, err, usable)
+	}
+	s.callSucceeded()
+	switch {
+	case changed:
+		return batchDelay
+	case place.Reader:
+		return 0
+	default:
+		return idleCheck
+	}
+}
+
+func (s *Sync) call(ctx context.Context, wait time.Duration) (changed bool, err error) {
+	s.calls.Inc()
+	began := s.Now()
+	var d *fleet.Delta
+	if s.cursor == 0 {
+		if d, err = s.Source.Snapshot(ctx); err == nil {
+			s.cursor = d.Listed
+		}
+	} else {
+		var next uint64
+		if d, next, err = s.Source.Watch(ctx, s.cursor, wait); err == nil {
+			s.cursor = next
+		}
+	}
+	if err != nil {
+		return false, err
+	}
+	if wait <= shortWait || d.Full {
+		// The answer may be as old as the question.
+		d.ConfirmedMS = int64((s.Now() - began) / time.Millisecond)
+	}
+	return s.apply(d, "platform"), nil
+}
+
+// apply adds a delta to the view.
+func (s *Sync) apply(d *fleet.Delta, from string) bool {
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	if from == "platform" {
+		// What the platform has not changed is confirmed.
+		d.Revision = max(d.Revision, s.View.Revision())
+	}
+	before := s.View.Version()
+	targets, config := s.View.Apply(s.Now(), d)
+	if targets || config {
+		s.Log.Info("view changed", zap.String("from", from), zap.Uint64("revision", s.View.Revision()), telemetry.Version(s.View.Version()),
+			zap.Uint64("previous_version", before), zap.Bool("targets", targets), zap.Bool("config", config), zap.Int("changes", len(d.Changes)))
+		s.Changed(targets, config)
+	}
+	return targets || config
+}
+
+func (s *Sync) callFailed(ctx context.Context, err error, usable bool) time.Duration {
+	if s.Source.Compacted(err) {
+		s.Log.Warn("history of the platform is gone, reading everything", zap.Uint64("after", s.cursor))
+		s.cursor = 0
+		return 0
+	}
+	if ctx.Err() != nil {
+		return 0
+	}
+	s.failed.Inc()
+	if s.reachable || !s.everCalled {
+		s.Log.Warn("platform lost", telemetry.Error(err), zap.Uint64("after", s.cursor))
+	}
+	s.reachable, s.everCalled = false, true
+	s.Lock.Lock()
+	s.View.Disturbed(s.Now())
+	s.Lock.Unlock()
+	if !usable {
+		s.askSeeds(ctx)
+	}
+	pause := min(maxBackoff, minBackoff<<min(s.failures, 4))
+	s.failures++
+	return pause/2 + rand.N(pause/2)
+}
+
+func (s *Sync) callSucceeded() {
+	if !s.reachable {
+		s.Log.Info("platform reached", zap.Uint64("cursor", s.cursor))
+		if s.everCalled {
+			s.Lock.Lock()
+			s.View.Disturbed(s.Now())
+			s.Lock.Unlock()
+		}
+	}
+	s.reachable, s.everCalled, s.failures = true, true, 0
+}
+
+func (s *Sync) askSeeds(ctx context.Context) {
+	for _, seed := range s.Seeds {
+		if seed.Addr() == s.Self {
+			continue
+		}
+		if err := s.pull(ctx, seed); err != nil {
+			s.Log.Debug("seed does not answer", zap.Stringer("seed", seed), telemetry.Error(err))
+			continue
+		}
+		return
+	}
+}
+
+// Follow fetches from peers that have a newer view until ctx ends.
+func (s *Sync) Follow(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case h := <-s.hints:
+			s.Lock.Lock()
+			known := h.revision <= s.View.Revision()
+			s.Lock.Unlock()
+			if known {
+				continue
+			}
+			if err := s.pull(ctx, h.from); err != nil && ctx.Err() == nil {
+				s.Log.Warn("peer does not give its view", telemetry.Peer(h.from.String()), telemetry.Error(err))
+			}
+		}
+	}
+}
+
+func (s *Sync) pull(ctx context.Context, from netip.AddrPort) error {
+	s.pulls.Inc()
+	s.Lock.Lock()
+	after := s.View.Revision()
+	if !s.View.Usable() {
+		after = 0
+	}
+	s.Lock.Unlock()
+	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+PathFleet+"?"+query.Encode(), nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return trace.Errorf("peer answered %d", response.StatusCode)
+	}
+	var d fleet.Delta
+	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxDelta)).Decode(&d); err != nil {
+		return trace.Wrap(err)
+	}
+	s.apply(&d, from.String())
+	return nil
+}
+
+// ServeHTTP gives a peer what changed after its revision.
+func (s *Sync) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after is not a revision", http.StatusBadRequest)
+		return
+	}
+	s.Lock.Lock()
+	usable := s.View.Usable()
+	d := s.View.Since(s.Now(), after)
+	s.Lock.Unlock()
+	if !usable {
+		http.Error(w, "no view yet", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(d); err != nil {
+		s.Log.Debug("peer broke off", telemetry.Error(err))
+	}
+}
--- /dev/null
+++ b/node/packetplane/agent.go
@@ -0,0 +1,96 @@
+package packetplane
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"trefoilweir.example/core/ownership"
+	"trefoilweir.example/core/relay"
+)
+
+const (
+	// nearEvery and farEvery are the times between beats to the agents of the
+	// same service in the same data centre and in others.
+	nearEvery = 100 * time.Millisecond
+	farEvery  = 400 * time.Millisecond
+	// agentLeaveLeast is the least time that a stopping agent goes on: its
+	// peers learn of it and place no new flows there.
+	agentLeaveLeast = 400 * time.Millisecond
+	// agentLeaveMost bounds the wait for requests in progress.
+	agentLeaveMost = 3 * time.Second
+)
+
+// agent is the role of a process beside a target.
+type agent struct {
+	*Process
+	machine   *ownership.Machine
+	near, far time.Duration
+}
+
+// RunAgent runs an agent until it is stopped.
+func RunAgent(ctx context.Context, o Options) error {
+	p, err := newProcess(o, "agent")
+	if err != nil {
+		return err
+	}
+	s := o.Settings
+	a := &agent{Process: p, machine: ownership.New(p.now(), ownership.Options{
+		Self: s.IP, DataCentre: s.DataCentre, Service: s.Service, Target: s.Target, FirstStart: s.FirstStart, Codec: o.Codec, View: p.view,
+	})}
+	var fromTarget *net.UDPConn
+	if fromTarget, err = listen(s.FromTarget); err != nil {
+		return err
+	}
+	p.role, p.caller = a, fromTarget
+	return p.run(ctx, []part{{"from_target", p.read(fromTarget, a.fromTarget)}})
+}
+
+func (a *agent) fromTarget(now time.Duration, _ netip.AddrPort, raw []byte) {
+	a.machine.FromTarget(now, raw, &a.out)
+}
+
+func (a *agent) fromPeer(now time.Duration, from netip.Addr, m *relay.Message) {
+	a.machine.FromPeer(now, from, m, &a.out)
+}
+
+func (a *agent) tick(now time.Duration) {
+	if a.stopping {
+		a.machine.Leave()
+	}
+	a.machine.Tick(now, &a.out)
+	near, far := now-a.near >= nearEvery, now-a.far >= farEvery
+	if !near && !far {
+		return
+	}
+	a.tell(now, near, far)
+}
+
+// tell sends the load to the other agents of the service.
+func (a *agent) tell(now time.Duration, near, far bool) {
+	if near {
+		a.near = now
+	}
+	if far {
+		a.far = now
+	}
+	beat := a.beat(now, 0)
+	for _, t := range a.view.Targets(a.Settings.Service) {
+		same := t.DataCentre == a.Settings.DataCentre
+		if t.Agent() != a.Settings.IP && (same && near || !same && far) {
+			a.sendTo(t.Agent(), &beat)
+		}
+	}
+}
+
+func (a *agent) waiting() bool { return a.machine.Waiting() }
+
+func (a *agent) load() relay.Load { return a.machine.Load() }
+
+func (a *agent) changed() {}
+
+func (a *agent) stopped(now, since time.Duration) bool {
+	wait := now - since
+	return wait > agentLeaveLeast && (a.machine.Idle() || wait > agentLeaveMost)
+}
--- /dev/null
+++ b/node/packetplane/balancer.go
@@ -0,0 +1,62 @@
+package packetplane
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"trefoilweir.example/core/dispatch"
+	"trefoilweir.example/core/relay"
+)
+
+const (
+	// leaveQuiet is how long no packet may have come before a stopping
+	// balancer ends, leaveLeast the least time until then: the routers notice
+	// after two missed probes.
+	leaveQuiet = 700 * time.Millisecond
+	leaveLeast = 1500 * time.Millisecond
+)
+
+// balancer is the role of a process on an entry VM.
+type balancer struct {
+	*Process
+	machine *dispatch.Machine
+	packets *net.UDPConn
+	heard   time.Duration
+}
+
+// RunBalancer runs a balancer until it is stopped.
+func RunBalancer(ctx context.Context, o Options) error {
+	p, err := newProcess(o, "balancer")
+	if err != nil {
+		return err
+	}
+	b := &balancer{Process: p, machine: dispatch.New(o.Settings.IP, o.Settings.DataCentre, o.Codec, p.view)}
+	if b.packets, err = listen(o.Settings.Packets); err != nil {
+		return err
+	}
+	p.role, p.caller = b, b.packets
+	return p.run(ctx, []part{{"packets", p.read(b.packets, b.fromCaller)}})
+}
+
+func (b *balancer) fromCaller(now time.Duration, _ netip.AddrPort, raw []byte) {
+	b.heard = now
+	b.machine.FromCaller(now, raw, &b.out)
+}
+
+func (b *balancer) fromPeer(now time.Duration, from netip.Addr, m *relay.Message) {
+	b.machine.FromPeer(now, from, m, &b.out)
+}
+
+func (b *balancer) tick(now time.Duration) { b.machine.Tick(now, &b.out) }
+
+func (b *balancer) waiting() bool { return b.machine.Waiting() }
+
+func (b *balancer) load() relay.Load { return relay.Load{} }
+
+func (b *balancer) changed() {}
+
+func (b *balancer) stopped(now, since time.Duration) bool {
+	return now-since > leaveLeast && now-b.heard > leaveQuiet
+}
--- /dev/null
+++ b/node/packetplane/events.go
@@ -0,0 +1,84 @@
+package packetplane
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/plane"
+	"trefoilweir.example/node/telemetry"
+)
+
+const (
+	// linesPerSecond bounds the log lines of one kind of decision.
+	linesPerSecond = 20
+)
+
+// budget counts the lines of one kind of decision in a second.
+type budget struct {
+	second  time.Duration
+	written int
+	left    int
+}
+
+// eventLog writes decisions as log lines and counts them all.
+type eventLog struct {
+	log     *zap.Logger
+	metrics *metrics.Set
+	budgets map[plane.EventKind]*budget
+	failed  *metrics.Counter
+}
+
+func newEventLog(log *zap.Logger, set *metrics.Set) *eventLog {
+	return &eventLog{log: log, metrics: set, budgets: map[plane.EventKind]*budget{}, failed: set.GetOrCreateCounter("trefoilweir_send_errors_total")}
+}
+
+func (l *eventLog) add(now time.Duration, events []plane.Event, view *fleet.View) {
+	for i := range events {
+		e := &events[i]
+		l.metrics.GetOrCreateCounter(`trefoilweir_decisions_total{kind="` + string(e.Kind) + `",reason="` + e.Reason + `"}`).Inc()
+		if left, ok := l.allow(now, e.Kind); ok {
+			l.write(e, left, view)
+		}
+	}
+}
+
+// allow reports whether a line may be written, and how many were left out
+// before it.
+func (l *eventLog) allow(now time.Duration, kind plane.EventKind) (left int, ok bool) {
+	b := l.budgets[kind]
+	if b == nil {
+		b = &budget{}
+		l.budgets[kind] = b
+	}
+	if second := now.Truncate(time.Second); second != b.second {
+		b.second, b.written = second, 0
+	}
+	if b.written >= linesPerSecond {
+		b.left++
+		return 0, false
+	}
+	b.written++
+	left, b.left = b.left, 0
+	return left, true
+}
+
+func (l *eventLog) write(e *plane.Event, left int, view *fleet.View) {
+	fields := make([]zap.Field, 0, 8)
+	fields = append(fields, zap.String("flow", e.Flow.String()), telemetry.Reason(e.Reason), zap.Int64("value", e.Value),
+		zap.Uint64("revision", view.Revision()), telemetry.Version(view.Version()))
+	if e.Peer.IsValid() {
+		fields = append(fields, telemetry.Peer(e.Peer.String()))
+	}
+	if left > 0 {
+		fields = append(fields, zap.Int("left_out", left))
+	}
+	l.log.Info(string(e.Kind), fields...)
+}
+
+func (l *eventLog) sendFailed(to netip.Addr, err error) {
+	l.failed.Inc()
+	l.log.Debug("datagram not sent", telemetry.Peer(to.String()), telemetry.Error(err))
+}
--- /dev/null
+++ b/node/packetplane/plane.go
@@ -0,0 +1,400 @@
+// Package packetplane runs a balancer or an agent of the packet plane: the
+// sockets, the clock and the supervision around the decisions of
+// core/dispatch, core/ownership and core/fleet.
+package packetplane
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/plane"
+	"trefoilweir.example/core/relay"
+	"trefoilweir.example/node/fleetsync"
+	"trefoilweir.example/node/telemetry"
+)
+
+const (
+	// tickBusy and tickIdle are the times between ticks, with short timeouts
+	// to watch and without.
+	tickBusy = 10 * time.Millisecond
+	tickIdle = 50 * time.Millisecond
+	// receiveBuffer is the size of the sockets' buffers, in bytes.
+	receiveBuffer = 1 << 20
+	// maxDatagram is over the size of any datagram, in bytes.
+	maxDatagram = 2048
+	// partBackoff is the pause after a part has failed often.
+	partBackoff = time.Second
+	// askEvery is how often a parent is asked for the age of its view.
+	askEvery = 400 * time.Millisecond
+	// pushTo is the number of processes that are told of a change at once.
+	pushTo = 8
+	// balancerSeen is how long a balancer is told of changes after it was
+	// heard.
+	balancerSeen = 3 * time.Second
+	// httpTimeout bounds a slow client.
+	httpTimeout = 5 * time.Second
+	// graceMargin is the time left of the grace period when a process ends.
+	graceMargin = 500 * time.Millisecond
+)
+
+// Options of a process.
+type Options struct {
+	Settings *plane.Settings
+	Codec    flow.Codec
+	Source   fleetsync.Source
+	Log      *zap.Logger
+	Metrics  *metrics.Set
+}
+
+// role is what differs between a balancer and an agent. Its methods are called
+// with the lock held.
+type role interface {
+	// fromPeer takes a datagram of another process.
+	fromPeer(now time.Duration, from netip.Addr, m *relay.Message)
+	// tick passes time.
+	tick(now time.Duration)
+	// waiting reports whether short timeouts are to be watched.
+	waiting() bool
+	// load is told to peers.
+	load() relay.Load
+	// changed is called after the view changed.
+	changed()
+	// stopped reports whether the process may end after it was asked to.
+	stopped(now, since time.Duration) bool
+}
+
+// Process is one process of the packet plane.
+type Process struct {
+	Options
+	role  role
+	name  string
+	tag   uint64
+	start time.Time
+
+	mu   sync.Mutex
+	view *fleet.View
+	sync *fleetsync.Sync
+	out  plane.Out
+
+	relay *net.UDPConn
+	// caller is the socket from which packets for callers are sent.
+	caller *net.UDPConn
+	send   []byte
+
+	balancers map[netip.Addr]time.Duration
+	asked     time.Duration
+	parent    int
+	stopping  bool
+	stopSince time.Duration
+	lastTick  time.Duration
+	events    *eventLog
+}
+
+func newProcess(o Options, name string) (*Process, error) {
+	p := &Process{
+		Options: o, name: name, tag: relay.ServiceTag(o.Settings.Service), start: time.Now(), view: fleet.New(),
+		balancers: map[netip.Addr]time.Duration{}, send: make([]byte, 0, maxDatagram),
+	}
+	p.events = newEventLog(o.Log, o.Metrics)
+	p.sync = fleetsync.New(fleetsync.Options{
+		Self: o.Settings.IP, Source: o.Source, PeerPort: o.Settings.PeerPort, Seeds: o.Settings.Seeds, Lock: &p.mu,
+		View: p.view, Now: p.now, Changed: p.viewChanged, Log: o.Log.Named("fleetsync"), Metrics: o.Metrics,
+	})
+	var err error
+	p.relay, err = listen(netip.AddrPortFrom(o.Settings.IP, o.Settings.PeerPort))
+	return p, err
+}
+
+func listen(a netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, trace.Wrap(err, "cannot listen on %s", a)
+	}
+	if err := conn.SetReadBuffer(receiveBuffer); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return conn, nil
+}
+
+// now is the steady time since the start of the process.
+func (p *Process) now() time.Duration { return time.Since(p.start) }
+
+// viewChanged tells others of the new revision. The lock is held.
+func (p *Process) viewChanged(targets, config bool) {
+	p.role.changed()
+	now := p.now()
+	to := p.view.Agents()
+	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+	to = to[:min(len(to), pushTo)]
+	for b, seen := range p.balancers {
+		if now-seen > balancerSeen {
+			delete(p.balancers, b)
+			continue
+		}
+		if len(to) < 2*pushTo {
+			to = append(to, b)
+		}
+	}
+	beat := p.beat(now, 0)
+	for _, a := range to {
+		if a != p.Settings.IP {
+			p.sendTo(a, &beat)
+		}
+	}
+}
+
+// beat returns a Beat of this process.
+func (p *Process) beat(now time.Duration, flags uint8) relay.Message {
+	load := p.role.load()
+	load.Flags |= flags
+	return relay.Message{Kind: relay.Beat, Service: p.tag, Load: load, Revision: p.view.Revision(), Age: p.view.Age(now)}
+}
+
+func (p *Process) sendTo(a netip.Addr, m *relay.Message) {
+	p.send = m.Append(p.send[:0])
+	if _, err := p.relay.WriteToUDPAddrPort(p.send, netip.AddrPortFrom(a, p.Settings.PeerPort)); err != nil {
+		p.events.sendFailed(a, err)
+	}
+}
+
+// flush sends what a step asked for. The lock is held.
+func (p *Process) flush(now time.Duration) {
+	for i := range p.out.Sends {
+		p.sendTo(p.out.Sends[i].To, &p.out.Sends[i].Message)
+	}
+	for _, raw := range p.out.ToTarget {
+		if _, err := p.relay.WriteToUDPAddrPort(raw, p.Settings.Target); err != nil {
+			p.events.sendFailed(p.Settings.Target.Addr(), err)
+		}
+	}
+	for _, c := range p.out.ToCaller {
+		a := netip.AddrPortFrom(netip.AddrFrom4(c.IP), p.Settings.Packets.Port())
+		if _, err := p.caller.WriteToUDPAddrPort(c.Raw, a); err != nil {
+			p.events.sendFailed(a.Addr(), err)
+		}
+	}
+	p.events.add(now, p.out.Events, p.view)
+	p.out.Clear()
+}
+
+// read passes the datagrams of a socket to a function, which is called with
+// the lock held.
+func (p *Process) read(conn *net.UDPConn, take func(now time.Duration, from netip.AddrPort, b []byte)) func(context.Context) error {
+	return func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = conn.SetReadDeadline(time.Now()) })
+		defer stop()
+		b := make([]byte, maxDatagram)
+		for {
+			n, from, err := conn.ReadFromUDPAddrPort(b)
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			if err != nil {
+				// An ICMP message about an earlier datagram is no fault of the
+				// socket.
+				if errors.Is(err, syscall.ECONNREFUSED) {
+					continue
+				}
+				return trace.Wrap(err)
+			}
+			p.mu.Lock()
+			now := p.now()
+			take(now, from, b[:n])
+			p.flush(now)
+			p.mu.Unlock()
+		}
+	}
+}
+
+// takeRelay takes a datagram of another process.
+func (p *Process) takeRelay(now time.Duration, from netip.AddrPort, b []byte) {
+	m, err := relay.Decode(b)
+	if err != nil {
+		p.out.Event(plane.Event{Kind: plane.EventDropped, Peer: from.Addr(), Reason: "malformed_relay"})
+		return
+	}
+	peer := from.Addr().Unmap()
+	if m.Kind == relay.Beat {
+		p.sync.Heard(peer, m.Revision, m.Age)
+		if m.Load.Flags&relay.FlagAgent == 0 {
+			p.balancers[peer] = now
+		}
+		if m.Load.Flags&relay.FlagAsk != 0 {
+			answer := p.beat(now, 0)
+			p.sendTo(peer, &answer)
+		}
+	}
+	p.role.fromPeer(now, peer, &m)
+}
+
+// tickLoop passes time.
+func (p *Process) tickLoop(ctx context.Context) error {
+	timer := time.NewTimer(tickIdle)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		}
+		p.mu.Lock()
+		now := p.now()
+		p.role.tick(now)
+		p.askParent(now)
+		p.view.Expire(now)
+		p.flush(now)
+		next := tickIdle
+		if p.role.waiting() {
+			next = tickBusy
+		}
+		p.mu.Unlock()
+		timer.Reset(next)
+	}
+}
+
+// askParent asks a parent for the age of its view.
+func (p *Process) askParent(now time.Duration) {
+	if now-p.asked < askEvery {
+		return
+	}
+	p.asked = now
+	place := fleet.PlaceOf(p.view.Agents(), p.Settings.IP)
+	if len(place.Parents) == 0 {
+		return
+	}
+	p.parent++
+	ask := p.beat(now, relay.FlagAsk)
+	p.sendTo(place.Parents[p.parent%len(place.Parents)], &ask)
+}
+
+// serveHTTP serves a handler on an address until ctx ends.
+func serveHTTP(a netip.AddrPort, h http.Handler) func(context.Context) error {
+	return func(ctx context.Context) error {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", a.String())
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		server := &http.Server{Handler: h, ReadHeaderTimeout: httpTimeout}
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		err = server.Serve(l)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		return trace.Wrap(err)
+	}
+}
+
+// ready answers the probes of the platform's routers.
+func (p *Process) ready(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	ok := p.view.Usable() && !p.stopping
+	p.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// part is a function under supervision.
+type part struct {
+	name  string
+	serve func(context.Context) error
+}
+
+// Serve implements suture.Service.
+func (p part) Serve(ctx context.Context) error { return p.serve(ctx) }
+
+// String returns the name.
+func (p part) String() string { return p.name }
+
+// run serves until the process was asked to stop and may end.
+func (p *Process) run(ctx context.Context, parts []part) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	supervisor := suture.New("trefoilweir", suture.Spec{EventHook: p.supervisorEvent, FailureBackoff: partBackoff})
+	mux := http.NewServeMux()
+	mux.Handle(fleetsync.PathFleet, p.sync)
+	parts = append(parts,
+		part{"relay", p.read(p.relay, p.takeRelay)},
+		part{"peer_http", serveHTTP(netip.AddrPortFrom(p.Settings.IP, p.Settings.PeerPort), mux)},
+		part{"ready_http", serveHTTP(p.Settings.Ready, http.HandlerFunc(p.ready))},
+		part{"platform", p.sync.Read}, part{"follow", p.sync.Follow}, part{"tick", p.tickLoop},
+	)
+	if p.Settings.Control.IsValid() {
+		parts = append(parts, part{"control_http", serveHTTP(p.Settings.Control, mux)})
+	}
+	for _, part := range parts {
+		supervisor.Add(part)
+	}
+	ended := supervisor.ServeBackground(ctx)
+	p.Log.Info("process started", zap.String("data_centre", p.Settings.DataCentre), zap.Bool("first_start", p.Settings.FirstStart))
+	check := time.NewTicker(tickIdle)
+	defer check.Stop()
+	for {
+		select {
+		case s := <-signals:
+			p.signalled(s)
+		case err := <-ended:
+			return trace.Wrap(err)
+		case <-ctx.Done():
+			return nil
+		case <-check.C:
+			if p.mayEnd() {
+				p.Log.Info("process stopped")
+				return nil
+			}
+		}
+	}
+}
+
+func (p *Process) signalled(s os.Signal) {
+	if s == syscall.SIGHUP {
+		p.Log.Info("settings reloaded", zap.String("note", "addresses stay as they are"))
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopping {
+		return
+	}
+	p.stopping, p.stopSince = true, p.now()
+	p.Log.Info("planned stop begins", zap.Duration("grace", p.Settings.Grace))
+}
+
+// mayEnd reports whether a planned stop is complete.
+func (p *Process) mayEnd() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.stopping {
+		return false
+	}
+	now := p.now()
+	return p.role.stopped(now, p.stopSince) || now-p.stopSince > p.Settings.Grace-graceMargin
+}
+
+func (p *Process) supervisorEvent(event suture.Event) {
+	switch e := event.(type) {
+	case suture.EventServicePanic:
+		p.Log.Error("part panicked", zap.String(telemetry.KeyPart, e.ServiceName), telemetry.Reason(e.PanicMsg), zap.String("stack", e.Stacktrace))
+	case suture.EventServiceTerminate:
+		p.Log.Error("part failed", zap.String(telemetry.KeyPart, e.ServiceName), zap.Any(telemetry.KeyError, e.Err))
+	}
+}
