lab/load: a request rejected after GOAWAY does not break its flow

Trace of a failed run: attempt booking-1-189~1 'sent true, verdict not-run, H3_REQUEST_REJECTED', attempt ~2 ran, connection closed with 0x100 (local).

Ruled out: an agent that closes during a request (the agent's rejection is explicit and came first), the race inside the library between GOAWAY and the opening of a stream (400 connections in a trial: all aborts were rejections).

Change: an explicit rejection does not mark the connection as interrupted; an end of the connection during any other request still does. The harness logs the attempts of repeated requests, which gave the trace.

--- a/lab/faults/harness_test.go
+++ b/lab/faults/harness_test.go
@@ -111,9 +111,25 @@
 	outcome := <-f.done
 	assert.NilError(f, outcome.Err)
 	f.Logf("%+v", outcome.Report)
+	f.logRepeats(outcome)
 	return outcome
 }
 
+// logRepeats shows the failed attempts of requests that were repeated.
+func (f *fixture) logRepeats(outcome system.Outcome) {
+	const most = 20
+	shown := 0
+	for _, result := range outcome.Results.Requests {
+		if len(result.Attempts) < 2 || shown == most {
+			continue
+		}
+		shown++
+		for _, a := range result.Attempts {
+			f.Logf("%s at %s: attempt %s, sent %t, verdict %s, %s", result.ID, result.Planned, a.ID, a.Sent, a.Verdict, a.Err)
+		}
+	}
+}
+
 // clean requires that every request finished once and no flow broke.
 func (f *fixture) clean() system.Outcome {
 	f.Helper()
--- a/lab/load/attempt.go
+++ b/lab/load/attempt.go
@@ -76,7 +76,9 @@
 func (r *request) run(ctx context.Context, f *flow, timeout time.Duration) Attempt {
 	defer f.begin()()
 	attempt := r.exchange(ctx, f, timeout)
-	if attempt.Sent && attempt.Err != "" && !f.alive() {
+	// A request that the server rejected explicitly, as it does after GOAWAY,
+	// ended before its connection did.
+	if attempt.Sent && attempt.Err != "" && !attempt.Explicit && !f.alive() {
 		f.interrupted.Store(true)
 	}
 	return attempt
