--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -31,6 +31,12 @@
 	maxEntries = 200_000
 	// sweepEvery is the time between sweeps of the table.
 	sweepEvery = 2 * time.Second
+	// waitingFor is how long a flow that waits for a slot is remembered after
+	// the last word of it.
+	waitingFor = 1500 * time.Millisecond
+	// earlyFor and maxEarly bound the packets that wait for the first view.
+	earlyFor = 400 * time.Millisecond
+	maxEarly = 2000
 	// freshView is the age up to which the absence of a route is certain.
 	freshView = 3 * time.Second
 )
@@ -47,6 +53,15 @@
 	sent    time.Duration
 	homes   []netip.Addr
 	next    int
+	// waiting says that the flow waits for a slot, so that no home is at
+	// fault.
+	waiting bool
+}
+
+// early is a packet that came before the first view.
+type early struct {
+	raw  []byte
+	came time.Duration
 }
 
 // Machine is the state of one balancer. It is not safe for concurrent use.
@@ -59,6 +74,7 @@
 	owners   map[flow.Key]*owner
 	openings map[flow.Key]*opening
 	suspects map[netip.Addr]time.Duration
+	early    []early
 	swept    time.Duration
 	scratch  []netip.Addr
 }
@@ -74,7 +90,7 @@
 // Flows returns the number of flows in the table.
 func (m *Machine) Flows() int { return len(m.owners) }
 
-// Waiting reports whether Tick has timeouts to watch.
+// Waiting reports whether Tick has short timeouts to watch.
 func (m *Machine) Waiting() bool { return len(m.openings) > 0 }
 
 // FromCaller takes a packet of a caller.
@@ -84,16 +100,41 @@
 		out.Event(plane.Event{Kind: plane.EventDropped, Reason: "malformed"})
 		return
 	}
+	if !m.view.Usable() {
+		if len(m.early) < maxEarly {
+			m.early = append(m.early, early{slices.Clone(raw), now})
+		}
+		return
+	}
+	m.take(now, &p, out)
+}
+
+// ViewChanged takes the packets that waited for the first view.
+func (m *Machine) ViewChanged(now time.Duration, out *plane.Out) {
+	if !m.view.Usable() || len(m.early) == 0 {
+		return
+	}
+	waited := m.early
+	m.early = nil
+	for _, e := range waited {
+		p, err := m.codec.FromCaller(e.raw)
+		if err == nil && now-e.came <= earlyFor {
+			m.take(now, &p, out)
+		}
+	}
+}
+
+func (m *Machine) take(now time.Duration, p *flow.Packet, out *plane.Out) {
 	if p.Open {
-		m.open(now, &p, out)
+		m.open(now, p, out)
 		return
 	}
 	if e := m.owners[p.Key]; e != nil {
 		e.seen = now
-		m.forward(e.agent, m.serviceOf(&p), &p, out)
+		m.forward(e.agent, m.serviceOf(p), p, out)
 		return
 	}
-	m.forwardUnknown(now, &p, out)
+	m.forwardUnknown(now, p, out)
 }
 
 // serviceOf returns the service of a packet's route, also of a removed one.
@@ -171,6 +212,13 @@
 		return
 	}
 	delete(m.owners, p.Key)
+	if o := m.openings[p.Key]; o != nil && o.waiting {
+		// The copy tells the agent how long the caller has waited.
+		o.raw = slices.Clone(p.Raw)
+		o.next--
+		m.sendOpening(now, o, out)
+		return
+	}
 	o := &opening{raw: slices.Clone(p.Raw), service: service, homes: slices.Clone(homes)}
 	// A copy says that the first home did not bring about an answer.
 	o.next = int(p.Ack) % len(homes)
@@ -203,10 +251,15 @@
 
 // FromPeer takes a datagram of another process.
 func (m *Machine) FromPeer(now time.Duration, from netip.Addr, msg *relay.Message, out *plane.Out) {
-	if msg.Kind != relay.Owner {
-		return
+	switch msg.Kind {
+	case relay.Owner:
+		m.owned(now, from, msg)
+	case relay.Waiting:
+		if o := m.openings[msg.Flow]; o != nil {
+			o.waiting, o.sent = true, now
+			delete(m.suspects, o.homes[(o.next-1)%len(o.homes)])
+		}
 	}
-	m.owned(now, from, msg)
 }
 
 func (m *Machine) owned(now time.Duration, from netip.Addr, msg *relay.Message) {
@@ -229,7 +282,11 @@
 // Tick passes time.
 func (m *Machine) Tick(now time.Duration, out *plane.Out) {
 	for key, o := range m.openings {
-		if now-o.sent < homeTimeout {
+		if now-o.sent < homeTimeout || o.waiting && now-o.sent < waitingFor {
+			continue
+		}
+		if o.waiting {
+			delete(m.openings, key)
 			continue
 		}
 		failed := o.homes[(o.next-1)%len(o.homes)]
--- /dev/null
+++ b/core/dispatch/dispatch_test.go
@@ -0,0 +1,154 @@
+package dispatch
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/flow/flowtest"
+	"trefoilweir.example/core/plane"
+	"trefoilweir.example/core/relay"
+)
+
+const ms = time.Millisecond
+
+var (
+	self    = netip.MustParseAddr("10.1.0.1")
+	service = netip.MustParseAddrPort("198.18.0.1:443")
+)
+
+func agent(n byte) netip.Addr { return netip.AddrFrom4([4]byte{10, 1, 0, 10 + n}) }
+
+func targetAt(n byte, state fleet.TargetState) *fleet.Target {
+	return &fleet.Target{ID: string('a' + rune(n)), Service: "booking", Address: netip.AddrPortFrom(agent(n), 80), DataCentre: "dc", Slots: 4, State: state, Born: 1}
+}
+
+// viewOf returns a view with one route and a number of targets.
+func viewOf(now time.Duration, targets byte) *fleet.View {
+	v := fleet.New()
+	d := &fleet.Delta{Revision: 10, Config: &fleet.Config{Version: 3, Routes: []fleet.Route{{Name: "r", Address: service, Service: "booking"}}}, ConfigRevision: 2}
+	for n := range targets {
+		t := targetAt(n, fleet.Ready)
+		d.Changes = append(d.Changes, fleet.Change{ID: t.ID, Revision: uint64(3 + n), Target: t})
+	}
+	v.Apply(now, d)
+	return v
+}
+
+func keyOf(port uint16) flow.Key {
+	return flow.Key{CallerIP: [4]byte{100, 64, 0, 7}, CallerPort: port, ServiceIP: service.Addr().As4(), ServicePort: service.Port()}
+}
+
+func openPacket(port uint16, copies uint32) []byte {
+	return flowtest.Encode(flow.Packet{Key: keyOf(port), Open: true, Seq: 100, Ack: copies})
+}
+
+func data(port uint16) []byte {
+	return flowtest.Encode(flow.Packet{Key: keyOf(port), Seq: 101, Ack: 1, Len: 10})
+}
+
+// Guards against an opening packet whose copy goes to the home that did not
+// bring about an answer.
+func TestCopyGoesToAnotherHome(t *testing.T) {
+	m := New(self, "dc", flowtest.Codec{}, viewOf(0, 3))
+	var out plane.Out
+	m.FromCaller(0, openPacket(1, 0), &out)
+	m.FromCaller(200*ms, openPacket(1, 1), &out)
+	assert.Equal(t, len(out.Sends), 2)
+	assert.Equal(t, out.Sends[0].Message.Kind, relay.Open)
+	assert.Assert(t, out.Sends[0].To != out.Sends[1].To)
+}
+
+// Guards against a flow whose packets leave the owner that reported, and
+// against an entry that outlives a new flow under the same addresses.
+func TestPacketsFollowOwner(t *testing.T) {
+	m := New(self, "dc", flowtest.Codec{}, viewOf(0, 3))
+	var out plane.Out
+	m.FromCaller(0, openPacket(1, 0), &out)
+	m.FromPeer(5*ms, agent(2), &relay.Message{Kind: relay.Owner, Flow: keyOf(1)}, &out)
+	assert.Assert(t, !m.Waiting())
+	out.Clear()
+	m.FromCaller(6*ms, data(1), &out)
+	assert.Equal(t, out.Sends[0].To, agent(2))
+	assert.Equal(t, out.Sends[0].Message.Kind, relay.Packet)
+	m.FromCaller(10*ms, openPacket(1, 0), &out)
+	assert.Equal(t, m.Flows(), 0)
+}
+
+// Guards against a home that is dead and still gets new flows.
+func TestSilentHomeIsLeft(t *testing.T) {
+	m := New(self, "dc", flowtest.Codec{}, viewOf(0, 3))
+	var out plane.Out
+	m.FromCaller(0, openPacket(1, 0), &out)
+	dead := out.Sends[0].To
+	out.Clear()
+	m.Tick(homeTimeout, &out)
+	assert.Equal(t, len(out.Sends), 1)
+	assert.Assert(t, out.Sends[0].To != dead)
+	for port := uint16(2); port < 40; port++ {
+		out.Clear()
+		m.FromCaller(homeTimeout+ms, openPacket(port, 0), &out)
+		assert.Assert(t, out.Sends[0].To != dead)
+	}
+	out.Clear()
+	m.FromCaller(homeTimeout+suspectFor+ms, openPacket(1, 0), &out)
+	assert.Equal(t, out.Sends[0].To, dead)
+}
+
+// Guards against a refusal by a view that may be older than the route.
+func TestUnknownRoute(t *testing.T) {
+	for _, c := range []struct {
+		age    time.Duration
+		resets int
+	}{{0, 1}, {freshView, 1}, {freshView + ms, 0}} {
+		m := New(self, "dc", flowtest.Codec{}, viewOf(0, 1))
+		var out plane.Out
+		p := flow.Packet{Key: keyOf(1), Open: true}
+		p.Key.ServicePort = 9
+		m.FromCaller(c.age, flowtest.Encode(p), &out)
+		assert.Equal(t, len(out.ToCaller), c.resets, "%s", c.age)
+		assert.Equal(t, len(out.Sends), 0)
+	}
+}
+
+// Guards against packets of open flows that are dropped because their route
+// was removed.
+func TestOpenFlowPassesOnRemovedRoute(t *testing.T) {
+	v := viewOf(0, 2)
+	m := New(self, "dc", flowtest.Codec{}, v)
+	v.Apply(0, &fleet.Delta{Revision: 20, Config: &fleet.Config{Version: 4}, ConfigRevision: 20})
+	var out plane.Out
+	m.FromCaller(ms, data(1), &out)
+	assert.Equal(t, len(out.Sends), 1)
+	m.FromCaller(ms, openPacket(2, 0), &out)
+	assert.Equal(t, len(out.Sends), 1)
+	assert.Equal(t, len(out.ToCaller), 1)
+}
+
+// Guards against malformed packets that stop the balancer or reach an agent.
+func TestMalformedPacketIsCounted(t *testing.T) {
+	m := New(self, "dc", flowtest.Codec{}, viewOf(0, 2))
+	var out plane.Out
+	m.FromCaller(0, []byte{1, 2}, &out)
+	assert.Equal(t, len(out.Sends), 0)
+	assert.Equal(t, out.Events[0].Reason, "malformed")
+}
+
+// Guards against a restarted balancer that drops the opening packets which
+// arrive before its view: their callers would wait for their next copy.
+func TestOpeningPacketsWaitForView(t *testing.T) {
+	v := fleet.New()
+	m := New(self, "dc", flowtest.Codec{}, v)
+	var out plane.Out
+	m.FromCaller(0, openPacket(1, 0), &out)
+	m.FromCaller(0, openPacket(2, 0), &out)
+	assert.Equal(t, len(out.Sends)+len(out.ToCaller), 0)
+	*v = *viewOf(30*ms, 2)
+	m.ViewChanged(30*ms, &out)
+	assert.Equal(t, len(out.Sends), 2)
+	m.ViewChanged(31*ms, &out)
+	assert.Equal(t, len(out.Sends), 2)
+}
--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,184 @@
+package fleet
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func target(id string, ip byte, state TargetState, born int64) *Target {
+	return &Target{ID: id, Service: "booking", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, ip}), 80), DataCentre: "dc", Slots: 4, State: state, Born: born}
+}
+
+func ids(targets []*Target) string {
+	out := ""
+	for _, t := range targets {
+		out += t.ID
+	}
+	return out
+}
+
+// Guards against a change that arrives late and undoes a later one.
+func TestLateChangeIsIgnored(t *testing.T) {
+	v := New()
+	v.Apply(0, &Delta{Changes: []Change{{ID: "a", Revision: 5, Target: target("a", 1, Draining, 1)}}})
+	v.Apply(0, &Delta{Changes: []Change{{ID: "a", Revision: 4, Target: target("a", 1, Ready, 1)}}})
+	assert.Equal(t, v.Targets("booking")[0].State, Draining)
+	v.Apply(0, &Delta{Changes: []Change{{ID: "a", Revision: 6}}})
+	v.Apply(0, &Delta{Changes: []Change{{ID: "a", Revision: 5, Target: target("a", 1, Ready, 1)}}})
+	assert.Equal(t, len(v.Targets("booking")), 0)
+}
+
+// Guards against a version of the routes that goes back.
+func TestVersionNeverGoesBack(t *testing.T) {
+	v := New()
+	for _, version := range []uint64{3, 7, 5, 7, 4} {
+		v.Apply(0, &Delta{Config: &Config{Version: version}, ConfigRevision: version})
+	}
+	assert.Equal(t, v.Version(), uint64(7))
+}
+
+// Guards against a listing, whose pages are no snapshot, that removes a target
+// which came after it.
+func TestListingRemovesOnlyWhatIsOlder(t *testing.T) {
+	v := New()
+	v.Apply(0, &Delta{Changes: []Change{{ID: "a", Revision: 2, Target: target("a", 1, Ready, 1)}, {ID: "b", Revision: 9, Target: target("b", 2, Ready, 1)}}})
+	v.Apply(0, &Delta{Full: true, Listed: 8})
+	assert.Equal(t, ids(v.Targets("booking")), "b")
+	assert.Equal(t, ids(v.Former("booking")), "a")
+}
+
+// Guards against a crashed target whose old entry hides that its successor at
+// the same address is still warming up, or takes its load twice.
+func TestOneTargetPerAddress(t *testing.T) {
+	v := New()
+	old, young := target("a", 1, Ready, 100), target("b", 1, Ready, 200)
+	young.WarmupMS = 1500
+	v.Apply(0, &Delta{Changes: []Change{{ID: "a", Revision: 3, Target: old}, {ID: "b", Revision: 2, Target: young}}})
+	assert.Equal(t, ids(v.Targets("booking")), "b")
+	assert.Equal(t, v.AtAgent(young.Agent()).ID, "b")
+	// A removed entry whose address has a new owner is nobody's former target.
+	v.Apply(0, &Delta{Changes: []Change{{ID: "a", Revision: 4}}})
+	assert.Equal(t, len(v.Former("booking")), 0)
+}
+
+// Guards against a peer that is too far behind and gets a delta with gaps.
+func TestOldPeerGetsFullView(t *testing.T) {
+	v := New()
+	v.Apply(0, &Delta{Revision: 9, Changes: []Change{{ID: "a", Revision: 3, Target: target("a", 1, Ready, 1)}, {ID: "b", Revision: 4, Target: target("b", 2, Ready, 1)}}})
+	v.Apply(time.Second, &Delta{Revision: 10, Changes: []Change{{ID: "a", Revision: 10}}})
+	peer := New()
+	peer.Apply(0, &Delta{Revision: 9, Changes: []Change{{ID: "a", Revision: 3, Target: target("a", 1, Ready, 1)}, {ID: "b", Revision: 4, Target: target("b", 2, Ready, 1)}}})
+	v.Expire(time.Second + FormerFor + time.Second)
+	d := v.Since(0, peer.Revision())
+	assert.Assert(t, d.Full)
+	peer.Apply(0, &d)
+	assert.Equal(t, ids(peer.Targets("booking")), "b")
+	assert.Equal(t, peer.Revision(), v.Revision())
+}
+
+// Guards against targets that are given up because the platform was away when
+// their entries lapsed, and against targets that are kept although the
+// platform is back for longer than the grace.
+func TestLapsedTargets(t *testing.T) {
+	v := New()
+	v.Apply(0, &Delta{Changes: []Change{{ID: "a", Revision: 3, Target: target("a", 1, Ready, 1)}, {ID: "b", Revision: 4, Target: target("b", 2, Draining, 1)}}})
+	v.Apply(0, &Delta{Changes: []Change{{ID: "a", Revision: 5}, {ID: "b", Revision: 6}}})
+	assert.Equal(t, len(v.Lapsed(0, "booking")), 0)
+	v.Disturbed(time.Second)
+	assert.Equal(t, ids(v.Lapsed(time.Second+ReturnGrace, "booking")), "a")
+	assert.Equal(t, len(v.Lapsed(2*time.Second+ReturnGrace, "booking")), 0)
+}
+
+// Guards against a confirmation of an old revision that makes a view look
+// fresh.
+func TestConfirmOfOldRevision(t *testing.T) {
+	v := New()
+	v.Apply(0, &Delta{Revision: 9})
+	v.Confirm(5*time.Second, 0, 8)
+	assert.Equal(t, v.Age(5*time.Second), 5*time.Second)
+	v.Confirm(5*time.Second, time.Second, 9)
+	assert.Equal(t, v.Age(5*time.Second), time.Second)
+}
+
+// Guards against views that differ after the same deltas in another order and
+// with repetitions.
+func TestDeltasInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source := New()
+		var deltas []Delta
+		for n := range rapid.IntRange(1, 20).Draw(t, "changes") {
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			c := Change{ID: id, Revision: uint64(n + 1)}
+			if rapid.Bool().Draw(t, "there") {
+				c.Target = target(id, id[0], Ready, int64(n))
+			}
+			after := source.Revision()
+			source.Apply(0, &Delta{Revision: uint64(n + 1), Changes: []Change{c}})
+			deltas = append(deltas, source.Since(0, rapid.Uint64Range(0, after).Draw(t, "after")))
+		}
+		other := New()
+		for range len(deltas) {
+			d := rapid.SampledFrom(deltas).Draw(t, "delta")
+			other.Apply(0, &d)
+		}
+		last := source.Since(0, 0)
+		other.Apply(0, &last)
+		for i := range deltas {
+			other.Apply(0, &deltas[i])
+		}
+		assert.Equal(t, ids(other.Targets("booking")), ids(source.Targets("booking")))
+		assert.Equal(t, other.Revision(), source.Revision())
+	})
+}
+
+// Guards against readers that are too few or too many, and against processes
+// whose questions never reach a reader.
+func TestPlaces(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 10, 300} {
+		var agents []netip.Addr
+		for i := range n {
+			agents = append(agents, netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}))
+		}
+		places := map[netip.Addr]Place{}
+		readers := 0
+		for _, a := range agents {
+			places[a] = PlaceOf(agents, a)
+			if places[a].Reader {
+				readers++
+			}
+		}
+		assert.Equal(t, readers, min(n, Readers))
+		for _, a := range append(agents, netip.MustParseAddr("10.9.9.9")) {
+			at, steps := a, 0
+			for p := PlaceOf(agents, at); !p.Reader; p = places[at] {
+				assert.Assert(t, len(p.Parents) > 0)
+				at = p.Parents[0]
+				steps++
+				assert.Assert(t, steps < 6)
+			}
+		}
+	}
+}
+
+// Guards against homes that move for flows whose agent is still there.
+func TestHomesAreStable(t *testing.T) {
+	var targets []*Target
+	for i := range byte(8) {
+		targets = append(targets, target(string('a'+rune(i)), i+1, Ready, 1))
+		if i%2 == 0 {
+			targets[i].DataCentre = "other"
+		}
+	}
+	for hash := range uint64(200) {
+		all := Homes(nil, targets, hash, "dc")
+		assert.Equal(t, targets[0].Agent() == all[0], false)
+		without := Homes(nil, targets[:7], hash, "dc")
+		if all[0] != targets[7].Agent() {
+			assert.Equal(t, all[0], without[0])
+		}
+	}
+}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -37,8 +37,12 @@
 	disturbed    time.Duration
 	wasDisturbed bool
 
-	services map[string][]*Target
-	sorted   bool
+	// services, atAddress and atAgent are made from the entries when they are
+	// needed.
+	services  map[string][]*Target
+	atAddress map[netip.AddrPort]*entry
+	atAgent   map[netip.Addr]*Target
+	sorted    bool
 }
 
 type retiredRoute struct {
@@ -267,18 +271,34 @@
 	if v.sorted {
 		return
 	}
-	v.services = map[string][]*Target{}
+	v.atAddress = map[netip.AddrPort]*entry{}
 	for _, e := range v.entries {
-		if e.target != nil {
-			v.services[e.target.Service] = append(v.services[e.target.Service], e.target)
+		if e.target == nil {
+			continue
+		}
+		// Two targets cannot have one address. After a crash the entry of the
+		// earlier one stays for some heartbeats.
+		if other := v.atAddress[e.target.Address]; other == nil || e.newerThan(other) {
+			v.atAddress[e.target.Address] = e
 		}
 	}
+	v.services = map[string][]*Target{}
+	v.atAgent = map[netip.Addr]*Target{}
+	for _, e := range v.atAddress {
+		v.services[e.target.Service] = append(v.services[e.target.Service], e.target)
+		v.atAgent[e.target.Agent()] = e.target
+	}
 	for _, targets := range v.services {
 		slices.SortFunc(targets, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	v.sorted = true
 }
 
+// newerThan orders entries that claim one address.
+func (e *entry) newerThan(o *entry) bool {
+	return cmp.Or(cmp.Compare(e.target.Born, o.target.Born), cmp.Compare(e.revision, o.revision)) > 0
+}
+
 // Former returns the targets of a service that were removed in the last
 // FormerFor. They may hold open flows.
 func (v *View) Former(service string) []*Target {
@@ -304,25 +324,14 @@
 
 // addressTaken reports whether another target has the address now.
 func (v *View) addressTaken(t *Target) bool {
-	for _, e := range v.entries {
-		if e.target != nil && e.target.Address == t.Address {
-			return true
-		}
-	}
-	return false
+	v.index()
+	return v.atAddress[t.Address] != nil
 }
 
 // AtAgent returns the target that runs on the VM with an address.
 func (v *View) AtAgent(agent netip.Addr) *Target {
 	v.index()
-	for _, targets := range v.services {
-		for _, t := range targets {
-			if t.Agent() == agent {
-				return t
-			}
-		}
-	}
-	return nil
+	return v.atAgent[agent]
 }
 
 // Agents returns the addresses of the VMs of all listed targets in order.
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -23,6 +23,7 @@
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/plane"
 	"trefoilweir.example/core/relay"
+	"trefoilweir.example/core/waitqueue"
 )
 
 // Times and bounds.
@@ -46,8 +47,9 @@
 	flowIdle = 30 * time.Second
 	// closedIdle is how long a flow is kept that both ends have closed.
 	closedIdle = 4 * time.Second
-	// halfOpenFor is how long an accepted flow counts as a coming request.
-	halfOpenFor = 300 * time.Millisecond
+	// halfOpenFor is how long an accepted flow counts as a coming request. Its
+	// caller answers within a round trip, unless it has given up.
+	halfOpenFor = 40 * time.Millisecond
 	// maxFlows bounds the flows and the records, each.
 	maxFlows = 50_000
 	// searchTimeout is how long the answers to a search may take.
@@ -87,6 +89,7 @@
 	records map[flow.Key]*record
 	placing map[flow.Key]*placement
 	search  map[flow.Key]*search
+	queue   *waitqueue.Queue[flow.Key, waiting]
 	peers   map[netip.Addr]*peer
 
 	stats   *stats
@@ -131,10 +134,12 @@
 
 // record is what a home knows of a flow.
 type record struct {
-	owner     netip.Addr
-	confirmed bool
-	seq       uint32
-	seen      time.Duration
+	owner netip.Addr
+	// confirmed says that the owner has reported, waiting that the flow waits
+	// for a slot there.
+	confirmed, waiting bool
+	seq                uint32
+	seen               time.Duration
 }
 
 // peer is another agent of the service.
@@ -152,7 +157,7 @@
 	m := &Machine{
 		Options: o, tag: relay.ServiceTag(o.Service),
 		flows: map[flow.Key]*owned{}, records: map[flow.Key]*record{}, placing: map[flow.Key]*placement{},
-		search: map[flow.Key]*search{}, peers: map[netip.Addr]*peer{}, stats: newStats(now),
+		search: map[flow.Key]*search{}, peers: map[netip.Addr]*peer{}, queue: waitqueue.New[flow.Key, waiting](maxWaiting), stats: newStats(now),
 	}
 	if !o.FirstStart {
 		m.unsureUntil = now + unsureFor
@@ -167,7 +172,9 @@
 func (m *Machine) Records() int { return len(m.records) }
 
 // Waiting reports whether Tick has short timeouts to watch.
-func (m *Machine) Waiting() bool { return len(m.placing) > 0 || len(m.search) > 0 || m.offering() }
+func (m *Machine) Waiting() bool {
+	return len(m.placing) > 0 || len(m.search) > 0 || m.queue.Len() > 0 || m.offering()
+}
 
 func (m *Machine) offering() bool { return m.stats.count[phaseOffered] > 0 }
 
@@ -177,13 +184,20 @@
 // Idle reports whether no request is in progress at the target.
 func (m *Machine) Idle() bool { return m.stats.pending() == 0 }
 
+type addr = netip.Addr
+
 // FromPeer takes a datagram of another process.
 func (m *Machine) FromPeer(now time.Duration, from netip.Addr, msg *relay.Message, out *plane.Out) {
+	m.fromPeer(now, from, msg, out)
+	m.admit(now, out)
+}
+
+func (m *Machine) fromPeer(now time.Duration, from netip.Addr, msg *relay.Message, out *plane.Out) {
 	switch msg.Kind {
 	case relay.Beat:
 		m.heard(now, from, msg)
 		return
-	case relay.Owner, relay.NotOwner, relay.MaybeOwner:
+	case relay.Owner, relay.NotOwner, relay.MaybeOwner, relay.Waiting:
 		m.answered(now, from, msg, out)
 		return
 	}
@@ -206,7 +220,7 @@
 	case relay.Search:
 		m.searched(now, from, &p, msg, out)
 	case relay.Probe:
-		m.probed(now, &p, msg, out)
+		m.probed(now, from, &p, msg, out)
 	}
 }
 
@@ -290,6 +304,11 @@
 
 // FromTarget takes a packet of the target.
 func (m *Machine) FromTarget(now time.Duration, raw []byte, out *plane.Out) {
+	m.fromTarget(now, raw, out)
+	m.admit(now, out)
+}
+
+func (m *Machine) fromTarget(now time.Duration, raw []byte, out *plane.Out) {
 	p, err := m.Codec.FromTarget(raw)
 	if err != nil {
 		out.Event(plane.Event{Kind: plane.EventDropped, Reason: "malformed_from_target"})
@@ -303,6 +322,7 @@
 	f := m.flows[p.Key]
 	if f == nil {
 		f = m.learn(now, p.Key)
+		m.tellHeld(p.Key, f, out)
 	}
 	m.note(now, f, &p, out)
 	out.ToCaller = append(out.ToCaller, plane.CallerPacket{IP: p.Key.CallerIP, Raw: p.Raw})
--- /dev/null
+++ b/core/ownership/ownership_test.go
@@ -0,0 +1,416 @@
+package ownership
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/flow/flowtest"
+	"trefoilweir.example/core/plane"
+	"trefoilweir.example/core/relay"
+)
+
+const ms = time.Millisecond
+
+var (
+	balancer = netip.MustParseAddr("10.1.0.1")
+	service  = netip.MustParseAddrPort("198.18.0.1:443")
+	tag      = relay.ServiceTag("booking")
+)
+
+func agent(n byte) netip.Addr { return netip.AddrFrom4([4]byte{10, 1, 0, 10 + n}) }
+
+func targetAt(n byte, state fleet.TargetState) *fleet.Target {
+	return &fleet.Target{ID: string('a' + rune(n)), Service: "booking", Address: netip.AddrPortFrom(agent(n), 80), DataCentre: "dc", Slots: 4, State: state, Born: 1}
+}
+
+func viewOf(targets ...*fleet.Target) *fleet.View {
+	v := fleet.New()
+	d := &fleet.Delta{Revision: 100, Config: &fleet.Config{Version: 3, Routes: []fleet.Route{{Name: "r", Address: service, Service: "booking"}}}, ConfigRevision: 2}
+	for i, t := range targets {
+		d.Changes = append(d.Changes, fleet.Change{ID: t.ID, Revision: uint64(3 + i), Target: t})
+	}
+	v.Apply(0, d)
+	return v
+}
+
+// fixture is one agent, number 0 of three.
+type fixture struct {
+	*testing.T
+	*Machine
+	now time.Duration
+	out plane.Out
+}
+
+func newFixture(t *testing.T, first bool) *fixture {
+	v := viewOf(targetAt(0, fleet.Ready), targetAt(1, fleet.Ready), targetAt(2, fleet.Ready))
+	f := &fixture{T: t, Machine: New(0, Options{Self: agent(0), DataCentre: "dc", Service: "booking",
+		Target: netip.AddrPortFrom(agent(0), 80), FirstStart: first, Codec: flowtest.Codec{}, View: v})}
+	f.beats(1, 2)
+	return f
+}
+
+// beats lets peers report that they are idle.
+func (f *fixture) beats(peers ...byte) {
+	for _, n := range peers {
+		f.FromPeer(f.now, agent(n), &relay.Message{Kind: relay.Beat, Service: tag, Load: relay.Load{Flags: relay.FlagAgent, Slots: 4}}, &f.out)
+	}
+}
+
+func (f *fixture) busy(n byte, busy uint16) {
+	f.FromPeer(f.now, agent(n), &relay.Message{Kind: relay.Beat, Service: tag, Load: relay.Load{Flags: relay.FlagAgent, Slots: 4, Busy: busy}}, &f.out)
+}
+
+func keyOf(port uint16) flow.Key {
+	return flow.Key{CallerIP: [4]byte{100, 64, 0, 7}, CallerPort: port, ServiceIP: service.Addr().As4(), ServicePort: service.Port()}
+}
+
+func (f *fixture) send(kind relay.Kind, p flow.Packet) {
+	f.out.Clear()
+	f.FromPeer(f.now, balancer, &relay.Message{Kind: kind, Service: tag, Origin: balancer, Home: agent(0), Body: flowtest.Encode(p)}, &f.out)
+}
+
+func (f *fixture) target(p flow.Packet) {
+	f.out.Clear()
+	f.FromTarget(f.now, flowtest.Encode(p), &f.out)
+}
+
+func (f *fixture) later(d time.Duration) {
+	f.out.Clear()
+	f.now += d
+	f.Tick(f.now, &f.out)
+}
+
+// openHere opens a flow at the agent's own target.
+func (f *fixture) openHere(port uint16) {
+	f.send(relay.Place, flow.Packet{Key: keyOf(port), Open: true, Seq: 100})
+	assert.Equal(f, len(f.out.ToTarget), 1)
+	f.target(flow.Packet{Key: keyOf(port), Open: true, Seq: 5000, Ack: 101})
+	f.send(relay.Packet, flow.Packet{Key: keyOf(port), Seq: 101, Ack: 5001, Len: 10})
+	assert.Equal(f, len(f.out.ToTarget), 1)
+}
+
+func (f *fixture) kinds() (kinds []relay.Kind) {
+	for _, s := range f.out.Sends {
+		kinds = append(kinds, s.Message.Kind)
+	}
+	return kinds
+}
+
+// Guards against a new flow that goes to a busy target while another is idle.
+func TestPlacedByLoad(t *testing.T) {
+	f := newFixture(t, true)
+	f.busy(1, 4)
+	f.busy(2, 0)
+	for port := uint16(1); port < 5; port++ {
+		f.openHere(port)
+	}
+	f.send(relay.Open, flow.Packet{Key: keyOf(9), Open: true, Seq: 1})
+	assert.Equal(t, len(f.out.Sends), 1)
+	assert.Equal(t, f.out.Sends[0].To, agent(2))
+}
+
+// Guards against a home that does not learn of the owner, and a balancer that
+// takes the long way.
+func TestOwnerReports(t *testing.T) {
+	f := newFixture(t, true)
+	f.out.Clear()
+	f.FromPeer(f.now, agent(1), &relay.Message{Kind: relay.Place, Service: tag, Origin: balancer, Home: agent(1),
+		Body: flowtest.Encode(flow.Packet{Key: keyOf(1), Open: true, Seq: 100})}, &f.out)
+	f.target(flow.Packet{Key: keyOf(1), Open: true, Seq: 5000, Ack: 101})
+	assert.Equal(t, len(f.out.Sends), 2)
+	assert.Equal(t, f.out.Sends[0].To, balancer)
+	assert.Equal(t, f.out.Sends[1].To, agent(1))
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Owner, relay.Owner})
+}
+
+// Guards against a packet that acknowledges another target and reaches this
+// one.
+func TestPacketOfAnotherTargetsFlow(t *testing.T) {
+	f := newFixture(t, true)
+	f.send(relay.Place, flow.Packet{Key: keyOf(1), Open: true, Seq: 100})
+	f.target(flow.Packet{Key: keyOf(1), Open: true, Seq: 5000, Ack: 101})
+	f.send(relay.Packet, flow.Packet{Key: keyOf(1), Seq: 101, Ack: 777_001, Len: 10})
+	assert.Equal(t, len(f.out.ToTarget), 0)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Search, relay.Search})
+}
+
+// Guards against a packet for another service that reaches the target.
+func TestOtherServiceIsDropped(t *testing.T) {
+	f := newFixture(t, false)
+	for _, kind := range []relay.Kind{relay.Open, relay.Place, relay.Packet, relay.Search, relay.Probe} {
+		f.out.Clear()
+		f.FromPeer(f.now, balancer, &relay.Message{Kind: kind, Service: tag + 1, Body: flowtest.Encode(flow.Packet{Key: keyOf(1), Open: kind <= relay.Place})}, &f.out)
+		assert.Equal(t, len(f.out.ToTarget)+len(f.out.Sends), 0)
+	}
+}
+
+// Guards against a dead target that costs its callers the wait for their next
+// copy.
+func TestSilentTargetHandsOver(t *testing.T) {
+	f := newFixture(t, true)
+	f.send(relay.Place, flow.Packet{Key: keyOf(1), Open: true, Seq: 100})
+	f.later(acceptTimeout)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Place})
+	f.beats(1, 2)
+	f.send(relay.Place, flow.Packet{Key: keyOf(2), Open: true, Seq: 100})
+	assert.Equal(t, len(f.out.ToTarget), 0)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Place})
+	// It answers again.
+	f.target(flow.Packet{Key: keyOf(1), Open: true, Seq: 5000, Ack: 101})
+	f.send(relay.Place, flow.Packet{Key: keyOf(3), Open: true, Seq: 100})
+	assert.Equal(t, len(f.out.ToTarget), 1)
+}
+
+// Guards against an agent that is gone and still gets new flows.
+func TestAgentThatDoesNotReportIsLeft(t *testing.T) {
+	f := newFixture(t, true)
+	f.Leave()
+	f.send(relay.Open, flow.Packet{Key: keyOf(1), Open: true, Seq: 100})
+	gone := f.out.Sends[0].To
+	f.later(ownerTimeout)
+	assert.Equal(t, len(f.out.Sends), 1)
+	assert.Assert(t, f.out.Sends[0].To != gone)
+	f.beats(1, 2)
+	for port := uint16(2); port < 20; port++ {
+		f.send(relay.Open, flow.Packet{Key: keyOf(port), Open: true, Seq: 100})
+		assert.Assert(t, f.out.Sends[0].To != gone)
+	}
+}
+
+// Guards against new flows at a target that drains, also if balancer and home
+// do not know yet.
+func TestDrainingTargetTakesNothingNew(t *testing.T) {
+	f := newFixture(t, true)
+	f.openHere(1)
+	f.View.Apply(f.now, &fleet.Delta{Revision: 200, Changes: []fleet.Change{{ID: "a", Revision: 200, Target: targetAt(0, fleet.Draining)}}})
+	f.send(relay.Place, flow.Packet{Key: keyOf(2), Open: true, Seq: 100})
+	assert.Equal(t, len(f.out.ToTarget), 0)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Place})
+	f.send(relay.Packet, flow.Packet{Key: keyOf(1), Seq: 111, Ack: 5001, Len: 10})
+	assert.Equal(t, len(f.out.ToTarget), 1)
+}
+
+// Guards against a flow that is lost because a home without its record drops
+// the packet.
+func TestSearchFindsOwner(t *testing.T) {
+	home, owner := newFixture(t, true), newFixture(t, true)
+	owner.openHere(1)
+	home.send(relay.Packet, flow.Packet{Key: keyOf(1), Seq: 111, Ack: 5001, Len: 10})
+	assert.DeepEqual(t, home.kinds(), []relay.Kind{relay.Search, relay.Search})
+	search := home.out.Sends[0].Message
+	owner.out.Clear()
+	owner.FromPeer(owner.now, agent(1), &search, &owner.out)
+	assert.Equal(t, len(owner.out.ToTarget), 1)
+	assert.DeepEqual(t, owner.kinds(), []relay.Kind{relay.Owner, relay.Owner})
+	answer := owner.out.Sends[1].Message
+	home.FromPeer(home.now, agent(2), &answer, &home.out)
+	home.send(relay.Packet, flow.Packet{Key: keyOf(1), Seq: 121, Ack: 5001, Len: 10})
+	assert.Equal(t, home.out.Sends[0].To, agent(2))
+	assert.Equal(t, home.out.Sends[0].Message.Kind, relay.Packet)
+}
+
+func (f *fixture) answer(n byte, kind relay.Kind, port uint16) {
+	f.out.Clear()
+	f.FromPeer(f.now, agent(n), &relay.Message{Kind: kind, Service: tag, Flow: keyOf(port), Load: relay.Load{Flags: relay.FlagAgent, Slots: 4}}, &f.out)
+}
+
+// Guards against a reset of a flow that a target may hold, and against a
+// caller that waits although nobody holds its flow.
+func TestResetOnlyIfNobodyHoldsTheFlow(t *testing.T) {
+	f := newFixture(t, true)
+	p := flow.Packet{Key: keyOf(1), Seq: 111, Ack: 5001, Len: 10}
+	f.send(relay.Packet, p)
+	f.answer(1, relay.NotOwner, 1)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+	f.answer(2, relay.NotOwner, 1)
+	assert.Equal(t, len(f.out.ToCaller), 1)
+	// One agent does not answer.
+	p.Key = keyOf(2)
+	f.send(relay.Packet, p)
+	f.answer(1, relay.NotOwner, 2)
+	f.later(searchTimeout)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+}
+
+// Guards against callers that wait for their next retransmission after an
+// outage in which all targets lost their flows.
+func TestResetAfterAllProbesFail(t *testing.T) {
+	f := newFixture(t, false)
+	p := flow.Packet{Key: keyOf(1), Seq: 111, Ack: 5001, Len: 10}
+	f.send(relay.Packet, p)
+	f.answer(1, relay.MaybeOwner, 1)
+	f.answer(2, relay.NotOwner, 1)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Probe})
+	assert.Equal(t, len(f.out.ToTarget), 1)
+	f.answer(1, relay.NotOwner, 1)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+	p.Returned = true
+	f.target(p)
+	assert.Equal(t, len(f.out.ToCaller), 1)
+}
+
+// Guards against a probed agent that does not say what its target answered.
+func TestProbedAgentAnswers(t *testing.T) {
+	f := newFixture(t, false)
+	p := flow.Packet{Key: keyOf(1), Seq: 111, Ack: 5001, Len: 10}
+	f.out.Clear()
+	f.FromPeer(f.now, agent(2), &relay.Message{Kind: relay.Probe, Service: tag, Origin: balancer, Body: flowtest.Encode(p)}, &f.out)
+	assert.Equal(t, len(f.out.ToTarget), 1)
+	held := p
+	held.Key = keyOf(2)
+	p.Returned = true
+	f.target(p)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.NotOwner})
+	f.out.Clear()
+	f.FromPeer(f.now, agent(2), &relay.Message{Kind: relay.Probe, Service: tag, Origin: balancer, Body: flowtest.Encode(held)}, &f.out)
+	f.target(flow.Packet{Key: keyOf(2), Seq: 5001, Ack: 121, Len: 5})
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Owner, relay.Owner})
+}
+
+// Guards against packets of one flow that reach three wrong targets while the
+// right one is away.
+func TestProbesAreBounded(t *testing.T) {
+	f := newFixture(t, false)
+	p := flow.Packet{Key: keyOf(1), Seq: 111, Ack: 5001, Len: 10}
+	wrong := 0
+	for range 20 {
+		f.send(relay.Packet, p)
+		f.answer(1, relay.MaybeOwner, 1)
+		wrong += len(f.out.ToTarget)
+		f.later(searchTimeout)
+		wrong += len(f.out.ToTarget)
+		for _, k := range f.kinds() {
+			if k == relay.Probe {
+				wrong++
+			}
+		}
+		if f.now > 2*time.Second {
+			break
+		}
+		f.later(100 * ms)
+	}
+	assert.Assert(t, wrong > 0 && wrong <= probeBudget, "%d", wrong)
+}
+
+// Guards against flows that are lost when only the agent restarted.
+func TestRestartedAgentLearnsItsFlows(t *testing.T) {
+	f := newFixture(t, false)
+	p := flow.Packet{Key: keyOf(1), Seq: 111, Ack: 9001, Len: 10}
+	f.send(relay.Packet, p)
+	f.answer(1, relay.NotOwner, 1)
+	f.answer(2, relay.NotOwner, 1)
+	assert.Equal(t, len(f.out.ToTarget), 1)
+	f.target(flow.Packet{Key: keyOf(1), Seq: 9001, Ack: 121, Len: 100})
+	assert.Equal(t, len(f.out.ToCaller), 1)
+	f.send(relay.Packet, flow.Packet{Key: keyOf(1), Seq: 121, Ack: 9101, Len: 10})
+	assert.Equal(t, len(f.out.ToTarget), 1)
+}
+
+// Guards against a caller that waits until its deadline for a target that
+// restarted and lost its flow.
+func TestTargetThatLostAFlow(t *testing.T) {
+	f := newFixture(t, true)
+	f.openHere(1)
+	f.target(flow.Packet{Key: keyOf(1), Returned: true, Seq: 111, Ack: 5001, Len: 10})
+	assert.Equal(t, len(f.out.ToCaller), 1)
+	assert.Equal(t, f.Flows(), 0)
+}
+
+// Guards against a refused opening packet that is dropped although another
+// target can take the flow.
+func TestFullTargetHandsOver(t *testing.T) {
+	f := newFixture(t, true)
+	p := flow.Packet{Key: keyOf(1), Open: true, Seq: 100}
+	f.send(relay.Place, p)
+	p.Returned = true
+	f.target(p)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Place})
+	body, err := flowtest.Codec{}.FromCaller(f.out.Sends[0].Message.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, !body.Returned)
+}
+
+// Guards against an agent without a view that refuses what its own target can
+// take.
+func TestAgentWithoutViewServes(t *testing.T) {
+	m := New(0, Options{Self: agent(0), Service: "booking", Target: netip.AddrPortFrom(agent(0), 80), Codec: flowtest.Codec{}, View: fleet.New()})
+	var out plane.Out
+	m.FromPeer(0, balancer, &relay.Message{Kind: relay.Open, Service: tag, Origin: balancer,
+		Body: flowtest.Encode(flow.Packet{Key: keyOf(1), Open: true, Seq: 1})}, &out)
+	assert.Equal(t, len(out.ToTarget), 1)
+}
+
+// Guards against load figures that drift when flows end in unusual ways.
+func TestLoadReturnsToZero(t *testing.T) {
+	f := newFixture(t, true)
+	large := targetAt(0, fleet.Ready)
+	large.Slots = 20
+	f.View.Apply(f.now, &fleet.Delta{Revision: 200, Changes: []fleet.Change{{ID: "a", Revision: 200, Target: large}}})
+	for port := uint16(1); port < 10; port++ {
+		f.openHere(port)
+	}
+	assert.Equal(t, f.Load().Busy, uint16(9))
+	f.target(flow.Packet{Key: keyOf(1), Seq: 5001, Len: 10})
+	f.target(flow.Packet{Key: keyOf(2), Reset: true, Seq: 5001})
+	f.send(relay.Packet, flow.Packet{Key: keyOf(3), Reset: true, Seq: 111})
+	f.target(flow.Packet{Key: keyOf(4), Returned: true, Seq: 111, Ack: 5001, Len: 1})
+	f.send(relay.Place, flow.Packet{Key: keyOf(5), Open: true, Seq: 777})
+	f.target(flow.Packet{Key: keyOf(5), Returned: true, Open: true, Seq: 777})
+	assert.Equal(t, f.Load().Busy, uint16(4))
+	f.later(3 * flowIdle)
+	assert.Equal(t, f.Load().Busy, uint16(0))
+	assert.Equal(t, f.Flows(), 0)
+	for _, r := range f.stats.routes {
+		assert.Equal(t, r.open(), 0)
+	}
+}
+
+// Guards against a target whose queue grows until every request is late.
+func TestBusyTargetHoldsNewFlows(t *testing.T) {
+	f := newFixture(t, true)
+	for port := uint16(1); port <= 5; port++ {
+		f.openHere(port)
+	}
+	f.send(relay.Place, flow.Packet{Key: keyOf(6), Open: true, Seq: 100})
+	assert.Equal(t, len(f.out.ToTarget), 0)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Waiting})
+	f.send(relay.Place, flow.Packet{Key: keyOf(6), Open: true, Seq: 100, Ack: 1})
+	assert.Equal(t, len(f.out.ToTarget), 0)
+	// The first answer frees a slot.
+	f.target(flow.Packet{Key: keyOf(1), Seq: 5001, Len: 10})
+	assert.Equal(t, len(f.out.ToTarget), 1)
+	// A flow that cannot be served in time is refused at once.
+	f.send(relay.Place, flow.Packet{Key: keyOf(7), Open: true, Seq: 100})
+	f.later(defaultTimeout + ms)
+	assert.Equal(t, len(f.out.ToCaller), 1)
+}
+
+// Guards against a target that starts to drain while flows wait for it.
+func TestWaitingFlowsLeaveDrainingTarget(t *testing.T) {
+	f := newFixture(t, true)
+	for port := uint16(1); port <= 6; port++ {
+		f.send(relay.Place, flow.Packet{Key: keyOf(port), Open: true, Seq: 100})
+	}
+	f.View.Apply(f.now, &fleet.Delta{Revision: 200, Changes: []fleet.Change{{ID: "a", Revision: 200, Target: targetAt(0, fleet.Draining)}}})
+	f.later(ms)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Place})
+}
+
+// Guards against a home that suspects the agent at which a flow waits, and
+// places the flow twice.
+func TestHomeKnowsOfWaitingFlow(t *testing.T) {
+	f := newFixture(t, true)
+	f.Leave()
+	f.send(relay.Open, flow.Packet{Key: keyOf(1), Open: true, Seq: 100})
+	to := f.out.Sends[0].To
+	f.out.Clear()
+	f.FromPeer(f.now, to, &relay.Message{Kind: relay.Waiting, Service: tag, Flow: keyOf(1), Load: relay.Load{Flags: relay.FlagAgent}}, &f.out)
+	f.later(ownerTimeout)
+	assert.Equal(t, len(f.out.Sends), 0)
+	f.send(relay.Open, flow.Packet{Key: keyOf(1), Open: true, Seq: 100, Ack: 1})
+	assert.Equal(t, f.out.Sends[0].To, to)
+}
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -39,6 +39,10 @@
 			// The network has repeated the packet.
 			return
 		}
+		if r.waiting {
+			m.repeat(now, r.owner, p, msg, out)
+			return
+		}
 		// A copy: the first target did not answer, or its answer was lost.
 		tried = append(tried, r.owner)
 	}
@@ -72,6 +76,17 @@
 	m.pass(to, relay.Place, p, &placed, out)
 }
 
+// repeat passes a copy of an opening packet to the agent where the flow waits.
+func (m *Machine) repeat(now time.Duration, to netip.Addr, p *flow.Packet, msg *relay.Message, out *plane.Out) {
+	placed := *msg
+	placed.Home = m.Self
+	if to == m.Self {
+		m.offer(now, p, &placed, out)
+		return
+	}
+	m.pass(to, relay.Place, p, &placed, out)
+}
+
 // unplace ends the wait for the agent that was chosen last.
 func (m *Machine) unplace(key flow.Key) {
 	if pl := m.placing[key]; pl != nil {
@@ -82,6 +97,10 @@
 
 // choose returns the agent of the target for a new flow.
 func (m *Machine) choose(now time.Duration, key flow.Key, tried []netip.Addr) (netip.Addr, bool) {
+	if !m.View.Usable() {
+		// Nothing is known yet but the own target.
+		return m.Self, !slices.Contains(tried, m.Self)
+	}
 	listed := m.View.Targets(m.Service)
 	for _, class := range []func(*fleet.Target) bool{
 		func(t *fleet.Target) bool {
@@ -161,6 +180,14 @@
 		m.handOver(now, p, msg, reason, out)
 		return
 	}
+	if m.hold(now, p, msg, out) {
+		return
+	}
+	m.deliverOpening(now, p, msg, out)
+}
+
+// deliverOpening gives an opening packet to the target.
+func (m *Machine) deliverOpening(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
 	f := m.flows[p.Key]
 	if f != nil && (f.opened || f.callerKnown) {
 		m.forget(now, p.Key, f)
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -19,11 +19,15 @@
 	raw    []byte
 	origin netip.Addr
 	// asked are the agents that have not answered, unsure those whose target
-	// may hold the flow.
-	asked  map[netip.Addr]bool
-	unsure []netip.Addr
-	// found says that the owner has answered, done that the round is over.
-	found, done bool
+	// may hold the flow, probing those that are asking their target.
+	asked   map[netip.Addr]bool
+	unsure  []netip.Addr
+	probing map[netip.Addr]bool
+	// done says that the round is over.
+	done bool
+	// prober is the agent for which the own target was asked, for the packet
+	// that the balancer origin took.
+	prober netip.Addr
 	// probes counts the packets that reached a target which may not hold the
 	// flow, since firstProbe.
 	probes     int
@@ -47,8 +51,8 @@
 		s = &search{}
 		m.search[p.Key] = s
 	}
-	s.began, s.raw, s.origin, s.done, s.found = now, slices.Clone(p.Raw), msg.Origin, false, false
-	s.asked, s.unsure = map[netip.Addr]bool{}, s.unsure[:0]
+	s.began, s.raw, s.origin, s.done = now, slices.Clone(p.Raw), msg.Origin, false
+	s.asked, s.probing, s.unsure = map[netip.Addr]bool{}, map[netip.Addr]bool{}, s.unsure[:0]
 	for _, a := range m.searchable(now) {
 		s.asked[a] = true
 		m.pass(a, relay.Search, p, msg, out)
@@ -111,6 +115,14 @@
 	p := m.peer(from)
 	p.load, p.heard, p.everHeard = msg.Load, now, true
 	s := m.search[msg.Flow]
+	if msg.Kind == relay.Waiting {
+		p.suspect = 0
+		m.unplace(msg.Flow)
+		if r := m.records[msg.Flow]; r != nil && !r.confirmed {
+			r.owner, r.waiting = from, true
+		}
+		return
+	}
 	if msg.Kind == relay.Owner {
 		p.suspect = 0
 		m.unplace(msg.Flow)
@@ -120,19 +132,39 @@
 			m.records[msg.Flow] = &record{owner: from, confirmed: true, seen: now}
 		}
 		if s != nil {
-			s.found, s.done = true, true
+			s.done = true
+			clear(s.probing)
 			out.Event(plane.Event{Kind: plane.EventFound, Flow: msg.Flow, Peer: from})
 		}
 		return
 	}
-	if s == nil || s.done || !s.asked[from] {
-		return
+	switch {
+	case s == nil:
+	case s.probing[from] && msg.Kind == relay.NotOwner:
+		m.probeFailed(from, msg.Flow, s, out)
+	case !s.done && s.asked[from]:
+		delete(s.asked, from)
+		if msg.Kind == relay.MaybeOwner {
+			s.unsure = append(s.unsure, from)
+		}
+		m.endSearch(now, msg.Flow, s, out)
+	}
+}
+
+// probeFailed notes that the target of a probed agent does not hold the flow.
+// After the last one nobody does, if all agents have answered.
+func (m *Machine) probeFailed(from netip.Addr, key flow.Key, s *search, out *plane.Out) {
+	delete(s.probing, from)
+	s.unsure = slices.DeleteFunc(s.unsure, func(a netip.Addr) bool { return a == from })
+	if len(s.probing)+len(s.unsure)+len(s.asked) == 0 {
+		m.resetSearched(s, out)
 	}
-	delete(s.asked, from)
-	if msg.Kind == relay.MaybeOwner {
-		s.unsure = append(s.unsure, from)
+}
+
+func (m *Machine) resetSearched(s *search, out *plane.Out) {
+	if p, err := m.Codec.FromCaller(s.raw); err == nil {
+		m.reset(&p, "no_target_holds_flow", out)
 	}
-	m.endSearch(now, msg.Flow, s, out)
 }
 
 // endSearch acts on the answers once all are there.
@@ -146,10 +178,7 @@
 		m.probe(now, key, s, len(s.unsure), out)
 		return
 	}
-	p, err := m.Codec.FromCaller(s.raw)
-	if err == nil {
-		m.reset(&p, "no_target_holds_flow", out)
-	}
+	m.resetSearched(s, out)
 }
 
 // checkSearches ends searches whose answers do not come.
@@ -175,15 +204,16 @@
 	if err != nil {
 		return
 	}
-	for _, a := range s.unsure {
+	for _, a := range slices.Clone(s.unsure) {
 		if s.probes >= most {
 			return
 		}
 		s.probes++
+		s.probing[a] = true
 		out.Event(plane.Event{Kind: plane.EventProbed, Flow: key, Peer: a, Value: int64(s.probes)})
 		msg := &relay.Message{Origin: s.origin}
 		if a == m.Self {
-			m.probed(now, &p, msg, out)
+			m.probed(now, m.Self, &p, msg, out)
 			continue
 		}
 		m.pass(a, relay.Probe, &p, msg, out)
@@ -191,13 +221,21 @@
 }
 
 // probed gives a packet to the target to learn whether it holds the flow.
-func (m *Machine) probed(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
+func (m *Machine) probed(now time.Duration, from netip.Addr, p *flow.Packet, msg *relay.Message, out *plane.Out) {
 	if f := m.flows[p.Key]; f != nil && f.takes(p) {
 		m.deliver(now, f, p, out)
 		m.report(f, msg.Origin, p.Key, out)
+		m.report(f, from, p.Key, out)
 		return
 	}
-	if m.disowned(p.Key) || !m.unsure(now) {
+	s := m.search[p.Key]
+	if s == nil {
+		s = &search{began: now, done: true}
+		m.search[p.Key] = s
+	}
+	s.prober, s.origin = from, msg.Origin
+	if s.disowned || !m.unsure(now) {
+		m.tellNotHeld(p.Key, s, out)
 		return
 	}
 	out.ToTarget = append(out.ToTarget, m.Codec.Clean(p.Raw))
@@ -211,4 +249,29 @@
 		m.search[p.Key] = s
 	}
 	s.disowned = true
+	m.tellNotHeld(p.Key, s, out)
+}
+
+// tellNotHeld answers the agent that asked for the flow.
+func (m *Machine) tellNotHeld(key flow.Key, s *search, out *plane.Out) {
+	switch {
+	case s.prober == m.Self && s.probing[m.Self]:
+		m.probeFailed(m.Self, key, s, out)
+	case s.prober.IsValid() && s.prober != m.Self:
+		out.Send(s.prober, relay.Message{Kind: relay.NotOwner, Service: m.tag, Flow: key, Load: m.Load(), Origin: s.origin})
+	}
+	s.prober = netip.Addr{}
+}
+
+// tellHeld answers the agent that asked for a flow which the target holds.
+func (m *Machine) tellHeld(key flow.Key, f *owned, out *plane.Out) {
+	s := m.search[key]
+	if s == nil || !s.prober.IsValid() {
+		return
+	}
+	f.origin = s.origin
+	m.report(f, s.origin, key, out)
+	m.report(f, s.prober, key, out)
+	s.prober = netip.Addr{}
+	clear(s.probing)
 }
--- a/core/ownership/stats.go
+++ b/core/ownership/stats.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/relay"
 )
@@ -175,7 +176,7 @@
 // Load returns the load of the target.
 func (m *Machine) Load() relay.Load {
 	l := relay.Load{
-		Flags: relay.FlagAgent, Busy: uint16(min(m.stats.pending(), math.MaxUint16)),
+		Flags: relay.FlagAgent, Busy: uint16(min(m.stats.pending()+m.queue.Len(), math.MaxUint16)),
 		Expected: uint16(min(100*m.stats.expected(), math.MaxUint16)), Slots: uint16(m.slots()),
 		ServiceTime: uint16(min(m.stats.serviceTime*10_000, math.MaxUint16)),
 	}
@@ -185,5 +186,8 @@
 	if m.silent {
 		l.Flags |= relay.FlagSilent
 	}
+	if t := m.View.AtAgent(m.Self); t != nil && t.State == fleet.Draining {
+		l.Flags |= relay.FlagDraining
+	}
 	return l
 }
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -11,10 +11,12 @@
 // Tick passes time.
 func (m *Machine) Tick(now time.Duration, out *plane.Out) {
 	m.stats.advance(now)
+	m.checkHalfOpen(now)
 	m.checkOffers(now, out)
 	m.checkPlacements(now, out)
 	m.checkSearches(now, out)
 	m.checkTarget(out)
+	m.admit(now, out)
 	if now-m.swept >= sweepEvery {
 		m.sweep(now)
 	}
@@ -52,7 +54,17 @@
 	switch {
 	case quiet > idle, f.phase == phaseClosed && quiet > closedIdle:
 		m.forget(now, key, f)
-	case f.phase == phaseHalfOpen && now-f.since > halfOpenFor:
-		m.stats.enter(now, key, f, phaseIdle)
+	}
+}
+
+// checkHalfOpen ends the wait for requests that do not come.
+func (m *Machine) checkHalfOpen(now time.Duration) {
+	if m.stats.count[phaseHalfOpen] == 0 {
+		return
+	}
+	for key, f := range m.flows {
+		if f.phase == phaseHalfOpen && now-f.since > halfOpenFor {
+			m.stats.enter(now, key, f, phaseIdle)
+		}
 	}
 }
--- /dev/null
+++ b/core/ownership/waiting.go
@@ -0,0 +1,119 @@
+package ownership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/plane"
+	"trefoilweir.example/core/relay"
+	"trefoilweir.example/core/waitqueue"
+)
+
+const (
+	// maxWaiting bounds the new flows that wait for the target.
+	maxWaiting = 256
+	// defaultObjective and defaultTimeout stand for those of a route that is
+	// not known.
+	defaultObjective = 200 * time.Millisecond
+	defaultTimeout   = 1200 * time.Millisecond
+	// firstCopy and secondCopy are the ages of a caller's copies of its
+	// opening packet.
+	firstCopy  = 200 * time.Millisecond
+	secondCopy = 600 * time.Millisecond
+)
+
+// waiting is a new flow that waits for a slot.
+type waiting struct {
+	raw []byte
+	msg relay.Message
+}
+
+// ageOf returns how long the caller has waited for an answer to its opening
+// packet.
+func ageOf(copies uint32) time.Duration {
+	switch copies {
+	case 0:
+		return 0
+	case 1:
+		return firstCopy
+	default:
+		return secondCopy
+	}
+}
+
+// full reports whether another request would wait at the target. While an
+// accepted flow's request is on its way, its slot is idle, so one flow more
+// than slots is admitted.
+func (m *Machine) full() bool {
+	slots := m.slots()
+	return slots > 0 && m.stats.pending() >= slots+1+slots/8
+}
+
+// hold lets a new flow wait for a slot, and reports whether it waits.
+func (m *Machine) hold(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) bool {
+	since := now - ageOf(p.Ack)
+	if !m.queue.Has(p.Key, since) {
+		if !m.full() {
+			return false
+		}
+		it := waitqueue.Item[flow.Key, waiting]{
+			Key: p.Key, Since: since, Objective: defaultObjective, Timeout: defaultTimeout,
+			Value: waiting{slices.Clone(p.Raw), relay.Message{Origin: msg.Origin, Home: msg.Home, Hops: msg.Hops, Refused: msg.Refused}},
+		}
+		if r, ok := m.View.Route(p.Key.Service()); ok {
+			it.Priority = r.Priority
+			it.Objective = cmp.Or(time.Duration(r.ObjectiveMS)*time.Millisecond, defaultObjective)
+			it.Timeout = cmp.Or(time.Duration(r.TimeoutMS)*time.Millisecond, defaultTimeout)
+		}
+		if !m.queue.Push(it) {
+			return false
+		}
+		out.Event(plane.Event{Kind: plane.EventQueued, Flow: p.Key, Reason: "target_busy", Value: int64(m.queue.Len())})
+	}
+	m.tellWaiting(p.Key, msg, out)
+	return true
+}
+
+// tellWaiting stops the timers of the balancer and the home.
+func (m *Machine) tellWaiting(key flow.Key, msg *relay.Message, out *plane.Out) {
+	answer := relay.Message{Kind: relay.Waiting, Service: m.tag, Flow: key, Load: m.Load(), Origin: msg.Origin}
+	for _, to := range slices.Compact([]addr{msg.Origin, msg.Home}) {
+		if to.IsValid() && to != m.Self {
+			out.Send(to, answer)
+		}
+	}
+}
+
+// admit gives waiting flows to the target as long as it has free slots.
+func (m *Machine) admit(now time.Duration, out *plane.Out) {
+	if m.queue.Len() == 0 {
+		return
+	}
+	service := m.serviceTime()
+	for it, ok := m.queue.Expired(now, service); ok; it, ok = m.queue.Expired(now, service) {
+		if p, err := m.Codec.FromCaller(it.Value.raw); err == nil {
+			m.reset(&p, "no_slot_in_time", out)
+		}
+	}
+	reason := m.refusal(now)
+	for m.queue.Len() > 0 && (reason != "" || !m.full()) {
+		it, _ := m.queue.Pop(now, service)
+		p, err := m.Codec.FromCaller(it.Value.raw)
+		if err != nil {
+			continue
+		}
+		if reason != "" {
+			m.handOver(now, &p, &it.Value.msg, reason, out)
+			continue
+		}
+		out.Event(plane.Event{Kind: plane.EventAdmitted, Flow: it.Key, Value: (now - it.Since).Milliseconds()})
+		m.deliverOpening(now, &p, &it.Value.msg, out)
+	}
+}
+
+// serviceTime is the mean time of a request that does not wait.
+func (m *Machine) serviceTime() time.Duration {
+	return time.Duration(m.stats.serviceTime * float64(time.Second))
+}
--- a/core/plane/out.go
+++ b/core/plane/out.go
@@ -38,6 +38,8 @@
 // The decisions.
 const (
 	EventPlaced      EventKind = "placed"
+	EventQueued      EventKind = "queued"
+	EventAdmitted    EventKind = "admitted"
 	EventHandedOver  EventKind = "handed_over"
 	EventRefused     EventKind = "refused"
 	EventReset       EventKind = "reset"
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -39,12 +39,14 @@
 	// MaybeOwner answers a Search: the sender restarted and its target may
 	// hold the flow.
 	MaybeOwner
+	// Waiting says that a new flow waits for a slot at the sender's target.
+	Waiting
 	// Beat tells load and the revision of the sender's view.
 	Beat
 )
 
 var kindNames = [...]string{Open: "open", Place: "place", Packet: "packet", Search: "search", Probe: "probe",
-	Owner: "owner", NotOwner: "not_owner", MaybeOwner: "maybe_owner", Beat: "beat"}
+	Owner: "owner", NotOwner: "not_owner", MaybeOwner: "maybe_owner", Waiting: "waiting", Beat: "beat"}
 
 // String returns the name for logs and metrics.
 func (k Kind) String() string {
@@ -139,7 +141,7 @@
 	case Open, Place, Packet, Search, Probe:
 		b = appendAddr(appendAddr(appendAddr(b, m.Origin), m.Home), m.Refused)
 		return append(b, m.Body...)
-	case Owner, NotOwner, MaybeOwner:
+	case Owner, NotOwner, MaybeOwner, Waiting:
 		b = m.Load.append(m.Flow.Append(b))
 		return appendAddr(b, m.Origin)
 	case Beat:
@@ -179,7 +181,7 @@
 			return m, ErrMalformed
 		}
 		m.Origin, m.Home, m.Refused, m.Body = parseAddr(rest), parseAddr(rest[4:]), parseAddr(rest[8:]), rest[12:]
-	case Owner, NotOwner, MaybeOwner:
+	case Owner, NotOwner, MaybeOwner, Waiting:
 		if len(b) != answerSize {
 			return m, ErrMalformed
 		}
--- /dev/null
+++ b/core/waitqueue/waitqueue.go
@@ -0,0 +1,113 @@
+// Package waitqueue orders new flows that wait for a free slot of a target. It
+// answers the load after an outage or a burst, when more flows come than the
+// target can serve at once: in a plain queue every flow would be late, here
+// the flows that can still meet their objective go first, and those that are
+// late already take what is left.
+package waitqueue
+
+import "time"
+
+// Item is a waiting flow.
+type Item[K comparable, V any] struct {
+	Key   K
+	Value V
+	// Since is when its caller began to wait.
+	Since time.Duration
+	// Priority 0 is the highest.
+	Priority int
+	// Objective is the time in which the caller wants its answer, Timeout the
+	// time after which it gives up.
+	Objective, Timeout time.Duration
+}
+
+// Queue is a bounded queue. It is not safe for concurrent use.
+type Queue[K comparable, V any] struct {
+	limit int
+	items []Item[K, V]
+}
+
+// New returns a queue for at most limit flows.
+func New[K comparable, V any](limit int) *Queue[K, V] { return &Queue[K, V]{limit: limit} }
+
+// Len returns the number of waiting flows.
+func (q *Queue[K, V]) Len() int { return len(q.items) }
+
+// Push adds a flow. It returns false if the queue is full.
+func (q *Queue[K, V]) Push(it Item[K, V]) bool {
+	if len(q.items) >= q.limit {
+		return false
+	}
+	q.items = append(q.items, it)
+	return true
+}
+
+// Has reports whether a flow waits. since moves back the time at which its
+// caller began to wait, if it is earlier than known.
+func (q *Queue[K, V]) Has(key K, since time.Duration) bool {
+	for i := range q.items {
+		if q.items[i].Key == key {
+			q.items[i].Since = min(q.items[i].Since, since)
+			return true
+		}
+	}
+	return false
+}
+
+// Pop removes the flow that is next if a request takes the given time: of
+// those that can meet their objective the most urgent by priority and then
+// age, otherwise of the late ones.
+func (q *Queue[K, V]) Pop(now, service time.Duration) (it Item[K, V], ok bool) {
+	best := -1
+	for i := range q.items {
+		if best < 0 || q.before(&q.items[i], &q.items[best], now, service) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return it, false
+	}
+	it = q.items[best]
+	q.remove(best)
+	return it, true
+}
+
+func (q *Queue[K, V]) before(a, b *Item[K, V], now, service time.Duration) bool {
+	aLate, bLate := a.late(now, service), b.late(now, service)
+	switch {
+	case aLate != bLate:
+		return bLate
+	case a.Priority != b.Priority:
+		return a.Priority < b.Priority
+	default:
+		return a.Since < b.Since
+	}
+}
+
+func (it *Item[K, V]) late(now, service time.Duration) bool {
+	return now-it.Since+service > it.Objective
+}
+
+// Expired removes and returns a flow that cannot be served any more before its
+// caller gives up, if there is one.
+func (q *Queue[K, V]) Expired(now, service time.Duration) (it Item[K, V], ok bool) {
+	for i := range q.items {
+		if now-q.items[i].Since+service > q.items[i].Timeout {
+			it = q.items[i]
+			q.remove(i)
+			return it, true
+		}
+	}
+	return it, false
+}
+
+// Take removes and returns any flow.
+func (q *Queue[K, V]) Take() (it Item[K, V], ok bool) {
+	if len(q.items) == 0 {
+		return it, false
+	}
+	it = q.items[0]
+	q.remove(0)
+	return it, true
+}
+
+func (q *Queue[K, V]) remove(i int) { q.items = append(q.items[:i], q.items[i+1:]...) }
--- /dev/null
+++ b/core/waitqueue/waitqueue_test.go
@@ -0,0 +1,53 @@
+package waitqueue
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const ms = time.Millisecond
+
+func item(key int, since time.Duration, priority int) Item[int, string] {
+	return Item[int, string]{Key: key, Since: since, Priority: priority, Objective: 100 * ms, Timeout: time.Second}
+}
+
+// Guards against the load after an outage: what came during the outage makes
+// what comes after it late too.
+func TestFreshBeforeLate(t *testing.T) {
+	q := New[int, string](10)
+	q.Push(item(1, 0, 1))
+	q.Push(item(2, 300*ms, 2))
+	q.Push(item(3, 350*ms, 2))
+	q.Push(item(4, 360*ms, 1))
+	var order []int
+	for it, ok := q.Pop(380*ms, 20*ms); ok; it, ok = q.Pop(380*ms, 20*ms) {
+		order = append(order, it.Key)
+	}
+	// 2 would be answered at its objective, so it is still in time.
+	assert.DeepEqual(t, order, []int{4, 2, 3, 1})
+}
+
+// Guards against flows that wait although their callers have given up.
+func TestExpired(t *testing.T) {
+	q := New[int, string](10)
+	q.Push(item(1, 0, 1))
+	_, ok := q.Expired(980*ms, 20*ms)
+	assert.Assert(t, !ok)
+	it, ok := q.Expired(981*ms, 20*ms)
+	assert.Assert(t, ok)
+	assert.Equal(t, it.Key, 1)
+	assert.Equal(t, q.Len(), 0)
+}
+
+// Guards against a queue without bound, and against a flow that waits twice.
+func TestBoundAndCopies(t *testing.T) {
+	q := New[int, string](1)
+	assert.Assert(t, q.Push(item(1, 500*ms, 1)))
+	assert.Assert(t, !q.Push(item(2, 500*ms, 1)))
+	assert.Assert(t, q.Has(1, 300*ms))
+	assert.Assert(t, !q.Has(2, 300*ms))
+	it, _ := q.Take()
+	assert.Equal(t, it.Since, 300*ms)
+}
--- a/node/packetplane/agent.go
+++ b/node/packetplane/agent.go
@@ -88,7 +88,7 @@
 
 func (a *agent) load() relay.Load { return a.machine.Load() }
 
-func (a *agent) changed() {}
+func (a *agent) changed(time.Duration) {}
 
 func (a *agent) stopped(now, since time.Duration) bool {
 	wait := now - since
--- a/node/packetplane/balancer.go
+++ b/node/packetplane/balancer.go
@@ -55,7 +55,7 @@
 
 func (b *balancer) load() relay.Load { return relay.Load{} }
 
-func (b *balancer) changed() {}
+func (b *balancer) changed(now time.Duration) { b.machine.ViewChanged(now, &b.out) }
 
 func (b *balancer) stopped(now, since time.Duration) bool {
 	return now-since > leaveLeast && now-b.heard > leaveQuiet
--- a/node/packetplane/plane.go
+++ b/node/packetplane/plane.go
@@ -73,7 +73,7 @@
 	// load is told to peers.
 	load() relay.Load
 	// changed is called after the view changed.
-	changed()
+	changed(now time.Duration)
 	// stopped reports whether the process may end after it was asked to.
 	stopped(now, since time.Duration) bool
 }
@@ -136,8 +136,9 @@
 
 // viewChanged tells others of the new revision. The lock is held.
 func (p *Process) viewChanged(targets, config bool) {
-	p.role.changed()
 	now := p.now()
+	p.role.changed(now)
+	p.flush(now)
 	to := p.view.Agents()
 	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
 	to = to[:min(len(to), pushTo)]
