Packet plane: one load figure, and no load of flows that nobody opened

The cost added the queue and the mean load, and the mean load, which counts short flows a second time, had a pole that hid the queue.

Ruled out: suspicion or silence of the slow target (none logged), old reports (beats of 100 ms arrived).

--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -18,6 +18,8 @@
 	// not known.
 	defaultObjective = 200 * time.Millisecond
 	defaultTimeout   = 1200 * time.Millisecond
+	// openingLimit is the age at which a caller gives up an opening packet.
+	openingLimit = 1350 * time.Millisecond
 	// firstCopy and secondCopy are the ages of a caller's copies of its
 	// opening packet.
 	firstCopy  = 200 * time.Millisecond
@@ -65,7 +67,7 @@
 		if r, ok := m.View.Route(p.Key.Service()); ok {
 			it.Priority = r.Priority
 			it.Objective = cmp.Or(time.Duration(r.ObjectiveMS)*time.Millisecond, defaultObjective)
-			it.Timeout = cmp.Or(time.Duration(r.TimeoutMS)*time.Millisecond, defaultTimeout)
+			it.Timeout = min(openingLimit, cmp.Or(time.Duration(r.TimeoutMS)*time.Millisecond, defaultTimeout))
 		}
 		if !m.queue.Push(it) {
 			return false
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -33,9 +33,9 @@
 	defaultServiceTime = 30 * time.Millisecond
 	// warmingFactor is by how much a target is slower after its start.
 	warmingFactor = 1.6
-	// maxUtilisation bounds the utilisation in the formula of the mean wait.
-	// Above it the wait grows linearly.
-	maxUtilisation = 0.98
+	// maxUtilisation bounds the utilisation in the formula of the mean wait,
+	// which has a pole at 1. Above it only the queue counts.
+	maxUtilisation = 0.9
 	// equal is the relative difference below which costs count as the same.
 	equal = 0.02
 )
@@ -87,14 +87,14 @@
 		ms *= warmingFactor
 	}
 	slots := float64(max(c.Slots, 1))
-	now := max(0, c.Busy+1-slots) / slots
-	return ms*(1+now+meanWait(c.Expected/slots, slots)) + float64(c.Distance)/float64(time.Millisecond)
+	load := max(c.Busy, c.Expected) + 1
+	queued := max(0, load-slots) / slots
+	return ms*(1+queued+meanWait(load/slots, slots)) + float64(c.Distance)/float64(time.Millisecond)
 }
 
 // meanWait is the mean wait in a queue with several slots as a multiple of the
 // service time, by Sakasegawa's approximation.
 func meanWait(utilisation, slots float64) float64 {
-	over := max(0, utilisation-maxUtilisation)
 	u := min(utilisation, maxUtilisation)
-	return math.Pow(u, math.Sqrt(2*(slots+1)))/(slots*(1-u)) + over*slots
+	return math.Pow(u, math.Sqrt(2*(slots+1))) / (slots * (1 - u))
 }
