Packet plane: judge targets by what they do with their flows

Ruled out: health checks (they are what lies), silence (the handshake works).

Change: after three flows in a row that the target resets instead of answering, its agent reports it as failing; it gets one idempotent flow each 300 ms as a probe until two are answered, and requests that may not be repeated are handed over. If all targets fail, placement goes on as before.

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -92,8 +92,9 @@
 	queue   *waitqueue.Queue[flow.Key, waiting]
 	peers   map[netip.Addr]*peer
 
-	stats   *stats
-	leaving bool
+	stats    *stats
+	outcomes outcomes
+	leaving  bool
 	// silent says that the target does not answer; retryAt is when it gets the
 	// next new flow as a probe.
 	silent      bool
@@ -350,8 +351,14 @@
 	case int32(end-f.top) > 0:
 		f.top = end
 	}
+	switch {
+	case p.Reset && f.phase == phaseBusy:
+		m.failed(now, p.Key, out)
+	case p.Len > 0 && f.phase == phaseBusy:
+		m.answeredRequest(p.Key, out)
+	}
 	if p.Len > 0 || p.Reset {
-		m.endRequest(now, f, p.Key)
+		m.endRequest(now, f, p.Key, p.Len > 0)
 		m.stats.sent(p.Key, p.Len)
 	}
 	if p.Final {
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -414,3 +414,55 @@
 	f.send(relay.Open, flow.Packet{Key: keyOf(1), Open: true, Seq: 100, Ack: 1})
 	assert.Equal(t, f.out.Sends[0].To, to)
 }
+
+// Guards against a target that resets its flows at once, so that it looks idle
+// and fast and attracts all of them.
+func TestFailingTargetIsLeft(t *testing.T) {
+	f := newFixture(t, true)
+	for port := uint16(1); port <= failuresInRow; port++ {
+		f.openHere(port)
+		f.target(flow.Packet{Key: keyOf(port), Reset: true, Seq: 5001})
+	}
+	assert.Assert(t, f.Load().Flags&relay.FlagFailing != 0)
+	f.beats(1, 2)
+	f.send(relay.Place, flow.Packet{Key: keyOf(20), Open: true, Seq: 100})
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Place})
+	// Only flows that may be repeated test whether it still fails.
+	f.later(retryFailing)
+	f.beats(1, 2)
+	f.openHere(21)
+	f.target(flow.Packet{Key: keyOf(21), Len: 10, Seq: 5001})
+	f.openHere(22)
+	f.target(flow.Packet{Key: keyOf(22), Len: 10, Seq: 5001})
+	assert.Assert(t, f.Load().Flags&relay.FlagFailing == 0)
+}
+
+// Guards against a lost request: one that must not be repeated does not go to
+// a target that may still fail.
+func TestFailingTargetIsNotProbedWithUnrepeatable(t *testing.T) {
+	f := newFixture(t, true)
+	f.View.Apply(f.now, &fleet.Delta{Revision: 300, ConfigRevision: 300, Config: &fleet.Config{Version: 9,
+		Routes: []fleet.Route{{Name: "r", Address: service, Service: "booking", Kind: fleet.NotIdempotent}}}})
+	for port := uint16(1); port <= failuresInRow; port++ {
+		f.openHere(port)
+		f.target(flow.Packet{Key: keyOf(port), Reset: true, Seq: 5001})
+	}
+	f.later(2 * retryFailing)
+	f.beats(1, 2)
+	f.send(relay.Place, flow.Packet{Key: keyOf(20), Open: true, Seq: 100})
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Place})
+}
+
+// Guards against all targets being given up at once.
+func TestAllTargetsFail(t *testing.T) {
+	f := newFixture(t, true)
+	for port := uint16(1); port <= failuresInRow; port++ {
+		f.openHere(port)
+		f.target(flow.Packet{Key: keyOf(port), Reset: true, Seq: 5001})
+	}
+	for n := byte(1); n <= 2; n++ {
+		f.FromPeer(f.now, agent(n), &relay.Message{Kind: relay.Beat, Service: tag, Load: relay.Load{Flags: relay.FlagAgent | relay.FlagFailing, Slots: 4}}, &f.out)
+	}
+	f.send(relay.Place, flow.Packet{Key: keyOf(20), Open: true, Seq: 100})
+	assert.Equal(t, len(f.out.ToTarget), 1)
+}
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -104,7 +104,7 @@
 	listed := m.View.Targets(m.Service)
 	for _, class := range []func(*fleet.Target) bool{
 		func(t *fleet.Target) bool {
-			return t.State == fleet.Ready && m.healthy(now, t.Agent()) && !slices.Contains(tried, t.Agent())
+			return t.State == fleet.Ready && m.healthy(now, key, t.Agent()) && !slices.Contains(tried, t.Agent())
 		},
 		func(t *fleet.Target) bool {
 			return t.State == fleet.Ready && m.able(t.Agent()) && !slices.Contains(tried, t.Agent())
@@ -119,7 +119,7 @@
 	// removed at once: their agents tell whether they live.
 	former := append(m.View.Lapsed(now, m.Service), m.View.Former(m.Service)...)
 	return m.chooseAmong(key, former, func(t *fleet.Target) bool {
-		return t.State == fleet.Ready && m.healthy(now, t.Agent()) && !slices.Contains(tried, t.Agent())
+		return t.State == fleet.Ready && m.healthy(now, key, t.Agent()) && !slices.Contains(tried, t.Agent())
 	})
 }
 
@@ -163,12 +163,12 @@
 }
 
 // healthy reports whether an agent and its target answered lately.
-func (m *Machine) healthy(now time.Duration, a netip.Addr) bool {
+func (m *Machine) healthy(now time.Duration, key flow.Key, a netip.Addr) bool {
 	if a == m.Self {
-		return !m.leaving && (!m.silent || now >= m.retryAt)
+		return !m.leaving && (!m.silent || now >= m.retryAt) && (!m.outcomes.failing || m.mayProbe(now, key))
 	}
 	p := m.peer(a)
-	if p.load.Flags&(relay.FlagLeaving|relay.FlagDraining|relay.FlagSilent) != 0 || now < p.suspect {
+	if p.load.Flags&(relay.FlagLeaving|relay.FlagDraining|relay.FlagSilent|relay.FlagFailing) != 0 || now < p.suspect {
 		return false
 	}
 	return p.everHeard && now-p.heard <= beatTimeout
@@ -180,6 +180,10 @@
 		m.handOver(now, p, msg, reason, out)
 		return
 	}
+	if m.outcomes.failing && !m.mayProbe(now, p.Key) && m.otherTarget(now, p, msg) {
+		m.handOver(now, p, msg, "failing", out)
+		return
+	}
 	if m.hold(now, p, msg, out) {
 		return
 	}
@@ -212,6 +216,19 @@
 	out.ToTarget = append(out.ToTarget, m.Codec.Clean(p.Raw))
 }
 
+// otherTarget reports whether a healthy target could take a flow instead.
+func (m *Machine) otherTarget(now time.Duration, p *flow.Packet, msg *relay.Message) bool {
+	if msg.Hops >= maxHops {
+		return false
+	}
+	for _, t := range m.View.Targets(m.Service) {
+		if t.Agent() != m.Self && t.Agent() != msg.Refused && t.State == fleet.Ready && m.healthy(now, p.Key, t.Agent()) {
+			return true
+		}
+	}
+	return false
+}
+
 // refusal says why the target takes no new flow, or nothing.
 func (m *Machine) refusal(now time.Duration) string {
 	t := m.View.AtAgent(m.Self)
--- a/core/ownership/stats.go
+++ b/core/ownership/stats.go
@@ -151,12 +151,13 @@
 	f.alone = m.stats.count[phaseBusy] <= m.slots()
 }
 
-// endRequest notes that the target answers.
-func (m *Machine) endRequest(now time.Duration, f *owned, key flow.Key) {
+// endRequest notes that the target is done with a request. The time of one
+// that it did not answer says nothing of its speed.
+func (m *Machine) endRequest(now time.Duration, f *owned, key flow.Key, answered bool) {
 	if f.phase != phaseBusy {
 		return
 	}
-	if f.alone {
+	if f.alone && answered {
 		took := (now - f.since).Seconds()
 		if m.stats.serviceTime == 0 {
 			m.stats.serviceTime = took
@@ -186,6 +187,9 @@
 	if m.silent {
 		l.Flags |= relay.FlagSilent
 	}
+	if m.outcomes.failing {
+		l.Flags |= relay.FlagFailing
+	}
 	if t := m.View.AtAgent(m.Self); t != nil && t.State == fleet.Draining {
 		l.Flags |= relay.FlagDraining
 	}
--- a/core/plane/out.go
+++ b/core/plane/out.go
@@ -53,7 +53,11 @@
 	EventNextHome    EventKind = "next_home"
 	EventTargetSwap  EventKind = "target_replaced"
 	EventTargetMute  EventKind = "target_silent"
-	EventTargetHeard EventKind = "target_answers"
+	EventTargetHeard EventKind = "target_heard"
+	// EventTargetFails and EventTargetAnswers say that the target resets flows
+	// instead of answering, and that it answers again.
+	EventTargetFails   EventKind = "target_fails"
+	EventTargetAnswers EventKind = "target_answers"
 )
 
 // Event is one decision with what decided it.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -70,6 +70,8 @@
 	FlagReader
 	// FlagAsk asks for a Beat in return.
 	FlagAsk
+	// FlagFailing says that the target accepts flows and fails them.
+	FlagFailing
 )
 
 // Load is what an agent tells of its target.
