Packet plane: a late copy of an opening packet, and versions that were missed

FLOW: in a zone that was slow after a large version, time-outs of 40 and 60 ms placed one flow at six agents; the second copy that reached the owner made it forget the open flow, a later search found no owner, and the flow was reset. Now a copy is known by its sequence number and only reported again; the time-outs follow the answers (core/rto, up to 180 and 190 ms); and peers send patches of the routes instead of all of them, which had cost every process the decoding of all routes at once.

Now a listing counts up to its first page.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -16,13 +16,15 @@
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/plane"
 	"trefoilweir.example/core/relay"
+	"trefoilweir.example/core/rto"
 )
 
 // Times and bounds.
 const (
-	// homeTimeout is how long the owner of a new flow may take to report
-	// before the opening packet goes to the next home.
-	homeTimeout = 60 * time.Millisecond
+	// homeTimeout and maxHomeTimeout bound how long the owner of a new flow may
+	// take to report before the opening packet goes to the next home.
+	homeTimeout    = 60 * time.Millisecond
+	maxHomeTimeout = 190 * time.Millisecond
 	// suspectFor is how long a home that did not report is avoided.
 	suspectFor = time.Second
 	// entryIdle is how long an entry of an idle flow is kept.
@@ -74,9 +76,11 @@
 	owners   map[flow.Key]*owner
 	openings map[flow.Key]*opening
 	suspects map[netip.Addr]time.Duration
-	early    []early
-	swept    time.Duration
-	scratch  []netip.Addr
+	// reports estimates how long owners take to report.
+	reports *rto.Estimator
+	early   []early
+	swept   time.Duration
+	scratch []netip.Addr
 }
 
 // New returns a Machine that decides by a view.
@@ -84,6 +88,7 @@
 	return &Machine{
 		self: self, dataCentre: dataCentre, codec: codec, view: view,
 		owners: map[flow.Key]*owner{}, openings: map[flow.Key]*opening{}, suspects: map[netip.Addr]time.Duration{},
+		reports: rto.New(homeTimeout, maxHomeTimeout),
 	}
 }
 
@@ -264,6 +269,9 @@
 
 func (m *Machine) owned(now time.Duration, from netip.Addr, msg *relay.Message) {
 	if o := m.openings[msg.Flow]; o != nil {
+		if !o.waiting {
+			m.reports.Observe(now - o.sent)
+		}
 		// The home that was asked last is the one that works.
 		delete(m.suspects, o.homes[(o.next-1)%len(o.homes)])
 		delete(m.openings, msg.Flow)
@@ -282,7 +290,7 @@
 // Tick passes time.
 func (m *Machine) Tick(now time.Duration, out *plane.Out) {
 	for key, o := range m.openings {
-		if now-o.sent < homeTimeout || o.waiting && now-o.sent < waitingFor {
+		if now-o.sent < m.reports.Timeout() || o.waiting && now-o.sent < waitingFor {
 			continue
 		}
 		if o.waiting {
@@ -294,6 +302,7 @@
 			out.Event(plane.Event{Kind: plane.EventSuspected, Flow: key, Peer: failed, Reason: "no_owner_reported", Value: (now - o.sent).Milliseconds()})
 		}
 		m.suspects[failed] = now + suspectFor
+		m.reports.TimedOut()
 		if o.next >= len(o.homes) {
 			delete(m.openings, key)
 			continue
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
@@ -46,7 +47,7 @@
 func TestListingRemovesOnlyWhatIsOlder(t *testing.T) {
 	v := New()
 	v.Apply(0, &Delta{Changes: []Change{{ID: "a", Revision: 2, Target: target("a", 1, Ready, 1)}, {ID: "b", Revision: 9, Target: target("b", 2, Ready, 1)}}})
-	v.Apply(0, &Delta{Full: true, Listed: 8})
+	v.Apply(0, &Delta{Full: true, Listed: 8, Revision: 8})
 	assert.Equal(t, ids(v.Targets("booking")), "b")
 	assert.Equal(t, ids(v.Former("booking")), "a")
 }
@@ -73,7 +74,7 @@
 	peer := New()
 	peer.Apply(0, &Delta{Revision: 9, Changes: []Change{{ID: "a", Revision: 3, Target: target("a", 1, Ready, 1)}, {ID: "b", Revision: 4, Target: target("b", 2, Ready, 1)}}})
 	v.Expire(time.Second + FormerFor + time.Second)
-	d := v.Since(0, peer.Revision())
+	d := v.Since(0, peer.Revision(), 0)
 	assert.Assert(t, d.Full)
 	peer.Apply(0, &d)
 	assert.Equal(t, ids(peer.Targets("booking")), "b")
@@ -118,14 +119,14 @@
 			}
 			after := source.Revision()
 			source.Apply(0, &Delta{Revision: uint64(n + 1), Changes: []Change{c}})
-			deltas = append(deltas, source.Since(0, rapid.Uint64Range(0, after).Draw(t, "after")))
+			deltas = append(deltas, source.Since(0, rapid.Uint64Range(0, after).Draw(t, "after"), 0))
 		}
 		other := New()
 		for range len(deltas) {
 			d := rapid.SampledFrom(deltas).Draw(t, "delta")
 			other.Apply(0, &d)
 		}
-		last := source.Since(0, 0)
+		last := source.Since(0, 0, 0)
 		other.Apply(0, &last)
 		for i := range deltas {
 			other.Apply(0, &deltas[i])
@@ -146,7 +147,7 @@
 		places := map[netip.Addr]Place{}
 		readers := 0
 		for _, a := range agents {
-			places[a] = PlaceOf(agents, a)
+			places[a] = PlaceOf(agents, nil, a)
 			if places[a].Reader {
 				readers++
 			}
@@ -154,7 +155,7 @@
 		assert.Equal(t, readers, min(n, Readers))
 		for _, a := range append(agents, netip.MustParseAddr("10.9.9.9")) {
 			at, steps := a, 0
-			for p := PlaceOf(agents, at); !p.Reader; p = places[at] {
+			for p := PlaceOf(agents, nil, at); !p.Reader; p = places[at] {
 				assert.Assert(t, len(p.Parents) > 0)
 				at = p.Parents[0]
 				steps++
@@ -182,3 +183,86 @@
 		}
 	}
 }
+
+func routeTo(port uint16, service string) Route {
+	return Route{Name: "r", Address: netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), port), Service: service}
+}
+
+// Guards against a patch that leads to other routes than the version it was
+// made from, and against one that is applied to another version.
+func TestPatches(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, peer := New(), New()
+		for version := uint64(1); version < 12; version++ {
+			c := &Config{Version: version, IdleTimeoutMS: int(version)}
+			for port := uint16(1); port < 6; port++ {
+				if service := rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "service"); service != "" {
+					c.Routes = append(c.Routes, routeTo(port, service))
+				}
+			}
+			source.Apply(0, &Delta{Revision: version, Config: c, ConfigRevision: version})
+			if rapid.Bool().Draw(t, "follow") {
+				d := source.Since(0, peer.Revision(), peer.Version())
+				peer.Apply(0, &d)
+				assert.Equal(t, peer.Version(), version)
+				assert.Assert(t, reflect.DeepEqual(peer.routes, source.routes))
+			}
+		}
+	})
+	p := Diff(&Config{Version: 3}, &Config{Version: 4})
+	assert.Assert(t, p.Apply(&Config{Version: 2}) == nil)
+}
+
+// Guards against versions that are sent whole although one route of many has
+// changed.
+func TestPatchIsSmall(t *testing.T) {
+	v := New()
+	c := &Config{Version: 1}
+	for port := range uint16(500) {
+		c.Routes = append(c.Routes, routeTo(port, "a"))
+	}
+	v.Apply(0, &Delta{Config: c, ConfigRevision: 1})
+	next := &Config{Version: 2, Routes: append([]Route{routeTo(7, "b")}, c.Routes[8:]...)}
+	v.Apply(0, &Delta{Config: next, ConfigRevision: 2})
+	d := v.Since(0, 1, 1)
+	assert.Assert(t, d.Config == nil)
+	assert.Equal(t, len(d.Patch.Set), 1)
+	assert.Equal(t, len(d.Patch.Removed), 7)
+}
+
+// Guards against a starting system in which every process reads the platform
+// because no target is listed yet.
+func TestPlacesBeforeTheFirstTarget(t *testing.T) {
+	seeds := []netip.Addr{netip.MustParseAddr("10.0.0.1"), netip.MustParseAddr("10.0.0.2")}
+	assert.Assert(t, PlaceOf(nil, seeds, seeds[0]).Reader)
+	p := PlaceOf(nil, seeds, netip.MustParseAddr("10.0.0.9"))
+	assert.Assert(t, !p.Reader)
+	assert.Equal(t, len(p.Parents), 2)
+	assert.Assert(t, p.TakeoverAge >= takeoverAge)
+}
+
+// Guards against a process that misses a version of the routes: it was written
+// between the pages of its listing, and a target that changed later hid it, so
+// that peers seemed to know nothing newer.
+func TestListingIsCompleteUpToItsFirstPage(t *testing.T) {
+	v := New()
+	v.Apply(0, &Delta{Full: true, Listed: 10, Revision: 9, ConfigRevision: 5, Config: &Config{Version: 1},
+		Changes: []Change{{ID: "a", Revision: 9, Target: target("a", 1, Ready, 1)}, {ID: "b", Revision: 12, Target: target("b", 2, Ready, 1)}}})
+	assert.Equal(t, v.Revision(), uint64(9))
+	assert.Equal(t, ids(v.Targets("booking")), "ab")
+	peer := New()
+	peer.Apply(0, &Delta{Revision: 12, ConfigRevision: 11, Config: &Config{Version: 2}})
+	d := peer.Since(0, v.Revision(), v.Version())
+	v.Apply(0, &d)
+	assert.Equal(t, v.Version(), uint64(2))
+}
+
+// Guards against routes that are never fetched because a patch did not fit and
+// the revision went up all the same.
+func TestPatchThatDoesNotFit(t *testing.T) {
+	v := New()
+	v.Apply(0, &Delta{Revision: 5, ConfigRevision: 5, Config: &Config{Version: 3}})
+	v.Apply(0, &Delta{Revision: 9, ConfigRevision: 9, Patch: &ConfigPatch{Base: 2, Version: 4}})
+	assert.Equal(t, v.Version(), uint64(3))
+	assert.Equal(t, v.Revision(), uint64(5))
+}
--- /dev/null
+++ b/core/fleet/patch.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"cmp"
+	"net/netip"
+	"reflect"
+	"slices"
+)
+
+// keptVersions is the number of earlier versions from which a view can make a
+// patch.
+const keptVersions = 8
+
+// ConfigPatch leads from one version of the routes to another. Most versions
+// change few routes, and all of them may be many.
+type ConfigPatch struct {
+	Base          uint64           `json:"base"`
+	Version       uint64           `json:"version"`
+	Set           []Route          `json:"set,omitempty"`
+	Removed       []netip.AddrPort `json:"removed,omitempty"`
+	IdleTimeoutMS int              `json:"idle_timeout_ms"`
+}
+
+// Diff returns the patch between two versions.
+func Diff(from, to *Config) *ConfigPatch {
+	p := &ConfigPatch{Base: from.Version, Version: to.Version, IdleTimeoutMS: to.IdleTimeoutMS}
+	old := make(map[netip.AddrPort]*Route, len(from.Routes))
+	for i := range from.Routes {
+		old[from.Routes[i].Address] = &from.Routes[i]
+	}
+	for i := range to.Routes {
+		r := &to.Routes[i]
+		if o := old[r.Address]; o == nil || !reflect.DeepEqual(o, r) {
+			p.Set = append(p.Set, *r)
+		}
+		delete(old, r.Address)
+	}
+	for address := range old {
+		p.Removed = append(p.Removed, address)
+	}
+	slices.SortFunc(p.Removed, netip.AddrPort.Compare)
+	return p
+}
+
+// Apply returns the version that the patch leads to, or nil if it does not
+// begin at c.
+func (p *ConfigPatch) Apply(c *Config) *Config {
+	if c == nil || c.Version != p.Base {
+		return nil
+	}
+	routes := make(map[netip.AddrPort]Route, len(c.Routes)+len(p.Set))
+	for _, r := range c.Routes {
+		routes[r.Address] = r
+	}
+	for _, address := range p.Removed {
+		delete(routes, address)
+	}
+	for _, r := range p.Set {
+		routes[r.Address] = r
+	}
+	out := &Config{Version: p.Version, IdleTimeoutMS: p.IdleTimeoutMS, Routes: make([]Route, 0, len(routes))}
+	for _, r := range routes {
+		out.Routes = append(out.Routes, r)
+	}
+	slices.SortFunc(out.Routes, func(a, b Route) int { return cmp.Or(a.Address.Compare(b.Address), cmp.Compare(a.Name, b.Name)) })
+	return out
+}
--- a/core/fleet/reader.go
+++ b/core/fleet/reader.go
@@ -41,8 +41,12 @@
 
 // PlaceOf returns the place of a process. The agents of all listed targets are
 // ordered by hash, the first Readers of them are readers, and the others form
-// a tree below them. A process that is not among them is below the last.
-func PlaceOf(agents []netip.Addr, self netip.Addr) Place {
+// a tree below them. A process that is not among them is below the last. As
+// long as no target is listed, the seeds are the readers and parents of all.
+func PlaceOf(agents, seeds []netip.Addr, self netip.Addr) Place {
+	if len(agents) == 0 {
+		return placeBySeeds(seeds, self)
+	}
 	order := slices.Clone(agents)
 	slices.SortFunc(order, func(a, b netip.Addr) int { return cmp.Or(cmp.Compare(rankOf(a), rankOf(b)), a.Compare(b)) })
 	i := slices.Index(order, self)
@@ -63,6 +67,14 @@
 	return p
 }
 
+func placeBySeeds(seeds []netip.Addr, self netip.Addr) Place {
+	if slices.Contains(seeds, self) {
+		return Place{Reader: true}
+	}
+	spread := time.Duration(rankOf(self) % uint64(takeoverSpread))
+	return Place{Parents: seeds, TakeoverAge: takeoverAge + spread}
+}
+
 func rankOf(a netip.Addr) uint64 {
 	ip := a.As4()
 	return xxhash.Sum64(ip[:])
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -95,16 +95,17 @@
 
 // Delta has what changed since a revision.
 type Delta struct {
-	// Revision is that of the newest change that the sender knows.
+	// Revision is that of the newest change up to which the sender knows all.
 	Revision uint64 `json:"revision"`
 	// Full says that targets which are not named are gone. Listed is the
 	// revision of the listing if it was made at the platform.
 	Full    bool     `json:"full,omitempty"`
 	Listed  uint64   `json:"-"`
 	Changes []Change `json:"changes,omitempty"`
-	// Config is nil if it has not changed.
-	Config *Config `json:"config,omitempty"`
-	// ConfigRevision is the revision of the Config.
+	// Config is nil if it has not changed, or if Patch leads to it.
+	Config *Config      `json:"config,omitempty"`
+	Patch  *ConfigPatch `json:"patch,omitempty"`
+	// ConfigRevision is the revision of the version that either leads to.
 	ConfigRevision uint64 `json:"config_revision,omitempty"`
 	// ConfirmedMS is how long ago the sender's revision was known to be the
 	// newest, in milliseconds.
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -27,8 +27,10 @@
 
 	config         *Config
 	configRevision uint64
-	routes         map[netip.AddrPort]*Route
-	retired        map[netip.AddrPort]retiredRoute
+	// past are the versions before config, the newest last.
+	past    []*Config
+	routes  map[netip.AddrPort]*Route
+	retired map[netip.AddrPort]retiredRoute
 
 	// confirmed is when the revision was last known to be the newest.
 	confirmed time.Duration
@@ -55,7 +57,8 @@
 	return &View{entries: map[string]*entry{}, routes: map[netip.AddrPort]*Route{}, retired: map[netip.AddrPort]retiredRoute{}}
 }
 
-// Revision returns the revision of the newest change in the view.
+// Revision returns the revision of the newest change up to which the view is
+// complete.
 func (v *View) Revision() uint64 { return v.revision }
 
 // Version returns the version of the routes, 0 if there are none.
@@ -79,32 +82,48 @@
 }
 
 // Apply adds a delta and reports what it changed. A delta that is behind the
-// view changes nothing.
+// view changes nothing. A listing at the platform is no snapshot, so it may
+// name changes above the revision up to which it is complete.
 func (v *View) Apply(now time.Duration, d *Delta) (targets, config bool) {
 	behind := d.Revision < v.revision
 	for i := range d.Changes {
 		targets = v.change(now, &d.Changes[i]) || targets
 	}
+	complete := d.Revision
 	if d.Full {
 		at := cmp.Or(d.Listed, d.Revision)
-		targets = v.removeUnnamed(now, d, at) || targets
+		if v.removeUnnamed(now, d, at) {
+			targets, complete = true, max(complete, at)
+		}
 		v.floor = max(v.floor, at)
 	}
-	if d.Config != nil && (v.config == nil || d.Config.Version > v.config.Version) {
-		v.setConfig(now, d.Config, d.ConfigRevision)
-		v.revision = max(v.revision, d.ConfigRevision)
+	c := v.configOf(d)
+	if c != nil && c.Version > v.Version() {
+		v.setConfig(now, c, d.ConfigRevision)
 		config = true
 	}
-	v.revision = max(v.revision, d.Revision)
-	if !behind {
-		v.Confirm(now, time.Duration(d.ConfirmedMS)*time.Millisecond, v.revision)
-	}
 	if targets {
 		v.sorted = false
 	}
+	if d.Patch != nil && d.Patch.Version > v.Version() {
+		// The patch does not fit, so the routes are still to be fetched.
+		return targets, config
+	}
+	v.revision = max(v.revision, complete)
+	if !behind {
+		v.Confirm(now, time.Duration(d.ConfirmedMS)*time.Millisecond, v.revision)
+	}
 	return targets, config
 }
 
+// configOf returns the version that a delta leads to, or nil.
+func (v *View) configOf(d *Delta) *Config {
+	if d.Patch != nil {
+		return d.Patch.Apply(v.config)
+	}
+	return d.Config
+}
+
 func (v *View) change(now time.Duration, c *Change) bool {
 	e := v.entries[c.ID]
 	if e == nil {
@@ -115,7 +134,6 @@
 		return false
 	}
 	e.revision = c.Revision
-	v.revision = max(v.revision, c.Revision)
 	if c.Target == nil {
 		return v.remove(now, e)
 	}
@@ -140,7 +158,6 @@
 	for id, e := range v.entries {
 		if !named[id] && e.target != nil && e.revision <= at {
 			e.revision = at
-			v.revision = max(v.revision, at)
 			changed = v.remove(now, e) || changed
 		}
 	}
@@ -160,6 +177,10 @@
 	for address := range routes {
 		delete(v.retired, address)
 	}
+	if v.config != nil {
+		v.past = append(v.past, v.config)
+		v.past = v.past[max(0, len(v.past)-keptVersions):]
+	}
 	v.config, v.configRevision, v.routes = c, max(revision, v.configRevision), routes
 }
 
@@ -185,9 +206,9 @@
 // Disturbed notes that a reader could not reach the platform, or not in time.
 func (v *View) Disturbed(now time.Duration) { v.disturbed, v.wasDisturbed = now, true }
 
-// Since returns what changed after a revision. An after that is too old gives
-// a full delta.
-func (v *View) Since(now time.Duration, after uint64) Delta {
+// Since returns what changed after a revision for a view that has a version of
+// the routes. An after that is too old gives a full delta.
+func (v *View) Since(now time.Duration, after, version uint64) Delta {
 	d := Delta{Revision: v.revision, Full: after == 0 || after < v.floor, ConfirmedMS: int64(min(v.Age(now), time.Hour) / time.Millisecond)}
 	for id, e := range v.entries {
 		if e.revision > after || d.Full {
@@ -195,12 +216,24 @@
 		}
 	}
 	slices.SortFunc(d.Changes, func(a, b Change) int { return cmp.Compare(a.ID, b.ID) })
-	if v.config != nil && (v.configRevision > after || d.Full) {
-		d.Config, d.ConfigRevision = v.config, v.configRevision
+	if v.config != nil && version < v.config.Version {
+		d.ConfigRevision = v.configRevision
+		if d.Patch = v.patchFrom(version); d.Patch == nil {
+			d.Config = v.config
+		}
 	}
 	return d
 }
 
+func (v *View) patchFrom(version uint64) *ConfigPatch {
+	for _, c := range v.past {
+		if c.Version == version {
+			return Diff(c, v.config)
+		}
+	}
+	return nil
+}
+
 // Expire forgets what was removed long ago.
 func (v *View) Expire(now time.Duration) {
 	for id, e := range v.entries {
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -23,6 +23,7 @@
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/plane"
 	"trefoilweir.example/core/relay"
+	"trefoilweir.example/core/rto"
 	"trefoilweir.example/core/waitqueue"
 )
 
@@ -31,9 +32,10 @@
 	// acceptTimeout is how long a target may take to accept a flow. It does so
 	// within a millisecond if it lives.
 	acceptTimeout = 25 * time.Millisecond
-	// ownerTimeout is how long the agent of a chosen target may take to report
-	// before another target is chosen.
-	ownerTimeout = 40 * time.Millisecond
+	// ownerTimeout and maxOwnerTimeout bound how long the agent of a chosen
+	// target may take to report before another target is chosen.
+	ownerTimeout    = 40 * time.Millisecond
+	maxOwnerTimeout = 180 * time.Millisecond
 	// suspectFor is how long an agent that did not report is avoided.
 	suspectFor = time.Second
 	// beatTimeout is the silence after which a peer is avoided.
@@ -92,6 +94,8 @@
 	queue   *waitqueue.Queue[flow.Key, waiting]
 	peers   map[netip.Addr]*peer
 
+	// reports estimates how long agents take to report.
+	reports  *rto.Estimator
 	stats    *stats
 	outcomes outcomes
 	leaving  bool
@@ -124,6 +128,9 @@
 	created      time.Duration
 	seen         time.Duration
 	origin, home netip.Addr
+	// syn is the sequence number of the opening packet, if it is known.
+	syn      uint32
+	synKnown bool
 	// raw is the opening packet, until the flow is accepted or handed over.
 	raw     []byte
 	hops    uint8
@@ -155,7 +162,7 @@
 	m := &Machine{
 		Options: o, tag: relay.ServiceTag(o.Service),
 		flows: map[flow.Key]*owned{}, records: map[flow.Key]*record{}, placing: map[flow.Key]*placement{},
-		search: map[flow.Key]*search{}, peers: map[netip.Addr]*peer{}, queue: waitqueue.New[flow.Key, waiting](maxWaiting), stats: newStats(now),
+		search: map[flow.Key]*search{}, peers: map[netip.Addr]*peer{}, queue: waitqueue.New[flow.Key, waiting](maxWaiting), reports: rto.New(ownerTimeout, maxOwnerTimeout), stats: newStats(now),
 	}
 	if !o.FirstStart {
 		m.unsureUntil = now + unsureFor
@@ -341,10 +348,14 @@
 func (m *Machine) note(now time.Duration, f *owned, p *flow.Packet, out *plane.Out) {
 	f.seen = now
 	end := p.Seq + uint32(p.Len)
-	if p.Open && !f.opened {
-		m.accepted(now, f, p, out)
+	if p.Open {
+		if !f.opened {
+			m.accepted(now, f, p, out)
+		}
 		return
 	}
+	// The target sends on a flow only if it holds it.
+	f.accepted = true
 	switch {
 	case !f.known:
 		f.base, f.top, f.known = p.Seq-windowBefore, end, true
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -466,3 +466,34 @@
 	f.send(relay.Place, flow.Packet{Key: keyOf(20), Open: true, Seq: 100})
 	assert.Equal(t, len(f.out.ToTarget), 1)
 }
+
+// Guards against an agent that forgets an open flow because its opening packet
+// was placed there a second time: its packets were then reset as unknown.
+func TestLateCopyOfOpeningPacket(t *testing.T) {
+	f := newFixture(t, true)
+	f.openHere(1)
+	f.send(relay.Place, flow.Packet{Key: keyOf(1), Open: true, Seq: 100, Ack: 1})
+	assert.Equal(t, len(f.out.ToTarget), 0)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Owner})
+	f.send(relay.Packet, flow.Packet{Key: keyOf(1), Seq: 111, Ack: 5001, Len: 10})
+	assert.Equal(t, len(f.out.ToTarget), 1)
+	// Another number is another flow under the same addresses.
+	f.send(relay.Place, flow.Packet{Key: keyOf(1), Open: true, Seq: 900})
+	assert.Equal(t, len(f.out.ToTarget), 1)
+}
+
+// Guards against homes that ask everybody when all processes are slow.
+func TestSlowReportsAreWaitedFor(t *testing.T) {
+	f := newFixture(t, true)
+	f.Leave()
+	for port := uint16(1); port < 20; port++ {
+		f.send(relay.Open, flow.Packet{Key: keyOf(port), Open: true, Seq: 100})
+		to := f.out.Sends[0].To
+		f.now += 70 * ms
+		f.beats(1, 2)
+		f.answer(to.As4()[3]-10, relay.Owner, port)
+	}
+	f.send(relay.Open, flow.Packet{Key: keyOf(30), Open: true, Seq: 100})
+	f.later(60 * ms)
+	assert.Equal(t, len(f.out.Sends), 0)
+}
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -193,10 +193,18 @@
 // deliverOpening gives an opening packet to the target.
 func (m *Machine) deliverOpening(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
 	f := m.flows[p.Key]
-	if f != nil && (f.opened || f.callerKnown) {
+	if f != nil && f.synKnown && f.syn != p.Seq {
+		// The caller uses the port again.
 		m.forget(now, p.Key, f)
 		f = nil
 	}
+	if f != nil && f.opened {
+		// A copy that was late, or placed a second time by a home that did not
+		// hear of the first.
+		m.report(f, msg.Origin, p.Key, out)
+		m.report(f, msg.Home, p.Key, out)
+		return
+	}
 	if f == nil {
 		if len(m.flows) >= maxFlows {
 			m.handOver(now, p, msg, "table_full", out)
@@ -206,6 +214,7 @@
 		m.flows[p.Key] = f
 	}
 	f.seen, f.origin, f.home = now, msg.Origin, msg.Home
+	f.syn, f.synKnown = p.Seq, true
 	if !f.accepted && f.phase != phaseOffered {
 		f.raw = slices.Clone(p.Raw)
 		m.stats.enter(now, p.Key, f, phaseOffered)
@@ -325,11 +334,12 @@
 // checkPlacements places flows again whose agent has not reported.
 func (m *Machine) checkPlacements(now time.Duration, out *plane.Out) {
 	for key, pl := range m.placing {
-		if now-pl.sent < ownerTimeout {
+		if now-pl.sent < m.reports.Timeout() {
 			continue
 		}
 		failed := pl.tried[len(pl.tried)-1]
 		m.unplace(key)
+		m.reports.TimedOut()
 		m.peer(failed).suspect = now + suspectFor
 		out.Event(plane.Event{Kind: plane.EventSuspected, Flow: key, Peer: failed, Reason: "no_owner_reported", Value: (now - pl.sent).Milliseconds()})
 		p, err := m.Codec.FromCaller(pl.raw)
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -115,6 +115,9 @@
 	p := m.peer(from)
 	p.load, p.heard, p.everHeard = msg.Load, now, true
 	s := m.search[msg.Flow]
+	if pl := m.placing[msg.Flow]; pl != nil {
+		m.reports.Observe(now - pl.sent)
+	}
 	if msg.Kind == relay.Waiting {
 		p.suspect = 0
 		m.unplace(msg.Flow)
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -37,6 +37,11 @@
 	idleCheck = 100 * time.Millisecond
 	// shortWait is the wait of a single question to the platform.
 	shortWait = time.Millisecond
+	// seedsFirst is how long a process asks the seeds before the platform when
+	// the whole system starts for the first time, seedPause the time between
+	// two questions.
+	seedsFirst = 2 * time.Second
+	seedPause  = 200 * time.Millisecond
 	// pullTimeout bounds a question to a peer.
 	pullTimeout = 600 * time.Millisecond
 	// maxDelta bounds the answer of a peer, in bytes.
@@ -60,8 +65,10 @@
 	Source Source
 	// PeerPort is the port at which peers answer PathFleet.
 	PeerPort uint16
-	// Seeds are asked when the platform does not answer a starting process.
-	Seeds []netip.AddrPort
+	// Seeds are asked when the platform does not answer a starting process,
+	// and before it when the whole system starts for the first time.
+	Seeds      []netip.AddrPort
+	FirstStart bool
 	// Lock protects View.
 	Lock *sync.Mutex
 	View *fleet.View
@@ -128,12 +135,25 @@
 	return ctx.Err()
 }
 
+// Place returns the place of this process. The lock is held.
+func (s *Sync) Place() fleet.Place {
+	seeds := make([]netip.Addr, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		seeds = append(seeds, seed.Addr())
+	}
+	return fleet.PlaceOf(s.View.Agents(), seeds, s.Self)
+}
+
 // readOnce makes at most one call and returns the pause before the next.
 func (s *Sync) readOnce(ctx context.Context) time.Duration {
 	s.Lock.Lock()
-	place := fleet.PlaceOf(s.View.Agents(), s.Self)
+	place := s.Place()
 	age, usable := s.View.Age(s.Now()), s.View.Usable()
 	s.Lock.Unlock()
+	if !usable && s.FirstStart && !place.Reader && s.Now() < seedsFirst {
+		s.askSeeds(ctx)
+		return seedPause
+	}
 	if usable && !place.Reader && age < place.TakeoverAge {
 		return min(idleCheck, place.TakeoverAge-age)
 	}
@@ -271,12 +291,12 @@
 func (s *Sync) pull(ctx context.Context, from netip.AddrPort) error {
 	s.pulls.Inc()
 	s.Lock.Lock()
-	after := s.View.Revision()
+	after, version := s.View.Revision(), s.View.Version()
 	if !s.View.Usable() {
 		after = 0
 	}
 	s.Lock.Unlock()
-	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
+	query := url.Values{"after": {strconv.FormatUint(after, 10)}, "version": {strconv.FormatUint(version, 10)}}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+PathFleet+"?"+query.Encode(), nil)
 	if err != nil {
 		return trace.Wrap(err)
@@ -304,9 +324,14 @@
 		http.Error(w, "after is not a revision", http.StatusBadRequest)
 		return
 	}
+	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		http.Error(w, "version is not a number", http.StatusBadRequest)
+		return
+	}
 	s.Lock.Lock()
 	usable := s.View.Usable()
-	d := s.View.Since(s.Now(), after)
+	d := s.View.Since(s.Now(), after, version)
 	s.Lock.Unlock()
 	if !usable {
 		http.Error(w, "no view yet", http.StatusServiceUnavailable)
--- a/node/packetplane/plane.go
+++ b/node/packetplane/plane.go
@@ -111,7 +111,7 @@
 	}
 	p.events = newEventLog(o.Log, o.Metrics)
 	p.sync = fleetsync.New(fleetsync.Options{
-		Self: o.Settings.IP, Source: o.Source, PeerPort: o.Settings.PeerPort, Seeds: o.Settings.Seeds, Lock: &p.mu,
+		Self: o.Settings.IP, Source: o.Source, PeerPort: o.Settings.PeerPort, Seeds: o.Settings.Seeds, FirstStart: o.Settings.FirstStart, Lock: &p.mu,
 		View: p.view, Now: p.now, Changed: p.viewChanged, Log: o.Log.Named("fleetsync"), Metrics: o.Metrics,
 	})
 	var err error
@@ -273,7 +273,7 @@
 		return
 	}
 	p.asked = now
-	place := fleet.PlaceOf(p.view.Agents(), p.Settings.IP)
+	place := p.sync.Place()
 	if len(place.Parents) == 0 {
 		return
 	}
