--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -370,7 +370,6 @@
 	}
 	if p.Len > 0 || p.Reset {
 		m.endRequest(now, f, p.Key, p.Len > 0)
-		m.stats.sent(p.Key, p.Len)
 	}
 	if p.Final {
 		f.top++
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -20,14 +20,9 @@
 	sent   time.Duration
 }
 
-// Distances of targets in other data centres, as time that a target nearby may
-// be slower. bytePrice is for each kilobyte that the flow is expected to send.
-const (
-	farDistance = 2 * time.Millisecond
-	bytePrice   = 800 * time.Microsecond
-	// warmingLimit bounds the distance.
-	maxDistance = 60 * time.Millisecond
-)
+// farDistance is the time by which a target in another data centre may be
+// faster before it is preferred: the way of the caller's packets there.
+const farDistance = 2 * time.Millisecond
 
 // opening takes an opening packet as the home of its flow.
 func (m *Machine) opening(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
@@ -125,10 +120,9 @@
 
 func (m *Machine) chooseAmong(key flow.Key, targets []*fleet.Target, usable func(*fleet.Target) bool) (netip.Addr, bool) {
 	var candidates []spread.Candidate
-	bytes := m.stats.bytesPerFlow(key)
 	for _, t := range targets {
 		if usable(t) {
-			candidates = append(candidates, m.candidate(t, bytes))
+			candidates = append(candidates, m.candidate(t))
 		}
 	}
 	i := spread.Choose(candidates, key.Hash())
@@ -138,7 +132,7 @@
 	return candidates[i].Agent, true
 }
 
-func (m *Machine) candidate(t *fleet.Target, bytes float64) spread.Candidate {
+func (m *Machine) candidate(t *fleet.Target) spread.Candidate {
 	c := spread.Candidate{Agent: t.Agent(), Slots: t.Slots, Warming: t.WarmupMS > 0}
 	load, placing := m.Load(), 0
 	if t.Agent() != m.Self {
@@ -149,7 +143,7 @@
 	c.Expected = float64(load.Expected) / 100
 	c.ServiceTime = time.Duration(load.ServiceTime) * 100 * time.Microsecond
 	if t.DataCentre != m.DataCentre {
-		c.Distance = min(maxDistance, farDistance+time.Duration(bytes/1000*float64(bytePrice)))
+		c.Distance = farDistance
 	}
 	return c
 }
--- a/core/ownership/stats.go
+++ b/core/ownership/stats.go
@@ -18,8 +18,6 @@
 	serviceTimeWeight = 0.05
 	// defaultConcurrency is the load of a flow of a route that is not known.
 	defaultConcurrency = 0.1
-	// defaultBytes is what a flow is expected to send, in bytes.
-	defaultBytes = 4000
 )
 
 // phase is what a flow is to its target's load.
@@ -44,8 +42,6 @@
 	count [phases]int
 	// openTime and busyTime decay over rateWindow, in seconds.
 	openTime, busyTime float64
-	// flows and bytes decay in the same way.
-	flows, bytes float64
 }
 
 func (r *routeStats) open() int {
@@ -89,9 +85,7 @@
 		return
 	}
 	r := s.route(key)
-	if f.phase == phaseClosed {
-		r.flows++
-	} else {
+	if f.phase != phaseClosed {
 		r.count[f.phase]--
 		s.count[f.phase]--
 	}
@@ -107,16 +101,6 @@
 	return s.count[phaseOffered] + s.count[phaseHalfOpen] + s.count[phaseBusy]
 }
 
-func (s *stats) sent(key flow.Key, n int) { s.route(key).bytes += float64(n) }
-
-func (s *stats) bytesPerFlow(key flow.Key) float64 {
-	r := s.route(key)
-	if r.flows < 1 {
-		return defaultBytes
-	}
-	return r.bytes / r.flows
-}
-
 // advance adds the time since the last call to the averages.
 func (s *stats) advance(now time.Duration) {
 	step := (now - s.last).Seconds()
@@ -128,8 +112,6 @@
 	for _, r := range s.routes {
 		r.openTime = r.openTime*keep + step*float64(r.open())
 		r.busyTime = r.busyTime*keep + step*float64(r.count[phaseBusy])
-		r.flows *= keep
-		r.bytes *= keep
 	}
 }
 
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -73,3 +73,8 @@
 for rule in NO_TIEBREAK NO_EXCHANGE; do
 	fails config liveness "-D$rule"
 done
+
+holds ownership safety
+for rule in NO_BUDGET RESET_EARLY SURE_AFTER_RESTART FORGET_ON_COPY; do
+	fails ownership safety "-D$rule"
+done
