Packet plane: logs in the background, metrics, status, explain, reload

Log lines are gathered and written in the background with a bounded buffer; what does not fit is counted and said. Each decision carries the flow with its number, what decided it, and version, revision and age of the view.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -52,9 +52,11 @@
 type opening struct {
 	raw     []byte
 	service string
-	sent    time.Duration
-	homes   []netip.Addr
-	next    int
+	// began is when the packet came, sent when it was last sent to a home.
+	began time.Duration
+	sent  time.Duration
+	homes []netip.Addr
+	next  int
 	// waiting says that the flow waits for a slot, so that no home is at
 	// fault.
 	waiting bool
@@ -163,12 +165,12 @@
 func (m *Machine) forwardUnknown(now time.Duration, p *flow.Packet, out *plane.Out) {
 	service := m.serviceOf(p)
 	if service == "" {
-		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Reason: "no_route"})
+		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Number: p.Seq, Reason: "no_route"})
 		return
 	}
 	homes := m.homes(now, service, p.Key)
 	if len(homes) == 0 {
-		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Reason: "no_target"})
+		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Number: p.Seq, Reason: "no_target"})
 		return
 	}
 	m.forward(homes[0], service, p, out)
@@ -224,7 +226,7 @@
 		m.sendOpening(now, o, out)
 		return
 	}
-	o := &opening{raw: slices.Clone(p.Raw), service: service, homes: slices.Clone(homes)}
+	o := &opening{raw: slices.Clone(p.Raw), service: service, homes: slices.Clone(homes), began: now}
 	// A copy says that the first home did not bring about an answer.
 	o.next = int(p.Ack) % len(homes)
 	m.openings[p.Key] = o
@@ -242,7 +244,7 @@
 // old says nothing, because the route may be new.
 func (m *Machine) refuseRoute(now time.Duration, p *flow.Packet, out *plane.Out) {
 	if age := m.view.Age(now); age > freshView {
-		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Reason: "no_route_old_view", Value: age.Milliseconds()})
+		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Number: p.Seq, Reason: "no_route_old_view", Value: age.Milliseconds()})
 		return
 	}
 	m.reset(p, "no_route", out)
@@ -251,13 +253,16 @@
 // reset refuses an opening packet. It has reached no target.
 func (m *Machine) reset(p *flow.Packet, reason string, out *plane.Out) {
 	out.ToCaller = append(out.ToCaller, plane.CallerPacket{IP: p.Key.CallerIP, Raw: m.codec.Reset(p.Key, 0)})
-	out.Event(plane.Event{Kind: plane.EventRefused, Flow: p.Key, Reason: reason, Value: int64(m.view.Version())})
+	out.Event(plane.Event{Kind: plane.EventRefused, Flow: p.Key, Number: p.Seq, Reason: reason, Value: int64(m.view.Version())})
 }
 
 // FromPeer takes a datagram of another process.
 func (m *Machine) FromPeer(now time.Duration, from netip.Addr, msg *relay.Message, out *plane.Out) {
 	switch msg.Kind {
 	case relay.Owner:
+		if o := m.openings[msg.Flow]; o != nil {
+			out.Times = append(out.Times, plane.Time{Kind: plane.TimeOwnerReport, Service: o.service, Took: now - o.began})
+		}
 		m.owned(now, from, msg)
 	case relay.Waiting:
 		if o := m.openings[msg.Flow]; o != nil {
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -170,12 +170,15 @@
 	return m
 }
 
-// Flows and Records return the sizes of the tables.
+// Flows returns the number of flows in the table.
 func (m *Machine) Flows() int { return len(m.flows) }
 
 // Records returns the number of flows that the agent is home to.
 func (m *Machine) Records() int { return len(m.records) }
 
+// Queued returns the number of new flows that wait for a slot.
+func (m *Machine) Queued() int { return m.queue.Len() }
+
 // Waiting reports whether Tick has short timeouts to watch.
 func (m *Machine) Waiting() bool {
 	return len(m.placing) > 0 || len(m.search) > 0 || m.queue.Len() > 0 || m.offering()
@@ -369,7 +372,7 @@
 		m.answeredRequest(p.Key, out)
 	}
 	if p.Len > 0 || p.Reset {
-		m.endRequest(now, f, p.Key, p.Len > 0)
+		m.endRequest(now, f, p.Key, p.Len > 0, out)
 	}
 	if p.Final {
 		f.top++
@@ -395,7 +398,7 @@
 func (m *Machine) returned(now time.Duration, p *flow.Packet, out *plane.Out) {
 	m.answers(out)
 	f := m.flows[p.Key]
-	out.Event(plane.Event{Kind: plane.EventReturned, Flow: p.Key, Reason: map[bool]string{true: "opening", false: "not_held"}[p.Open]})
+	out.Event(plane.Event{Kind: plane.EventReturned, Flow: p.Key, Number: p.Seq, Reason: map[bool]string{true: "opening", false: "not_held"}[p.Open]})
 	if p.Open {
 		m.targetRefused(now, f, p, out)
 		return
@@ -424,7 +427,7 @@
 	if p.Open {
 		kind = plane.EventRefused
 	}
-	out.Event(plane.Event{Kind: kind, Flow: p.Key, Reason: reason})
+	out.Event(plane.Event{Kind: kind, Flow: p.Key, Number: p.Seq, Reason: reason})
 }
 
 func (m *Machine) forget(now time.Duration, key flow.Key, f *owned) {
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -58,7 +58,7 @@
 	if len(tried) > 0 {
 		reason = "other_target"
 	}
-	out.Event(plane.Event{Kind: plane.EventPlaced, Flow: p.Key, Peer: to, Reason: reason, Value: int64(m.View.Age(now) / time.Millisecond)})
+	out.Event(plane.Event{Kind: plane.EventPlaced, Flow: p.Key, Number: p.Seq, Peer: to, Reason: reason, Value: int64(m.View.Age(now) / time.Millisecond)})
 	placed := *msg
 	placed.Home = m.Self
 	if to == m.Self {
@@ -262,7 +262,7 @@
 	passed := *msg
 	passed.Refused = m.Self
 	m.records[p.Key] = &record{owner: to, seq: p.Seq, seen: now}
-	out.Event(plane.Event{Kind: plane.EventHandedOver, Flow: p.Key, Peer: to, Reason: reason})
+	out.Event(plane.Event{Kind: plane.EventHandedOver, Flow: p.Key, Number: p.Seq, Peer: to, Reason: reason})
 	m.pass(to, relay.Place, p, &passed, out)
 }
 
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -39,7 +39,7 @@
 // unknown takes a packet whose owner is not known here.
 func (m *Machine) unknown(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
 	if p.Reset || msg.Hops >= maxHops {
-		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Reason: "unknown_flow"})
+		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Number: p.Seq, Reason: "unknown_flow"})
 		return
 	}
 	s := m.search[p.Key]
@@ -60,7 +60,7 @@
 	if m.unsure(now) && !s.disowned {
 		s.unsure = append(s.unsure, m.Self)
 	}
-	out.Event(plane.Event{Kind: plane.EventSearched, Flow: p.Key, Value: int64(len(s.asked))})
+	out.Event(plane.Event{Kind: plane.EventSearched, Flow: p.Key, Number: p.Seq, Value: int64(len(s.asked))})
 	m.endSearch(now, p.Key, s, out)
 }
 
--- a/core/ownership/stats.go
+++ b/core/ownership/stats.go
@@ -7,6 +7,7 @@
 
 	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/plane"
 	"trefoilweir.example/core/relay"
 )
 
@@ -135,10 +136,13 @@
 
 // endRequest notes that the target is done with a request. The time of one
 // that it did not answer says nothing of its speed.
-func (m *Machine) endRequest(now time.Duration, f *owned, key flow.Key, answered bool) {
+func (m *Machine) endRequest(now time.Duration, f *owned, key flow.Key, answered bool, out *plane.Out) {
 	if f.phase != phaseBusy {
 		return
 	}
+	if answered {
+		out.Times = append(out.Times, plane.Time{Kind: plane.TimeFirstAnswer, Service: m.Service, Took: now - f.since})
+	}
 	if f.alone && answered {
 		took := (now - f.since).Seconds()
 		if m.stats.serviceTime == 0 {
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -72,7 +72,7 @@
 		if !m.queue.Push(it) {
 			return false
 		}
-		out.Event(plane.Event{Kind: plane.EventQueued, Flow: p.Key, Reason: "target_busy", Value: int64(m.queue.Len())})
+		out.Event(plane.Event{Kind: plane.EventQueued, Flow: p.Key, Number: p.Seq, Reason: "target_busy", Value: int64(m.queue.Len())})
 	}
 	m.tellWaiting(p.Key, msg, out)
 	return true
@@ -110,7 +110,8 @@
 			m.handOver(now, &p, &it.Value.msg, reason, out)
 			continue
 		}
-		out.Event(plane.Event{Kind: plane.EventAdmitted, Flow: it.Key, Value: (now - it.Since).Milliseconds()})
+		out.Event(plane.Event{Kind: plane.EventAdmitted, Flow: it.Key, Number: p.Seq, Value: (now - it.Since).Milliseconds()})
+		out.Times = append(out.Times, plane.Time{Kind: plane.TimeQueued, Service: m.Service, Took: now - it.Since})
 		m.deliverOpening(now, &p, &it.Value.msg, out)
 	}
 }
--- a/core/plane/out.go
+++ b/core/plane/out.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/relay"
@@ -18,6 +19,30 @@
 	ToCaller []CallerPacket
 	// Events are decisions, for the log and the metrics.
 	Events []Event
+	// Times are measured durations, for the metrics.
+	Times []Time
+}
+
+// TimeKind names a measured duration. It is a stable key for metrics.
+type TimeKind string
+
+// The durations.
+const (
+	// TimeFirstAnswer is from a request to the first packet of its answer, at
+	// the agent.
+	TimeFirstAnswer TimeKind = "first_answer"
+	// TimeQueued is how long a new flow waited for a slot.
+	TimeQueued TimeKind = "queued"
+	// TimeOwnerReport is from an opening packet to the report of its owner, at
+	// the balancer.
+	TimeOwnerReport TimeKind = "owner_report"
+)
+
+// Time is one measured duration of a service.
+type Time struct {
+	Kind    TimeKind
+	Service string
+	Took    time.Duration
 }
 
 // Send is a datagram to another process.
@@ -64,6 +89,9 @@
 type Event struct {
 	Kind EventKind
 	Flow flow.Key
+	// Number is the sequence number of the packet, 0 if there is none. That of
+	// an opening packet tells flows under the same addresses apart.
+	Number uint32
 	// Peer is the other process, if there is one.
 	Peer netip.Addr
 	// Reason is a short stable key.
@@ -75,7 +103,8 @@
 
 // Clear empties the collection and keeps its memory.
 func (o *Out) Clear() {
-	o.Sends, o.ToTarget, o.ToCaller, o.Events = o.Sends[:0], o.ToTarget[:0], o.ToCaller[:0], o.Events[:0]
+	o.Sends, o.ToTarget, o.ToCaller = o.Sends[:0], o.ToTarget[:0], o.ToCaller[:0]
+	o.Events, o.Times = o.Events[:0], o.Times[:0]
 }
 
 // Send adds a datagram.
--- a/core/plane/settings.go
+++ b/core/plane/settings.go
@@ -28,6 +28,8 @@
 	Service string
 	// PeerPort is the port for datagrams and HTTP between processes.
 	PeerPort uint16
+	// MetricsPort is the port for metrics and status, 0 for none.
+	MetricsPort uint16
 	// Seeds are Control addresses that may be stale.
 	Seeds []netip.AddrPort
 	// FirstStart says that the whole system starts for the first time.
--- a/node/cmd/trefoilweir/main.go
+++ b/node/cmd/trefoilweir/main.go
@@ -59,7 +59,7 @@
 		Commands: []*cli.Command{
 			{Name: "balancer", Usage: "run a balancer", Flags: []cli.Flag{settingsFlag}, Action: runBalancer},
 			{Name: "agent", Usage: "run an agent", Flags: []cli.Flag{settingsFlag}, Action: runAgent},
-			packetCommand(), checkCommand(), diffCommand(), statusCommand(), versionCommand(),
+			packetCommand(), explainCommand(), checkCommand(), diffCommand(), statusCommand(), versionCommand(),
 		},
 	}
 }
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -69,7 +70,7 @@
 	// and before it when the whole system starts for the first time.
 	Seeds      []netip.AddrPort
 	FirstStart bool
-	// Lock protects View.
+	// Lock protects View and Seeds.
 	Lock *sync.Mutex
 	View *fleet.View
 	// Now is the steady time of the process.
@@ -256,7 +257,10 @@
 }
 
 func (s *Sync) askSeeds(ctx context.Context) {
-	for _, seed := range s.Seeds {
+	s.Lock.Lock()
+	seeds := slices.Clone(s.Seeds)
+	s.Lock.Unlock()
+	for _, seed := range seeds {
 		if seed.Addr() == s.Self {
 			continue
 		}
--- a/node/packetplane/agent.go
+++ b/node/packetplane/agent.go
@@ -90,6 +90,10 @@
 
 func (a *agent) changed(time.Duration) {}
 
+func (a *agent) sizes() map[string]int {
+	return map[string]int{"flows": a.machine.Flows(), "records": a.machine.Records(), "queued": a.machine.Queued()}
+}
+
 func (a *agent) stopped(now, since time.Duration) bool {
 	wait := now - since
 	return wait > agentLeaveLeast && (a.machine.Idle() || wait > agentLeaveMost)
--- a/node/packetplane/balancer.go
+++ b/node/packetplane/balancer.go
@@ -57,6 +57,8 @@
 
 func (b *balancer) changed(now time.Duration) { b.machine.ViewChanged(now, &b.out) }
 
+func (b *balancer) sizes() map[string]int { return map[string]int{"flows": b.machine.Flows()} }
+
 func (b *balancer) stopped(now, since time.Duration) bool {
 	return now-since > leaveLeast && now-b.heard > leaveQuiet
 }
--- a/node/packetplane/events.go
+++ b/node/packetplane/events.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/plane"
 	"trefoilweir.example/node/telemetry"
 )
@@ -40,11 +41,18 @@
 		e := &events[i]
 		l.metrics.GetOrCreateCounter(`trefoilweir_decisions_total{kind="` + string(e.Kind) + `",reason="` + e.Reason + `"}`).Inc()
 		if left, ok := l.allow(now, e.Kind); ok {
-			l.write(e, left, view)
+			l.write(now, e, left, view)
 		}
 	}
 }
 
+// times adds durations to the histograms.
+func (l *eventLog) times(times []plane.Time) {
+	for _, t := range times {
+		l.metrics.GetOrCreateHistogram(`trefoilweir_` + string(t.Kind) + `_seconds{service="` + t.Service + `"}`).Update(t.Took.Seconds())
+	}
+}
+
 // allow reports whether a line may be written, and how many were left out
 // before it.
 func (l *eventLog) allow(now time.Duration, kind plane.EventKind) (left int, ok bool) {
@@ -65,10 +73,13 @@
 	return left, true
 }
 
-func (l *eventLog) write(e *plane.Event, left int, view *fleet.View) {
-	fields := make([]zap.Field, 0, 8)
-	fields = append(fields, zap.String("flow", e.Flow.String()), telemetry.Reason(e.Reason), zap.Int64("value", e.Value),
-		zap.Uint64("revision", view.Revision()), telemetry.Version(view.Version()))
+func (l *eventLog) write(now time.Duration, e *plane.Event, left int, view *fleet.View) {
+	fields := make([]zap.Field, 0, 9)
+	if e.Flow != (flow.Key{}) {
+		fields = append(fields, zap.String(telemetry.KeyFlow, e.Flow.String()), zap.Uint32("number", e.Number))
+	}
+	fields = append(fields, telemetry.Reason(e.Reason), zap.Int64("value", e.Value),
+		zap.Uint64("revision", view.Revision()), telemetry.Version(view.Version()), zap.Int64("view_age_ms", view.Age(now).Milliseconds()))
 	if e.Peer.IsValid() {
 		fields = append(fields, telemetry.Peer(e.Peer.String()))
 	}
--- a/node/packetplane/plane.go
+++ b/node/packetplane/plane.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -48,6 +49,11 @@
 	balancerSeen = 3 * time.Second
 	// httpTimeout bounds a slow client.
 	httpTimeout = 5 * time.Second
+	// reloadEvery is how often the settings file is read again.
+	reloadEvery = 5 * time.Second
+	// reloadSignal and reloadFile are the causes of a reload.
+	reloadSignal = "signal"
+	reloadFile   = "file"
 	// graceMargin is the time left of the grace period when a process ends.
 	graceMargin = 500 * time.Millisecond
 )
@@ -59,6 +65,8 @@
 	Source   fleetsync.Source
 	Log      *zap.Logger
 	Metrics  *metrics.Set
+	// Reload reads the settings again.
+	Reload func() (*plane.Settings, error)
 }
 
 // role is what differs between a balancer and an agent. Its methods are called
@@ -74,6 +82,8 @@
 	load() relay.Load
 	// changed is called after the view changed.
 	changed(now time.Duration)
+	// sizes are the sizes of tables, by name.
+	sizes() map[string]int
 	// stopped reports whether the process may end after it was asked to.
 	stopped(now, since time.Duration) bool
 }
@@ -189,6 +199,7 @@
 		}
 	}
 	p.events.add(now, p.out.Events, p.view)
+	p.events.times(p.out.Times)
 	p.out.Clear()
 }
 
@@ -338,6 +349,9 @@
 		part{"ready_http", serveHTTP(p.Settings.Ready, http.HandlerFunc(p.ready))},
 		part{"platform", p.sync.Read}, part{"follow", p.sync.Follow}, part{"tick", p.tickLoop},
 	)
+	if p.Settings.MetricsPort != 0 {
+		parts = append(parts, part{"metrics_http", serveHTTP(netip.AddrPortFrom(p.Settings.IP, p.Settings.MetricsPort), p.operatorHandler())})
+	}
 	if p.Settings.Control.IsValid() {
 		parts = append(parts, part{"control_http", serveHTTP(p.Settings.Control, mux)})
 	}
@@ -348,10 +362,15 @@
 	p.Log.Info("process started", zap.String("data_centre", p.Settings.DataCentre), zap.Bool("first_start", p.Settings.FirstStart))
 	check := time.NewTicker(tickIdle)
 	defer check.Stop()
+	// The settings file may change without a signal.
+	reread := time.NewTicker(reloadEvery)
+	defer reread.Stop()
 	for {
 		select {
 		case s := <-signals:
 			p.signalled(s)
+		case <-reread.C:
+			p.reload(reloadFile)
 		case err := <-ended:
 			return trace.Wrap(err)
 		case <-ctx.Done():
@@ -367,7 +386,7 @@
 
 func (p *Process) signalled(s os.Signal) {
 	if s == syscall.SIGHUP {
-		p.Log.Info("settings reloaded", zap.String("note", "addresses stay as they are"))
+		p.reload(reloadSignal)
 		return
 	}
 	p.mu.Lock()
@@ -379,6 +398,28 @@
 	p.Log.Info("planned stop begins", zap.Duration("grace", p.Settings.Grace))
 }
 
+// reload takes from the settings what may change while the process runs: the
+// seeds and the grace period. Addresses and the service stay until the next
+// start.
+func (p *Process) reload(cause string) {
+	s, err := p.Reload()
+	if err != nil {
+		p.Log.Error("settings cannot be read again, the old ones stay in force", telemetry.Error(err))
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s.Grace == p.Settings.Grace && slices.Equal(s.Seeds, p.sync.Seeds) {
+		if cause == reloadSignal {
+			p.Log.Info("settings read again, nothing changed that applies before the next start")
+		}
+		return
+	}
+	p.Settings.Grace = s.Grace
+	p.sync.Seeds = s.Seeds
+	p.Log.Info("settings reloaded", telemetry.Reason(cause), zap.Int("seeds", len(s.Seeds)), zap.Duration("grace", s.Grace))
+}
+
 // mayEnd reports whether a planned stop is complete.
 func (p *Process) mayEnd() bool {
 	p.mu.Lock()
--- /dev/null
+++ b/node/telemetry/async.go
@@ -0,0 +1,75 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// asyncBuffer bounds the lines that wait to be written, in bytes.
+	asyncBuffer = 256 << 10
+	// asyncDelay is how long lines are gathered before they are written.
+	asyncDelay = 20 * time.Millisecond
+)
+
+// AsyncWriter writes lines in the background. Write never blocks: when the
+// reader of the log is slower than the process, lines are dropped and counted,
+// and the next line that is written says how many.
+type AsyncWriter struct {
+	out     io.Writer
+	dropped *metrics.Counter
+
+	mu      sync.Mutex
+	buffer  []byte
+	spare   []byte
+	lost    int
+	pending bool
+	// writing is held while a batch is written, so that batches keep their
+	// order.
+	writing sync.Mutex
+}
+
+// NewAsyncWriter returns a writer that counts dropped lines in set.
+func NewAsyncWriter(out io.Writer, set *metrics.Set) *AsyncWriter {
+	return &AsyncWriter{out: out, dropped: set.GetOrCreateCounter("trefoilweir_log_lines_dropped_total")}
+}
+
+// Write implements io.Writer for one line.
+func (w *AsyncWriter) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.buffer)+len(line) > asyncBuffer {
+		w.lost++
+		w.dropped.Inc()
+		return len(line), nil
+	}
+	if w.lost > 0 {
+		w.buffer = fmt.Appendf(w.buffer, "{\"%s\":\"warn\",\"%s\":\"log lines dropped\",\"lines\":%d}\n", KeyLevel, KeyMessage, w.lost)
+		w.lost = 0
+	}
+	w.buffer = append(w.buffer, line...)
+	if !w.pending {
+		w.pending = true
+		time.AfterFunc(asyncDelay, func() { _ = w.Sync() })
+	}
+	return len(line), nil
+}
+
+// Sync writes what has been gathered.
+func (w *AsyncWriter) Sync() error {
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	w.mu.Lock()
+	batch := w.buffer
+	w.buffer, w.spare, w.pending = w.spare[:0], nil, false
+	w.mu.Unlock()
+	_, err := w.out.Write(batch)
+	w.mu.Lock()
+	w.spare = batch
+	w.mu.Unlock()
+	return err
+}
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -29,6 +29,7 @@
 	KeyReason  = "reason"
 	KeyVerdict = "verdict"
 	KeyError   = "error"
+	KeyFlow    = "flow"
 )
 
 // Options says how the logger of a process writes.
