--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint demo demo-quic faults measure slopes
+.PHONY: build test lint demo demo-quic soak faults measure slopes
 
 build:
 	go build -o bin/ ./node/cmd/... ./lab/cmd/...
@@ -19,6 +19,11 @@
 demo-quic: build
 	bash lab/demo.sh
 
+# Random faults on real processes of the packet plane, 50 seeds, about 15
+# minutes. Seeds that once failed stand in lab/soak/seeds.txt.
+soak: build
+	bin/trefoilweir-lab soak --seed 1 --seeds 50 --dir demo-logs/soak
+
 # Fault tests with real processes, one at a time, under 6 minutes.
 faults: build
 	bash scripts/gotest.sh -count=1 -v ./lab/faults
--- /dev/null
+++ b/core/dispatch/bench_test.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import (
+	"runtime"
+	"testing"
+	"time"
+
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/flow/flowtest"
+	"trefoilweir.example/core/plane"
+	"trefoilweir.example/core/relay"
+)
+
+func manyKeys(n int) []flow.Key {
+	keys := make([]flow.Key, n)
+	for i := range keys {
+		keys[i] = keyOf(uint16(i))
+		keys[i].CallerIP[1] = byte(i >> 16)
+	}
+	return keys
+}
+
+// BenchmarkEstablished measures a packet of a flow in the table.
+func BenchmarkEstablished(b *testing.B) {
+	m := New(self, "dc", flowtest.Codec{}, viewOf(0, 16))
+	var out plane.Out
+	m.FromPeer(0, agent(1), &relay.Message{Kind: relay.Owner, Flow: keyOf(1)}, &out)
+	raw := data(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		out.Clear()
+		m.FromCaller(time.Millisecond, raw, &out)
+	}
+}
+
+// BenchmarkOpening measures an opening packet with 16 targets and the report
+// of the owner.
+func BenchmarkOpening(b *testing.B) {
+	m := New(self, "dc", flowtest.Codec{}, viewOf(0, 16))
+	var out plane.Out
+	raw := openPacket(1, 0)
+	for b.Loop() {
+		out.Clear()
+		m.FromCaller(time.Millisecond, raw, &out)
+		m.FromPeer(time.Millisecond, agent(1), &relay.Message{Kind: relay.Owner, Flow: keyOf(1)}, &out)
+	}
+}
+
+// BenchmarkMemory reports the heap of an entry.
+func BenchmarkMemory(b *testing.B) {
+	const flows = 100_000
+	keys := manyKeys(flows)
+	for b.Loop() {
+		before := heap()
+		m := New(self, "dc", flowtest.Codec{}, viewOf(0, 16))
+		var out plane.Out
+		for _, k := range keys {
+			m.FromPeer(0, agent(1), &relay.Message{Kind: relay.Owner, Flow: k}, &out)
+		}
+		b.ReportMetric(float64(heap()-before)/flows, "B/flow")
+		runtime.KeepAlive(m)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -266,3 +267,31 @@
 	assert.Equal(t, v.Version(), uint64(3))
 	assert.Equal(t, v.Revision(), uint64(5))
 }
+
+// Guards against an index that differs from one made anew, after changes in any
+// order.
+func TestIndexFollowsChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := New()
+		for n := range rapid.IntRange(1, 30).Draw(t, "changes") {
+			c := Change{ID: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id"), Revision: uint64(n + 1)}
+			if rapid.IntRange(0, 3).Draw(t, "there") > 0 {
+				c.Target = target(c.ID, rapid.ByteRange(1, 3).Draw(t, "vm"), Ready, int64(rapid.IntRange(1, 3).Draw(t, "born")))
+				c.Target.Service = rapid.SampledFrom([]string{"booking", "gallery"}).Draw(t, "service")
+			}
+			v.Apply(0, &Delta{Revision: uint64(n + 1), Changes: []Change{c}})
+			fresh := New()
+			whole := v.Since(0, 0, 0)
+			fresh.Apply(0, &whole)
+			for _, service := range []string{"booking", "gallery"} {
+				assert.Equal(t, ids(v.Targets(service)), ids(fresh.Targets(service)))
+			}
+			assert.Assert(t, slices.Equal(v.Agents(), fresh.Agents()))
+			for vm := byte(1); vm <= 3; vm++ {
+				a, b := v.AtAgent(netip.AddrFrom4([4]byte{10, 0, 0, vm})), fresh.AtAgent(netip.AddrFrom4([4]byte{10, 0, 0, vm}))
+				assert.Equal(t, a == nil, b == nil)
+				assert.Assert(t, a == nil || a.ID == b.ID)
+			}
+		}
+	})
+}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -39,12 +39,7 @@
 	disturbed    time.Duration
 	wasDisturbed bool
 
-	// services, atAddress and atAgent are made from the entries when they are
-	// needed.
-	services  map[string][]*Target
-	atAddress map[netip.AddrPort]*entry
-	atAgent   map[netip.Addr]*Target
-	sorted    bool
+	index index
 }
 
 type retiredRoute struct {
@@ -54,7 +49,7 @@
 
 // New returns an empty view.
 func New() *View {
-	return &View{entries: map[string]*entry{}, routes: map[netip.AddrPort]*Route{}, retired: map[netip.AddrPort]retiredRoute{}}
+	return &View{entries: map[string]*entry{}, routes: map[netip.AddrPort]*Route{}, retired: map[netip.AddrPort]retiredRoute{}, index: newIndex()}
 }
 
 // Revision returns the revision of the newest change up to which the view is
@@ -102,9 +97,6 @@
 		v.setConfig(now, c, d.ConfigRevision)
 		config = true
 	}
-	if targets {
-		v.sorted = false
-	}
 	if d.Patch != nil && d.Patch.Version > v.Version() {
 		// The patch does not fit, so the routes are still to be fetched.
 		return targets, config
@@ -137,7 +129,9 @@
 	if c.Target == nil {
 		return v.remove(now, e)
 	}
+	v.index.remove(e)
 	e.target, e.last = c.Target, nil
+	v.index.add(e)
 	return true
 }
 
@@ -145,7 +139,9 @@
 	if e.target == nil {
 		return false
 	}
+	v.index.remove(e)
 	e.last, e.target, e.since = e.target, nil, now
+	v.index.add(e)
 	return true
 }
 
@@ -239,8 +235,8 @@
 	for id, e := range v.entries {
 		if e.target == nil && now-e.since > FormerFor {
 			v.floor = max(v.floor, e.revision)
+			v.index.remove(e)
 			delete(v.entries, id)
-			v.sorted = false
 		}
 	}
 	for address, r := range v.retired {
@@ -284,66 +280,23 @@
 
 // Targets returns the listed targets of a service in the order of their IDs.
 // The result must not be changed.
-func (v *View) Targets(service string) []*Target {
-	v.index()
-	return v.services[service]
-}
+func (v *View) Targets(service string) []*Target { return v.index.targets(service) }
 
 // Services returns the names of the services that have targets.
 func (v *View) Services() []string {
-	v.index()
-	names := make([]string, 0, len(v.services))
-	for name := range v.services {
-		names = append(names, name)
+	var names []string
+	for name := range v.index.services {
+		if len(v.index.targets(name)) > 0 {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	return names
 }
 
-func (v *View) index() {
-	if v.sorted {
-		return
-	}
-	v.atAddress = map[netip.AddrPort]*entry{}
-	for _, e := range v.entries {
-		if e.target == nil {
-			continue
-		}
-		// Two targets cannot have one address. After a crash the entry of the
-		// earlier one stays for some heartbeats.
-		if other := v.atAddress[e.target.Address]; other == nil || e.newerThan(other) {
-			v.atAddress[e.target.Address] = e
-		}
-	}
-	v.services = map[string][]*Target{}
-	v.atAgent = map[netip.Addr]*Target{}
-	for _, e := range v.atAddress {
-		v.services[e.target.Service] = append(v.services[e.target.Service], e.target)
-		v.atAgent[e.target.Agent()] = e.target
-	}
-	for _, targets := range v.services {
-		slices.SortFunc(targets, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
-	}
-	v.sorted = true
-}
-
-// newerThan orders entries that claim one address.
-func (e *entry) newerThan(o *entry) bool {
-	return cmp.Or(cmp.Compare(e.target.Born, o.target.Born), cmp.Compare(e.revision, o.revision)) > 0
-}
-
 // Former returns the targets of a service that were removed in the last
 // FormerFor. They may hold open flows.
-func (v *View) Former(service string) []*Target {
-	var out []*Target
-	for _, e := range v.entries {
-		if e.target == nil && e.last != nil && e.last.Service == service && !v.addressTaken(e.last) {
-			out = append(out, e.last)
-		}
-	}
-	slices.SortFunc(out, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
+func (v *View) Former(service string) []*Target { return v.index.former(service) }
 
 // Lapsed returns the targets of a service whose entries vanished without a
 // drain, and that may come back because the platform was disturbed when they
@@ -355,27 +308,12 @@
 	return slices.DeleteFunc(v.Former(service), func(t *Target) bool { return t.State != Ready })
 }
 
-// addressTaken reports whether another target has the address now.
-func (v *View) addressTaken(t *Target) bool {
-	v.index()
-	return v.atAddress[t.Address] != nil
-}
-
 // AtAgent returns the target that runs on the VM with an address.
-func (v *View) AtAgent(agent netip.Addr) *Target {
-	v.index()
-	return v.atAgent[agent]
-}
+func (v *View) AtAgent(agent netip.Addr) *Target { return v.index.atAgent(agent) }
 
-// Agents returns the addresses of the VMs of all listed targets in order.
-func (v *View) Agents() []netip.Addr {
-	v.index()
-	var out []netip.Addr
-	for _, targets := range v.services {
-		for _, t := range targets {
-			out = append(out, t.Agent())
-		}
-	}
-	slices.SortFunc(out, netip.Addr.Compare)
-	return slices.Compact(out)
-}
+// Agents returns the addresses of the VMs of all listed targets in order. The
+// result must not be changed.
+func (v *View) Agents() []netip.Addr { return v.index.allAgents() }
+
+// Place returns the place of a process in the order in which views spread.
+func (v *View) Place(seeds []netip.Addr, self netip.Addr) Place { return v.index.place(seeds, self) }
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -142,7 +142,7 @@
 	for _, seed := range s.Seeds {
 		seeds = append(seeds, seed.Addr())
 	}
-	return fleet.PlaceOf(s.View.Agents(), seeds, s.Self)
+	return s.View.Place(seeds, s.Self)
 }
 
 // readOnce makes at most one call and returns the pause before the next.
--- a/node/packetplane/plane.go
+++ b/node/packetplane/plane.go
@@ -148,9 +148,7 @@
 	now := p.now()
 	p.role.changed(now)
 	p.flush(now)
-	to := p.view.Agents()
-	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-	to = to[:min(len(to), pushTo)]
+	to := someOf(p.view.Agents(), pushTo)
 	for b, seen := range p.balancers {
 		if now-seen > balancerSeen {
 			delete(p.balancers, b)
@@ -168,6 +166,20 @@
 	}
 }
 
+// someOf returns up to n different addresses at random.
+func someOf(all []netip.Addr, n int) []netip.Addr {
+	if len(all) <= n {
+		return slices.Clone(all)
+	}
+	some := make([]netip.Addr, 0, n)
+	for len(some) < n {
+		if a := all[rand.N(len(all))]; !slices.Contains(some, a) {
+			some = append(some, a)
+		}
+	}
+	return some
+}
+
 // beat returns a Beat of this process.
 func (p *Process) beat(now time.Duration, flags uint8) relay.Message {
 	load := p.role.load()
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -44,6 +44,14 @@
 $found"
 }
 
+# Plays the seeds that once failed, a few seconds each.
+check_soak() {
+	local seed
+	for seed in $(grep -oE '^[0-9]+' lab/soak/seeds.txt); do
+		bin/trefoilweir-lab soak --seed "$seed" --length 6s --dir demo-logs/soak
+	done
+}
+
 check_spec() {
 	if [ ! -d spec ]; then
 		echo "NOT CHECKED: the specification, because spec/ is not there"
@@ -89,6 +97,8 @@
 check_spec
 step demo
 bin/trefoilweir-lab packet-demo
+step soak
+check_soak
 step demo of the QUIC plane
 DEMO_SEED=1 bash lab/demo.sh
 echo "all checks passed; make faults runs the fault tests with real processes"
