Split the large files of the packet plane

core/ownership: the flows of the target apart from the entry points; node/packetplane: sockets and beats apart from the process; platform: entries apart from calls.

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -108,35 +108,6 @@
 	born        int64
 }
 
-// owned is a flow that the target holds, or is about to.
-type owned struct {
-	phase phase
-	// accepted says that the target has accepted the flow, opened that the
-	// caller has taken the target's answer.
-	accepted, opened bool
-	// base is the target's first sequence number, top the highest that it has
-	// sent, callerTop the highest of the caller. known says that base is.
-	known                bool
-	base, top, callerTop uint32
-	callerKnown          bool
-	// since is when the phase began. alone says that the request in progress
-	// did not wait for a slot.
-	since        time.Duration
-	alone        bool
-	callerClosed bool
-	targetClosed bool
-	created      time.Duration
-	seen         time.Duration
-	origin, home netip.Addr
-	// syn is the sequence number of the opening packet, if it is known.
-	syn      uint32
-	synKnown bool
-	// raw is the opening packet, until the flow is accepted or handed over.
-	raw     []byte
-	hops    uint8
-	refused netip.Addr
-}
-
 // record is what a home knows of a flow.
 type record struct {
 	owner netip.Addr
@@ -192,8 +163,6 @@
 // Idle reports whether no request is in progress at the target.
 func (m *Machine) Idle() bool { return m.stats.pending() == 0 }
 
-type addr = netip.Addr
-
 // FromPeer takes a datagram of another process.
 func (m *Machine) FromPeer(now time.Duration, from netip.Addr, msg *relay.Message, out *plane.Out) {
 	m.fromPeer(now, from, msg, out)
@@ -250,187 +219,17 @@
 	return p
 }
 
-// packet takes a packet of a flow that is open already.
-func (m *Machine) packet(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
-	if f := m.flows[p.Key]; f != nil && f.takes(p) {
-		m.deliver(now, f, p, out)
-		if msg.Hops > 0 {
-			m.report(f, msg.Origin, p.Key, out)
-		}
-		return
-	}
-	if r := m.records[p.Key]; r != nil && r.owner != m.Self && msg.Hops < maxHops {
-		r.seen = now
-		m.pass(r.owner, relay.Packet, p, msg, out)
-		return
-	}
-	m.unknown(now, p, msg, out)
-}
-
 func (m *Machine) pass(to netip.Addr, kind relay.Kind, p *flow.Packet, msg *relay.Message, out *plane.Out) {
 	out.Send(to, relay.Message{Kind: kind, Hops: msg.Hops + 1, Service: m.tag, Origin: msg.Origin, Home: msg.Home, Refused: msg.Refused, Body: p.Raw})
 }
 
-// report tells a process that this agent owns a flow.
-func (m *Machine) report(f *owned, to netip.Addr, key flow.Key, out *plane.Out) {
-	if !to.IsValid() || to == m.Self {
-		return
-	}
-	out.Send(to, relay.Message{Kind: relay.Owner, Service: m.tag, Flow: key, Load: m.Load(), Origin: f.origin})
-}
-
-// takes reports whether a caller's packet belongs to the flow that the target
-// holds, and not to one of another target or of an earlier time that has the
-// same addresses. A caller acknowledges what its own target has sent.
-func (f *owned) takes(p *flow.Packet) bool {
-	if !f.accepted {
-		return false
-	}
-	if !f.known || p.Reset {
-		return true
-	}
-	return p.Ack-f.base <= f.top-f.base+1
-}
-
-// deliver gives a packet of the flow to the target.
-func (m *Machine) deliver(now time.Duration, f *owned, p *flow.Packet, out *plane.Out) {
-	f.seen = now
-	if !f.opened {
-		f.opened = true
-		f.raw = nil
-	}
-	end := p.Seq + uint32(p.Len)
-	if p.Len > 0 && (!f.callerKnown || int32(end-f.callerTop) > 0) {
-		f.callerTop, f.callerKnown = end, true
-		m.beginRequest(now, f, p.Key)
-	}
-	f.callerClosed = f.callerClosed || p.Final || p.Reset
-	f.targetClosed = f.targetClosed || p.Reset
-	m.checkClosed(now, f, p.Key)
-	out.ToTarget = append(out.ToTarget, m.Codec.Clean(p.Raw))
-}
-
 // FromTarget takes a packet of the target.
 func (m *Machine) FromTarget(now time.Duration, raw []byte, out *plane.Out) {
 	m.fromTarget(now, raw, out)
 	m.admit(now, out)
 }
 
-func (m *Machine) fromTarget(now time.Duration, raw []byte, out *plane.Out) {
-	p, err := m.Codec.FromTarget(raw)
-	if err != nil {
-		out.Event(plane.Event{Kind: plane.EventDropped, Reason: "malformed_from_target"})
-		return
-	}
-	if p.Returned {
-		m.returned(now, &p, out)
-		return
-	}
-	m.answers(out)
-	f := m.flows[p.Key]
-	if f == nil {
-		f = m.learn(now, p.Key)
-		m.tellHeld(p.Key, f, out)
-	}
-	m.note(now, f, &p, out)
-	out.ToCaller = append(out.ToCaller, plane.CallerPacket{IP: p.Key.CallerIP, Raw: p.Raw})
-}
-
-// learn adds a flow that the target holds and the agent did not know, as after
-// a restart of the agent.
-func (m *Machine) learn(now time.Duration, key flow.Key) *owned {
-	f := &owned{accepted: true, opened: true, created: now, seen: now}
-	if len(m.flows) < maxFlows {
-		m.flows[key] = f
-		m.stats.enter(now, key, f, phaseIdle)
-	}
-	return f
-}
-
-// note keeps up with what the target sends.
-func (m *Machine) note(now time.Duration, f *owned, p *flow.Packet, out *plane.Out) {
-	f.seen = now
-	end := p.Seq + uint32(p.Len)
-	if p.Open {
-		if !f.opened {
-			m.accepted(now, f, p, out)
-		}
-		return
-	}
-	// The target sends on a flow only if it holds it.
-	f.accepted = true
-	switch {
-	case !f.known:
-		f.base, f.top, f.known = p.Seq-windowBefore, end, true
-	case int32(end-f.top) > 0:
-		f.top = end
-	}
-	switch {
-	case p.Reset && f.phase == phaseBusy:
-		m.failed(now, p.Key, out)
-	case p.Len > 0 && f.phase == phaseBusy:
-		m.answeredRequest(p.Key, out)
-	}
-	if p.Len > 0 || p.Reset {
-		m.endRequest(now, f, p.Key, p.Len > 0, out)
-	}
-	if p.Final {
-		f.top++
-	}
-	f.targetClosed = f.targetClosed || p.Final || p.Reset
-	f.callerClosed = f.callerClosed || p.Reset
-	m.checkClosed(now, f, p.Key)
-}
-
-// checkClosed ends the load of a flow that both ends have closed.
-func (m *Machine) checkClosed(now time.Duration, f *owned, key flow.Key) {
-	if f.callerClosed && f.targetClosed {
-		m.stats.enter(now, key, f, phaseClosed)
-	}
-}
-
 // windowBefore is how far the acknowledgements of a caller may be behind the
 // first packet that a restarted agent sees of its target: the packets in
 // flight.
 const windowBefore = 16 * 1200
-
-// returned takes a packet that the target did not take.
-func (m *Machine) returned(now time.Duration, p *flow.Packet, out *plane.Out) {
-	m.answers(out)
-	f := m.flows[p.Key]
-	out.Event(plane.Event{Kind: plane.EventReturned, Flow: p.Key, Number: p.Seq, Reason: map[bool]string{true: "opening", false: "not_held"}[p.Open]})
-	if p.Open {
-		m.targetRefused(now, f, p, out)
-		return
-	}
-	if f != nil && f.accepted && f.takes(p) && f.known {
-		// The target accepted the flow and does not hold it any more: it
-		// restarted. No other target holds it.
-		m.forget(now, p.Key, f)
-		m.reset(p, "target_lost_flow", out)
-		return
-	}
-	if f != nil && !f.known {
-		m.forget(now, p.Key, f)
-	}
-	m.notHeld(now, p, out)
-}
-
-// reset aborts a flow that no target holds.
-func (m *Machine) reset(p *flow.Packet, reason string, out *plane.Out) {
-	seq := p.Ack
-	if p.Open {
-		seq = 0
-	}
-	out.ToCaller = append(out.ToCaller, plane.CallerPacket{IP: p.Key.CallerIP, Raw: m.Codec.Reset(p.Key, seq)})
-	kind := plane.EventReset
-	if p.Open {
-		kind = plane.EventRefused
-	}
-	out.Event(plane.Event{Kind: kind, Flow: p.Key, Number: p.Seq, Reason: reason})
-}
-
-func (m *Machine) forget(now time.Duration, key flow.Key, f *owned) {
-	m.stats.enter(now, key, f, phaseClosed)
-	delete(m.flows, key)
-}
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -81,7 +82,7 @@
 // tellWaiting stops the timers of the balancer and the home.
 func (m *Machine) tellWaiting(key flow.Key, msg *relay.Message, out *plane.Out) {
 	answer := relay.Message{Kind: relay.Waiting, Service: m.tag, Flow: key, Load: m.Load(), Origin: msg.Origin}
-	for _, to := range slices.Compact([]addr{msg.Origin, msg.Home}) {
+	for _, to := range slices.Compact([]netip.Addr{msg.Origin, msg.Home}) {
 		if to.IsValid() && to != m.Self {
 			out.Send(to, answer)
 		}
--- /dev/null
+++ b/node/packetplane/beats.go
@@ -0,0 +1,69 @@
+package packetplane
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"trefoilweir.example/core/relay"
+)
+
+// viewChanged tells others of the new revision. The lock is held.
+func (p *Process) viewChanged(targets, config bool) {
+	now := p.now()
+	p.role.changed(now)
+	p.flush(now)
+	to := someOf(p.view.Agents(), pushTo)
+	for b, seen := range p.balancers {
+		if now-seen > balancerSeen {
+			delete(p.balancers, b)
+			continue
+		}
+		if len(to) < 2*pushTo {
+			to = append(to, b)
+		}
+	}
+	beat := p.beat(now, 0)
+	for _, a := range to {
+		if a != p.Settings.IP {
+			p.sendTo(a, &beat)
+		}
+	}
+}
+
+// someOf returns up to n different addresses at random.
+func someOf(all []netip.Addr, n int) []netip.Addr {
+	if len(all) <= n {
+		return slices.Clone(all)
+	}
+	some := make([]netip.Addr, 0, n)
+	for len(some) < n {
+		if a := all[rand.N(len(all))]; !slices.Contains(some, a) {
+			some = append(some, a)
+		}
+	}
+	return some
+}
+
+// beat returns a Beat of this process.
+func (p *Process) beat(now time.Duration, flags uint8) relay.Message {
+	load := p.role.load()
+	load.Flags |= flags
+	return relay.Message{Kind: relay.Beat, Service: p.tag, Load: load, Revision: p.view.Revision(), Age: p.view.Age(now)}
+}
+
+// askParent asks a parent for the age of its view.
+func (p *Process) askParent(now time.Duration) {
+	if now-p.asked < askEvery {
+		return
+	}
+	p.asked = now
+	place := p.sync.Place()
+	if len(place.Parents) == 0 {
+		return
+	}
+	p.parent++
+	ask := p.beat(now, relay.FlagAsk)
+	p.sendTo(place.Parents[p.parent%len(place.Parents)], &ask)
+}
--- /dev/null
+++ b/node/packetplane/sockets.go
@@ -0,0 +1,122 @@
+package packetplane
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"trefoilweir.example/core/plane"
+	"trefoilweir.example/core/relay"
+)
+
+func listen(a netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, trace.Wrap(err, "cannot listen on %s", a)
+	}
+	if err := conn.SetReadBuffer(receiveBuffer); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return conn, nil
+}
+
+func (p *Process) sendTo(a netip.Addr, m *relay.Message) {
+	p.send = m.Append(p.send[:0])
+	if _, err := p.relay.WriteToUDPAddrPort(p.send, netip.AddrPortFrom(a, p.Settings.PeerPort)); err != nil {
+		p.events.sendFailed(a, err)
+	}
+}
+
+// flush sends what a step asked for. The lock is held.
+func (p *Process) flush(now time.Duration) {
+	for i := range p.out.Sends {
+		p.sendTo(p.out.Sends[i].To, &p.out.Sends[i].Message)
+	}
+	for _, raw := range p.out.ToTarget {
+		if _, err := p.relay.WriteToUDPAddrPort(raw, p.Settings.Target); err != nil {
+			p.events.sendFailed(p.Settings.Target.Addr(), err)
+		}
+	}
+	for _, c := range p.out.ToCaller {
+		a := netip.AddrPortFrom(netip.AddrFrom4(c.IP), p.Settings.Packets.Port())
+		if _, err := p.caller.WriteToUDPAddrPort(c.Raw, a); err != nil {
+			p.events.sendFailed(a.Addr(), err)
+		}
+	}
+	p.events.add(now, p.out.Events, p.view)
+	p.events.times(p.out.Times)
+	p.out.Clear()
+}
+
+// read passes the datagrams of a socket to a function, which is called with
+// the lock held.
+func (p *Process) read(conn *net.UDPConn, take func(now time.Duration, from netip.AddrPort, b []byte)) func(context.Context) error {
+	return func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = conn.SetReadDeadline(time.Now()) })
+		defer stop()
+		b := make([]byte, maxDatagram)
+		for {
+			n, from, err := conn.ReadFromUDPAddrPort(b)
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			if err != nil {
+				// An ICMP message about an earlier datagram is no fault of the
+				// socket.
+				if errors.Is(err, syscall.ECONNREFUSED) {
+					continue
+				}
+				return trace.Wrap(err)
+			}
+			p.mu.Lock()
+			now := p.now()
+			take(now, from, b[:n])
+			p.flush(now)
+			p.mu.Unlock()
+		}
+	}
+}
+
+// takeRelay takes a datagram of another process.
+func (p *Process) takeRelay(now time.Duration, from netip.AddrPort, b []byte) {
+	m, err := relay.Decode(b)
+	if err != nil {
+		p.out.Event(plane.Event{Kind: plane.EventDropped, Peer: from.Addr(), Reason: "malformed_relay"})
+		return
+	}
+	peer := from.Addr().Unmap()
+	if m.Kind == relay.Beat {
+		p.sync.Heard(peer, m.Revision, m.Age)
+		if m.Load.Flags&relay.FlagAgent == 0 {
+			p.balancers[peer] = now
+		}
+		if m.Load.Flags&relay.FlagAsk != 0 {
+			answer := p.beat(now, 0)
+			p.sendTo(peer, &answer)
+		}
+	}
+	p.role.fromPeer(now, peer, &m)
+}
+
+// serveHTTP serves a handler on an address until ctx ends.
+func serveHTTP(a netip.AddrPort, h http.Handler) func(context.Context) error {
+	return func(ctx context.Context) error {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", a.String())
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		server := &http.Server{Handler: h, ReadHeaderTimeout: httpTimeout}
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		err = server.Serve(l)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		return trace.Wrap(err)
+	}
+}
