--- /dev/null
+++ b/core/relay/relay_test.go
@@ -0,0 +1,53 @@
+package relay
+
+import (
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"trefoilweir.example/core/flow"
+)
+
+var messages = []Message{
+	{Kind: Open, Hops: 2, Service: 7, Origin: netip.MustParseAddr("10.0.0.1"), Home: netip.MustParseAddr("10.0.0.2"), Body: []byte("packet")},
+	{Kind: Packet, Service: 1 << 60, Refused: netip.MustParseAddr("10.0.0.3"), Body: []byte{0}},
+	{Kind: Owner, Service: 7, Flow: flow.Key{CallerPort: 5, ServicePort: 6}, Load: Load{Flags: FlagAgent, Busy: 1, Expected: 2, Slots: 3, ServiceTime: 4}, Origin: netip.MustParseAddr("10.0.0.1")},
+	{Kind: Beat, Service: 7, Load: Load{Flags: FlagAsk}, Revision: 9, Age: 5 * time.Millisecond},
+}
+
+// Guards against fields that are lost on the way.
+func TestRoundTrip(t *testing.T) {
+	for _, m := range messages {
+		got, err := Decode(m.Append(nil))
+		assert.NilError(t, err)
+		assert.Assert(t, reflect.DeepEqual(got, m), "%+v, want %+v", got, m)
+	}
+}
+
+// Guards against an age that wraps around and makes an old view look fresh.
+func TestLongAge(t *testing.T) {
+	m := Message{Kind: Beat, Age: time.Hour}
+	got, err := Decode(m.Append(nil))
+	assert.NilError(t, err)
+	assert.Equal(t, got.Age, maxAge)
+}
+
+// Guards against datagrams of others that are taken for messages, and against
+// a crash of the decoder.
+func FuzzDecode(f *testing.F) {
+	for _, m := range messages {
+		f.Add(m.Append(nil))
+	}
+	f.Add([]byte{Version})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Decode(b)
+		if err != nil {
+			return
+		}
+		if again := m.Append(nil); len(again) != len(b) {
+			t.Fatalf("%x became %x", b, again)
+		}
+	})
+}
--- /dev/null
+++ b/lab/kvstore/store_test.go
@@ -0,0 +1,45 @@
+package kvstore
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func ask(t *testing.T, s *Store, path string) (int, map[string]any) {
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+	var body map[string]any
+	if w.Code == http.StatusOK {
+		assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &body))
+	}
+	return w.Code, body
+}
+
+// Guards against a stand-in that is kinder than the store that it stands for.
+func TestStore(t *testing.T) {
+	s := New()
+	first := s.Put("servers/a", []byte("1"))
+	s.Put("op/config", []byte("2"))
+	s.Remove("servers/a")
+	code, _ := ask(t, s, "/v1/kv-key?key=servers/a")
+	assert.Equal(t, code, http.StatusNotFound)
+	_, body := ask(t, s, "/v1/kv-range?prefix=op/")
+	assert.Equal(t, len(body["items"].([]any)), 1)
+	_, body = ask(t, s, "/v1/kv-watch?prefix=&after=2&wait-ms=1")
+	assert.Equal(t, len(body["events"].([]any)), 2)
+	_, body = ask(t, s, "/v1/kv-watch?prefix=none&after=2&wait-ms=1")
+	assert.Equal(t, len(body["events"].([]any)), 0)
+	s.Compact()
+	code, _ = ask(t, s, "/v1/kv-watch?prefix=&after=2&wait-ms=1")
+	assert.Equal(t, code, http.StatusGone)
+	for fault, want := range map[Fault]int{Busy: http.StatusServiceUnavailable, Many: http.StatusTooManyRequests} {
+		s.SetFault(fault)
+		code, _ = ask(t, s, "/v1/kv-range?prefix=")
+		assert.Equal(t, code, want)
+	}
+	assert.Equal(t, first, uint64(2))
+}
