core/ownership: bounded self-probes, and a search at the end of a circle

Found by reading: a burst of packets of one flow at a restarted agent all reached its target before the first came back, beyond the budget; and a packet that had been passed on four times was dropped, so that records which name each other would keep a flow silent. Now self-probes count against the budget, and such a packet starts a search. Both tests fail without it.

--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -521,3 +521,26 @@
 	}
 	assert.Equal(t, probes, 1)
 }
+
+// Guards against a burst of packets that all reach the target before it has
+// returned the first.
+func TestBurstAtRestartedAgent(t *testing.T) {
+	f := newFixture(t, false)
+	f.out.Clear()
+	for n := range uint32(8) {
+		body := flowtest.Encode(flow.Packet{Key: keyOf(1), Seq: 111 + 10*n, Ack: 9001, Len: 10})
+		f.FromPeer(f.now, balancer, &relay.Message{Kind: relay.Packet, Service: tag, Origin: balancer, Body: body}, &f.out)
+	}
+	assert.Equal(t, len(f.out.ToTarget), probeBudget)
+}
+
+// Guards against a flow that goes silent because the records of two agents
+// name each other.
+func TestRecordsInACircle(t *testing.T) {
+	f := newFixture(t, true)
+	f.answer(1, relay.Owner, 1)
+	p := flow.Packet{Key: keyOf(1), Seq: 111, Ack: 5001, Len: 10}
+	f.out.Clear()
+	f.FromPeer(f.now, agent(1), &relay.Message{Kind: relay.Packet, Hops: maxHops, Service: tag, Origin: balancer, Body: flowtest.Encode(p)}, &f.out)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Search, relay.Search})
+}
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -40,7 +40,7 @@
 
 // unknown takes a packet whose owner is not known here.
 func (m *Machine) unknown(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
-	if p.Reset || msg.Hops >= maxHops {
+	if p.Reset {
 		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Number: p.Seq, Reason: "unknown_flow"})
 		return
 	}
@@ -54,7 +54,9 @@
 		m.search[p.Key] = s
 	}
 	if !msg.Home.IsValid() && m.unsure(now) && !s.disowned {
-		m.probeSelf(now, p, msg, s, out)
+		if !s.selfFirst || s.probes < probeBudget {
+			m.probeSelf(now, p, msg, s, out)
+		}
 		return
 	}
 	m.begin(now, p, msg, s, out)
@@ -64,11 +66,20 @@
 // own. If the target returns the packet, the search goes on.
 func (m *Machine) probeSelf(now time.Duration, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
 	s.began, s.raw, s.origin, s.done, s.selfFirst = now, slices.Clone(p.Raw), msg.Origin, true, true
-	s.probes, s.firstProbe, s.prober = 1, now, m.Self
-	out.Event(plane.Event{Kind: plane.EventProbed, Flow: p.Key, Number: p.Seq, Peer: m.Self, Value: 1})
+	s.prober = m.Self
+	m.countProbe(now, s)
+	out.Event(plane.Event{Kind: plane.EventProbed, Flow: p.Key, Number: p.Seq, Peer: m.Self, Value: int64(s.probes)})
 	out.ToTarget = append(out.ToTarget, m.Codec.Clean(p.Raw))
 }
 
+// countProbe counts a packet at a target that may not hold the flow.
+func (m *Machine) countProbe(now time.Duration, s *search) {
+	if now-s.firstProbe > probeWindow || s.probes == 0 {
+		s.probes, s.firstProbe = 0, now
+	}
+	s.probes++
+}
+
 // begin asks all other agents of the service.
 func (m *Machine) begin(now time.Duration, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
 	s.began, s.raw, s.origin, s.done = now, slices.Clone(p.Raw), msg.Origin, false
@@ -221,7 +232,7 @@
 // them.
 func (m *Machine) probe(now time.Duration, key flow.Key, s *search, most int, out *plane.Out) {
 	if now-s.firstProbe > probeWindow {
-		s.probes, s.firstProbe = 0, now
+		s.probes = 0
 	}
 	p, err := m.Codec.FromCaller(s.raw)
 	if err != nil {
@@ -231,7 +242,7 @@
 		if s.probes >= most {
 			return
 		}
-		s.probes++
+		m.countProbe(now, s)
 		s.probing[a] = true
 		out.Event(plane.Event{Kind: plane.EventProbed, Flow: key, Number: p.Seq, Peer: a, Value: int64(s.probes)})
 		msg := &relay.Message{Origin: s.origin}
