core/ownership: differential test against targets that know their flows

Four agents, three flows, datagrams lost, repeated and reordered, agents that stop and start, a balancer that loses its table. With agents that deny after a restart, or without the acknowledgement check, it fails; an owner that forgets on a late copy is not seen by it (its table test sees that).

--- /dev/null
+++ b/core/ownership/rapid_test.go
@@ -0,0 +1,277 @@
+package ownership
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/flow/flowtest"
+	"trefoilweir.example/core/plane"
+	"trefoilweir.example/core/relay"
+)
+
+const simAgents = 4
+
+// simMessage is a datagram on its way.
+type simMessage struct {
+	from, to netip.Addr
+	message  relay.Message
+}
+
+// simTarget knows exactly which flows it holds. It is the naive version that
+// the agents are compared with.
+type simTarget struct {
+	bases map[flow.Key]uint32
+	open  map[flow.Key]bool
+}
+
+// simCaller has one flow.
+type simCaller struct {
+	key    flow.Key
+	base   uint32
+	chosen int
+	opened bool
+	reset  bool
+	sent   uint32
+}
+
+// sim is a small system whose network loses, repeats and reorders datagrams.
+type sim struct {
+	*rapid.T
+	now     time.Duration
+	view    *fleet.View
+	agents  []*Machine
+	down    []bool
+	targets []*simTarget
+	callers []*simCaller
+	network []simMessage
+	// owners is the table of the one balancer.
+	owners map[flow.Key]netip.Addr
+	bases  uint32
+	// right counts packets of open flows that reached the target that holds
+	// them, wrong those that another one got.
+	right, wrong int
+}
+
+func newSim(t *rapid.T) *sim {
+	var targets []*fleet.Target
+	for n := range byte(simAgents) {
+		targets = append(targets, targetAt(n, fleet.Ready))
+	}
+	s := &sim{T: t, view: viewOf(targets...), down: make([]bool, simAgents), owners: map[flow.Key]netip.Addr{}, bases: 1000}
+	for n := range simAgents {
+		s.targets = append(s.targets, &simTarget{map[flow.Key]uint32{}, map[flow.Key]bool{}})
+		s.agents = append(s.agents, s.newAgent(n, true))
+	}
+	for port := range uint16(3) {
+		s.callers = append(s.callers, &simCaller{key: keyOf(port + 1), chosen: -1})
+	}
+	return s
+}
+
+func (s *sim) newAgent(n int, first bool) *Machine {
+	m := New(s.now, Options{Self: agent(byte(n)), DataCentre: "dc", Service: "booking", Target: netip.AddrPortFrom(agent(byte(n)), 80),
+		FirstStart: first, Codec: flowtest.Codec{}, View: s.view})
+	return m
+}
+
+// step lets one agent act and handles what it asks for.
+func (s *sim) step(n int, act func(m *Machine, out *plane.Out)) {
+	var out plane.Out
+	act(s.agents[n], &out)
+	for _, send := range out.Sends {
+		m := send.Message
+		m.Body = slices.Clone(m.Body)
+		s.network = append(s.network, simMessage{agent(byte(n)), send.To, m})
+	}
+	for _, c := range out.ToCaller {
+		s.toCaller(n, c.Raw)
+	}
+	for _, raw := range out.ToTarget {
+		s.toTarget(n, slices.Clone(raw))
+	}
+}
+
+func (s *sim) toTarget(n int, raw []byte) {
+	p, _ := flowtest.Codec{}.FromCaller(raw)
+	t := s.targets[n]
+	answer := p
+	switch base, held := t.bases[p.Key]; {
+	case p.Open && !held:
+		s.bases += 10_000
+		t.bases[p.Key] = s.bases
+		answer = flow.Packet{Key: p.Key, Open: true, Seq: s.bases}
+	case p.Open:
+		answer = flow.Packet{Key: p.Key, Open: true, Seq: base}
+	case held && p.Ack == base+1:
+		t.open[p.Key] = true
+		s.right++
+		answer = flow.Packet{Key: p.Key, Seq: base + 1, Ack: p.Seq + uint32(p.Len)}
+	default:
+		s.checkWrong(n, p.Key)
+		answer.Returned = true
+	}
+	s.step(n, func(m *Machine, out *plane.Out) { m.FromTarget(s.now, flowtest.Encode(answer), out) })
+}
+
+func (s *sim) checkWrong(n int, key flow.Key) {
+	for i, t := range s.targets {
+		if i != n && t.open[key] {
+			s.wrong++
+		}
+	}
+}
+
+// toCaller is where the promise is checked: a reset means that no target holds
+// the flow which the caller uses.
+func (s *sim) toCaller(n int, raw []byte) {
+	p, _ := flowtest.Codec{}.FromCaller(raw)
+	c := s.callers[p.Key.CallerPort-1]
+	switch {
+	case p.Reset && c.opened && s.targets[c.chosen].open[p.Key]:
+		s.Fatalf("agent %d reset flow %s that target %d holds", n, p.Key, c.chosen)
+	case p.Reset:
+		c.reset = true
+	case p.Open && c.chosen < 0:
+		c.base, c.chosen = p.Seq, n
+	}
+}
+
+// fromBalancer sends a caller's packet to the owner that the balancer knows,
+// or to the home.
+func (s *sim) fromBalancer(p flow.Packet) {
+	m := relay.Message{Kind: relay.Packet, Service: tag, Origin: balancer, Body: flowtest.Encode(p)}
+	to := agent(byte(p.Key.CallerPort % simAgents))
+	owner, known := s.owners[p.Key]
+	switch {
+	case p.Open:
+		m.Kind, m.Home = relay.Open, to
+	case known:
+		to = owner
+	default:
+		m.Home = to
+	}
+	s.network = append(s.network, simMessage{balancer, to, m})
+}
+
+func (s *sim) deliver(i int) {
+	msg := s.network[i]
+	if msg.to == balancer {
+		if msg.message.Kind == relay.Owner {
+			s.owners[msg.message.Flow] = msg.from
+		}
+		return
+	}
+	n := int(msg.to.As4()[3]) - 10
+	if s.down[n] {
+		return
+	}
+	s.step(n, func(m *Machine, out *plane.Out) { m.FromPeer(s.now, msg.from, &msg.message, out) })
+}
+
+// TestOwnershipAgainstNaive guards against resets of flows that a target holds
+// and against flows that nobody finds again, under loss, repetition and
+// reordering of datagrams, restarts of agents and lost tables of balancers.
+func TestOwnershipAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"deliver": func(t *rapid.T) {
+				if len(s.network) > 0 {
+					i := rapid.IntRange(0, len(s.network)-1).Draw(t, "message")
+					msg := s.network[i]
+					s.deliver(i)
+					if rapid.IntRange(0, 9).Draw(t, "repeated") > 0 {
+						s.network = slices.DeleteFunc(s.network, func(o simMessage) bool {
+							return o.to == msg.to && o.from == msg.from && slices.Equal(o.message.Append(nil), msg.message.Append(nil))
+						})
+					}
+				}
+			},
+			"lose": func(t *rapid.T) {
+				if len(s.network) > 0 {
+					i := rapid.IntRange(0, len(s.network)-1).Draw(t, "message")
+					s.network = slices.Delete(s.network, i, i+1)
+				}
+			},
+			"open": func(t *rapid.T) {
+				c := rapid.SampledFrom(s.callers).Draw(t, "caller")
+				if c.chosen < 0 && !c.reset {
+					s.fromBalancer(flow.Packet{Key: c.key, Open: true, Seq: 100, Ack: rapid.Uint32Range(0, 2).Draw(t, "copies")})
+				}
+			},
+			"send":  func(t *rapid.T) { s.send(rapid.SampledFrom(s.callers).Draw(t, "caller")) },
+			"send2": func(t *rapid.T) { s.send(rapid.SampledFrom(s.callers).Draw(t, "caller")) },
+			"wait": func(t *rapid.T) {
+				s.now += time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * ms
+				for n := range s.agents {
+					if !s.down[n] {
+						s.step(n, func(m *Machine, out *plane.Out) { m.Tick(s.now, out) })
+					}
+				}
+			},
+			"stop":  func(t *rapid.T) { s.down[rapid.IntRange(0, simAgents-1).Draw(t, "agent")] = true },
+			"start": func(t *rapid.T) { s.start(rapid.IntRange(0, simAgents-1).Draw(t, "agent")) },
+			"forget": func(*rapid.T) {
+				clear(s.owners)
+			},
+		})
+		s.settle()
+	})
+}
+
+func (s *sim) send(c *simCaller) {
+	if c.chosen < 0 || c.reset {
+		return
+	}
+	c.opened = true
+	c.sent++
+	s.fromBalancer(flow.Packet{Key: c.key, Seq: 101 + c.sent, Ack: c.base + 1, Len: 1})
+}
+
+func (s *sim) start(n int) {
+	if s.down[n] {
+		s.down[n] = false
+		s.agents[n] = s.newAgent(n, false)
+	}
+}
+
+// settle ends all faults and requires that each open flow's packets reach its
+// target again.
+func (s *sim) settle() {
+	s.network = nil
+	for n := range s.agents {
+		s.start(n)
+	}
+	for _, c := range s.callers {
+		if c.chosen < 0 || !c.opened || c.reset || !s.targets[c.chosen].open[c.key] {
+			continue
+		}
+		before := s.right
+		for try := 0; s.right == before; try++ {
+			if try == 8 {
+				s.Fatalf("packets of flow %s do not reach target %d", c.key, c.chosen)
+			}
+			s.send(c)
+			s.drain()
+		}
+	}
+}
+
+// drain delivers everything in order, with time for the time-outs between.
+func (s *sim) drain() {
+	for range 40 {
+		for len(s.network) > 0 {
+			s.deliver(0)
+			s.network = s.network[1:]
+		}
+		s.now += 20 * ms
+		for n := range s.agents {
+			s.step(n, func(m *Machine, out *plane.Out) { m.Tick(s.now, out) })
+		}
+	}
+}
