--- a/lab/cmd/trefoilweir-lab/rig.go
+++ b/lab/cmd/trefoilweir-lab/rig.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
+	"trefoilweir.example/lab/figure"
 	"trefoilweir.example/lab/rig"
 )
 
@@ -28,7 +29,7 @@
 func packetDemoCommand() *cli.Command {
 	return &cli.Command{
 		Name: "packet-demo", Usage: "run balancers, agents, targets and callers of the packet plane while parts of them change",
-		Flags: rigFlags(),
+		Flags: append(rigFlags(), &cli.StringFlag{Name: "plot", Usage: "draw latency and load over time into `FILE` (.svg or .png)"}),
 		Action: func(_ context.Context, c *cli.Command) error {
 			dir := c.String("dir")
 			if err := os.RemoveAll(dir); err != nil {
@@ -38,6 +39,11 @@
 			if err != nil {
 				return trace.Wrap(err)
 			}
+			if file := c.String("plot"); file != "" {
+				if err := figure.Draw(file, report.Samples, report.Marks); err != nil {
+					return trace.Wrap(err)
+				}
+			}
 			return printReport(report)
 		},
 	}
--- a/lab/rig/demo.go
+++ b/lab/rig/demo.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"syscall"
 	"time"
+
+	"trefoilweir.example/lab/figure"
 )
 
 // Demo times, from the start of the load.
@@ -65,18 +67,31 @@
 	old, spare := netip.MustParseAddrPort("198.18.0.3:443"), netip.MustParseAddrPort("198.18.0.4:443")
 	s.SetRoute(old, booking.Name)
 	time.Sleep(demoStep)
+	s.mark("balancer stops")
 	s.RemoveBalancer(s.Balancers()[0])
 	time.Sleep(demoStep)
 	if _, err := s.AddBalancer(0, false); err != nil {
 		return err
 	}
+	s.mark("balancer killed")
 	s.Signal(s.Balancers()[1], syscall.SIGKILL)
 	time.Sleep(demoStep)
 	if _, err := s.AddTarget(booking, 1, 0, false); err != nil {
 		return err
 	}
+	s.mark("target replaced")
 	s.DrainTarget(s.Agents()[0], drainExtra)
 	time.Sleep(demoStep)
+	s.mark("agent stops, routes change")
 	s.Signal(s.Agents()[3], syscall.SIGTERM)
 	return s.CheckRoutes(spare, old, booking.Name)
 }
+
+// mark notes a disruption for the figure of the run.
+func (s *System) mark(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.recorder != nil {
+		s.marks = append(s.marks, figure.Mark{At: time.Since(s.recorder.begin), What: what})
+	}
+}
--- a/lab/rig/load.go
+++ b/lab/rig/load.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"trefoilweir.example/lab/figure"
 	"trefoilweir.example/lab/packets"
 )
 
@@ -40,6 +41,9 @@
 	Notes        []string
 	Failures     []string
 	StoreCalls   int
+	// Samples are the finished requests, Marks the steps of a demo.
+	Samples []figure.Sample
+	Marks   []figure.Mark
 }
 
 type recorder struct {
@@ -48,9 +52,11 @@
 	finished  int
 	byOutcome map[packets.Outcome]int
 	latency   *hdrhistogram.Histogram
+	begin     time.Time
+	samples   []figure.Sample
 }
 
-func (r *recorder) add(outcome packets.Outcome, took time.Duration) {
+func (r *recorder) add(outcome packets.Outcome, target string, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.requests++
@@ -59,13 +65,14 @@
 		return
 	}
 	r.finished++
+	r.samples = append(r.samples, figure.Sample{At: time.Since(r.begin), Took: took, Target: target})
 	// The histogram holds up to a minute.
 	_ = r.latency.RecordValue(took.Microseconds())
 }
 
 // Run puts the system under load until ctx ends.
 func (s *System) Run(ctx context.Context, load Load) (Report, error) {
-	r := &recorder{byOutcome: map[packets.Outcome]int{}, latency: hdrhistogram.New(1, time.Minute.Microseconds(), 3)}
+	r := &recorder{byOutcome: map[packets.Outcome]int{}, latency: hdrhistogram.New(1, time.Minute.Microseconds(), 3), begin: time.Now()}
 	s.mu.Lock()
 	s.recorder = r
 	s.mu.Unlock()
@@ -93,7 +100,7 @@
 	return Report{
 		Requests: r.requests, Finished: r.finished, NotServed: r.requests - r.finished, ByOutcome: r.byOutcome,
 		P50MS: float64(r.latency.ValueAtQuantile(50)) / 1000, P99MS: float64(r.latency.ValueAtQuantile(99)) / 1000,
-		Violations: violations, Notes: notes, Failures: s.Failures(), StoreCalls: s.Store.Calls(),
+		Samples: r.samples, Marks: s.marks, Violations: violations, Notes: notes, Failures: s.Failures(), StoreCalls: s.Store.Calls(),
 	}
 }
 
--- a/lab/rig/system.go
+++ b/lab/rig/system.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"trefoilweir.example/lab/figure"
 	"trefoilweir.example/lab/kvstore"
 	"trefoilweir.example/lab/packets"
 )
@@ -55,6 +56,7 @@
 	numbers   map[int]int
 	failures  []string
 	recorder  *recorder
+	marks     []figure.Mark
 	closed    bool
 	server    *http.Server
 	leaving   []*Machine
--- a/lab/rig/user.go
+++ b/lab/rig/user.go
@@ -47,25 +47,25 @@
 	repeatable := u.long || random.Float64() < repeatableShare
 	begin := time.Now()
 	deadline := begin.Add(u.Deadline)
-	outcome := packets.TimedOut
+	outcome, target := packets.TimedOut, ""
 	for try := 0; try <= u.Retries && time.Now().Before(deadline); try++ {
 		r := packets.Request{
 			ID: fmt.Sprintf("%s-%d-%d", u.name, u.request, try), Service: u.service.Name, More: u.long,
 			WorkMS: u.WorkMS * (0.5 + random.Float64()), Answer: 200 + random.IntN(8000),
 		}
-		outcome = u.attempt(r, deadline, repeatable)
+		outcome, target = u.attempt(r, deadline, repeatable)
 		if outcome == packets.Answered || !repeatable && outcome != packets.NotRun && outcome != packets.NotOpened {
 			break
 		}
 	}
-	u.record.add(outcome, time.Since(begin))
+	u.record.add(outcome, target, time.Since(begin))
 }
 
-func (u *user) attempt(r packets.Request, deadline time.Time, repeatable bool) packets.Outcome {
+func (u *user) attempt(r packets.Request, deadline time.Time, repeatable bool) (packets.Outcome, string) {
 	f, outcome := u.open(deadline)
 	if outcome != packets.Answered {
 		u.Journal.Judge(f, r, packets.Result{Outcome: outcome}, repeatable)
-		return outcome
+		return outcome, ""
 	}
 	result := f.Do(r, deadline)
 	u.Journal.Judge(f, r, result, repeatable)
@@ -73,7 +73,7 @@
 		f.Close()
 		u.flow = nil
 	}
-	return result.Outcome
+	return result.Outcome, result.Target
 }
 
 // open returns the kept flow, or a new one.
