--- a/lab/policybench/policies.go
+++ b/lab/policybench/policies.go
@@ -11,7 +11,7 @@
 // Policies lists the names of all policies.
 var Policies = []string{
 	"uniform", "hash", "static", "central-least-busy", "central-fastest",
-	"local", "balance", "latency",
+	"local", "balance", "latency", "spread",
 }
 
 func newPolicy(s *sim) policy {
@@ -26,6 +26,8 @@
 		return &central{sim: s, score: leastBusy}
 	case "central-fastest":
 		return &central{sim: s, score: fastest}
+	case "spread":
+		return newSpreading(s)
 	case "local":
 		return newOwn(s, config.BiasBalance, false)
 	case "balance":
