--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -68,6 +68,7 @@
 	local arguments=() file
 	for file in examples/*.json; do
 		case $file in
+		*-packet-routes.json) bin/trefoilweir packet check "$file" ;;
 		*-agent.json) arguments+=(--agent "$file") ;;
 		*-balancer.json) arguments+=(--balancer "$file") ;;
 		*) arguments+=(--config "$file") ;;
