--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -68,13 +68,15 @@
 	local arguments=() file
 	for file in examples/*.json; do
 		case $file in
-		*-packet-routes.json) bin/trefoilweir packet check "$file" ;;
 		*-agent.json) arguments+=(--agent "$file") ;;
 		*-balancer.json) arguments+=(--balancer "$file") ;;
 		*) arguments+=(--config "$file") ;;
 		esac
 	done
 	bin/trefoilweir check "${arguments[@]}"
+	for file in examples/packet/*.json; do
+		bin/trefoilweir packet check "$file"
+	done
 }
 
 make build
