Packet plane: leave targets that answer errors at once

Ruled out: resets (the rule for those targets exists, they answered with a body), silence, overload.

Change: an answer whose first packet comes in under a quarter of the usual time of its route and has under half of the usual length counts like a reset; three in a row and the target only gets probes. Contents are not read.

--- a/core/ownership/flows.go
+++ b/core/ownership/flows.go
@@ -146,6 +146,8 @@
 	switch {
 	case p.Reset && f.phase == phaseBusy:
 		m.failed(now, p.Key, out)
+	case p.Len > 0 && f.phase == phaseBusy && m.stats.route(p.Key).unusual(now-f.since, p.Len):
+		m.failed(now, p.Key, out)
 	case p.Len > 0 && f.phase == phaseBusy:
 		m.answeredRequest(p.Key, out)
 	}
--- a/core/ownership/outcome.go
+++ b/core/ownership/outcome.go
@@ -28,7 +28,8 @@
 	retryAt time.Duration
 }
 
-// failed notes that the target reset a flow instead of answering.
+// failed notes that the target reset a flow instead of answering, or answered
+// unusually soon and short.
 func (m *Machine) failed(now time.Duration, key flow.Key, out *plane.Out) {
 	o := &m.outcomes
 	o.answered = 0
@@ -41,7 +42,7 @@
 	}
 }
 
-// answered notes that the target answered a request.
+// answeredRequest notes that the target answered a request.
 func (m *Machine) answeredRequest(key flow.Key, out *plane.Out) {
 	o := &m.outcomes
 	o.failed = 0
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -544,3 +544,35 @@
 	f.FromPeer(f.now, agent(1), &relay.Message{Kind: relay.Packet, Hops: maxHops, Service: tag, Origin: balancer, Body: flowtest.Encode(p)}, &f.out)
 	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Search, relay.Search})
 }
+
+// request opens a flow and lets the target answer after a time.
+func (f *fixture) request(port uint16, took time.Duration, length int) {
+	f.openHere(port)
+	f.now += took
+	f.target(flow.Packet{Key: keyOf(port), Seq: 5001, Len: length})
+	f.beats(1, 2)
+}
+
+// Guards against a target that answers errors at once, so that it looks idle
+// and fast and attracts all flows, and against one that is given up because
+// some answers are short or quick.
+func TestTargetThatAnswersErrors(t *testing.T) {
+	f := newFixture(t, true)
+	for port := uint16(1); port <= 10; port++ {
+		f.request(port, 40*ms, 1200)
+	}
+	for port := uint16(11); port <= 20; port++ {
+		f.request(port, 2*ms, 1200)
+		f.request(port+100, 40*ms, 150)
+	}
+	assert.Assert(t, f.Load().Flags&relay.FlagFailing == 0)
+	for port := uint16(21); port < 21+failuresInRow; port++ {
+		f.request(port, ms, 150)
+	}
+	assert.Assert(t, f.Load().Flags&relay.FlagFailing != 0)
+	f.later(retryFailing)
+	f.beats(1, 2)
+	f.request(40, 40*ms, 1200)
+	f.request(41, 40*ms, 1200)
+	assert.Assert(t, f.Load().Flags&relay.FlagFailing == 0)
+}
--- a/core/ownership/stats.go
+++ b/core/ownership/stats.go
@@ -17,6 +17,11 @@
 	rateWindow = 5 * time.Second
 	// serviceTimeWeight is the weight of one request in the mean service time.
 	serviceTimeWeight = 0.05
+	// quickAnswer and shortAnswer are the parts of the usual time and length
+	// below both of which an answer counts as an error. Its contents are not
+	// read.
+	quickAnswer = 0.25
+	shortAnswer = 0.5
 	// defaultConcurrency is the load of a flow of a route that is not known.
 	defaultConcurrency = 0.1
 )
@@ -43,6 +48,9 @@
 	count [phases]int
 	// openTime and busyTime decay over rateWindow, in seconds.
 	openTime, busyTime float64
+	// answerTime and answerLen are the mean time to the first packet of an
+	// answer, in seconds, and its mean length in bytes.
+	answerTime, answerLen float64
 }
 
 func (r *routeStats) open() int {
@@ -58,6 +66,22 @@
 	return r.busyTime / r.openTime
 }
 
+// unusual reports whether the first packet of an answer came much sooner and
+// was much shorter than usual for the route, as with a target that answers
+// errors without working. Other answers enter the means.
+func (r *routeStats) unusual(took time.Duration, length int) bool {
+	t, l := took.Seconds(), float64(length)
+	if r.answerTime == 0 {
+		r.answerTime, r.answerLen = t, l
+	}
+	if t < quickAnswer*r.answerTime && l < shortAnswer*r.answerLen {
+		return true
+	}
+	r.answerTime += serviceTimeWeight * (t - r.answerTime)
+	r.answerLen += serviceTimeWeight * (l - r.answerLen)
+	return false
+}
+
 // stats are the loads of the target.
 type stats struct {
 	routes map[netip.AddrPort]*routeStats
--- a/core/plane/out.go
+++ b/core/plane/out.go
@@ -80,7 +80,7 @@
 	EventTargetMute  EventKind = "target_silent"
 	EventTargetHeard EventKind = "target_heard"
 	// EventTargetFails and EventTargetAnswers say that the target resets flows
-	// instead of answering, and that it answers again.
+	// or answers unusually soon and short, and that it answers again.
 	EventTargetFails   EventKind = "target_fails"
 	EventTargetAnswers EventKind = "target_answers"
 )
