--- a/lab/packets/caller.go
+++ b/lab/packets/caller.go
@@ -64,36 +64,26 @@
 		return nil, err
 	}
 	c := &Caller{address: address.Addr(), conn: conn, route: route, log: log, port: firstPort, flows: map[flowKey]chan *Packet{}}
-	go c.read()
+	go readDatagrams(conn, c.take)
 	return c, nil
 }
 
 // Close ends the caller.
 func (c *Caller) Close() { c.conn.Close() }
 
-func (c *Caller) read() {
-	b := make([]byte, 2048)
-	for {
-		n, _, err := c.conn.ReadFromUDPAddrPort(b)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
-		p, err := Decode(b[:n])
-		if err != nil || !p.Genuine(b[:n]) && !(p.Flags == Rst && p.Sum == 0) {
-			c.log.forged("caller "+c.address.String(), append([]byte(nil), b[:n]...))
-			continue
-		}
-		c.mu.Lock()
-		ch := c.flows[flowKey{p.Dst, p.Src}]
-		c.mu.Unlock()
-		if ch != nil {
-			select {
-			case ch <- p:
-			default: // A full buffer is a lost packet.
-			}
+func (c *Caller) take(raw []byte) {
+	p, err := Decode(raw)
+	if err != nil || !p.Genuine(raw) && !(p.Flags == Rst && p.Sum == 0) {
+		c.log.forged("caller "+c.address.String(), raw)
+		return
+	}
+	c.mu.Lock()
+	ch := c.flows[flowKey{p.Dst, p.Src}]
+	c.mu.Unlock()
+	if ch != nil {
+		select {
+		case ch <- p:
+		default: // A full buffer is a lost packet.
 		}
 	}
 }
--- a/lab/packets/target.go
+++ b/lab/packets/target.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -60,7 +59,7 @@
 		return nil, err
 	}
 	t := &Target{TargetOptions: o, conn: conn, flows: map[flowKey]*targetFlow{}, ended: make(chan struct{})}
-	go t.read()
+	go readDatagrams(conn, t.take)
 	go t.tick()
 	return t, nil
 }
@@ -104,20 +103,6 @@
 	}
 }
 
-func (t *Target) read() {
-	b := make([]byte, 2048)
-	for {
-		n, _, err := t.conn.ReadFromUDPAddrPort(b)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
-		t.take(append([]byte(nil), b[:n]...))
-	}
-}
-
 func (t *Target) take(raw []byte) {
 	p, err := Decode(raw)
 	if err != nil || !p.Genuine(raw) || p.Has(Bounced) {
