Packet plane: a full waiting queue refuses the least urgent flow

When the 256 places of an agent's queue were taken, the agent gave each further flow to its target: up to 71 requests in progress at 7 slots (trace of the agents' state every 100 ms), 141 shed by the target after it had accepted them, and the agent then took the sheds for a failing target.

Ruled out: wrong order of the queue (flows in time go first, as meant), idle slots (7 or 8 of 8 in use all the while), slow start of processes (30 ms).

Change: a queue that is full refuses the flow that would be served last, which may be the new one. A refusal of a new flow is told to the balancer and the home, which until now placed a refused flow a second time after their timeout.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -269,6 +269,11 @@
 			o.waiting, o.sent = true, now
 			delete(m.suspects, o.homes[(o.next-1)%len(o.homes)])
 		}
+	case relay.Refused:
+		if o := m.openings[msg.Flow]; o != nil {
+			delete(m.suspects, o.homes[(o.next-1)%len(o.homes)])
+			delete(m.openings, msg.Flow)
+		}
 	}
 }
 
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -98,6 +98,19 @@
 	assert.Equal(t, out.Sends[0].To, dead)
 }
 
+// Guards against a balancer that gives a flow to the next home after its caller
+// was refused.
+func TestRefusedFlowIsNotSentAgain(t *testing.T) {
+	m := New(self, "dc", flowtest.Codec{}, viewOf(0, 3))
+	var out plane.Out
+	m.FromCaller(0, openPacket(1, 0), &out)
+	m.FromPeer(ms, agent(1), &relay.Message{Kind: relay.Refused, Flow: keyOf(1)}, &out)
+	out.Clear()
+	m.Tick(maxHomeTimeout, &out)
+	assert.Equal(t, len(out.Sends), 0)
+	assert.Assert(t, !m.Waiting())
+}
+
 // Guards against a refusal by a view that may be older than the route.
 func TestUnknownRoute(t *testing.T) {
 	for _, c := range []struct {
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -174,7 +174,7 @@
 	case relay.Beat:
 		m.heard(now, from, msg)
 		return
-	case relay.Owner, relay.NotOwner, relay.MaybeOwner, relay.Waiting:
+	case relay.Owner, relay.NotOwner, relay.MaybeOwner, relay.Waiting, relay.Refused:
 		m.answered(now, from, msg, out)
 		return
 	}
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -48,7 +48,7 @@
 func (m *Machine) place(now time.Duration, p *flow.Packet, msg *relay.Message, tried []netip.Addr, out *plane.Out) {
 	to, ok := m.choose(now, p.Key, tried)
 	if !ok {
-		m.reset(p, "no_target", out)
+		m.refuse(p, msg, "no_target", out)
 		return
 	}
 	if len(m.records) < maxFlows || m.records[p.Key] != nil {
@@ -256,7 +256,7 @@
 	}
 	to, ok := m.choose(now, p.Key, tried)
 	if !ok || slices.Contains(tried, to) || msg.Hops >= maxHops {
-		m.reset(p, reason, out)
+		m.refuse(p, msg, reason, out)
 		return
 	}
 	passed := *msg
@@ -266,6 +266,27 @@
 	m.pass(to, relay.Place, p, &passed, out)
 }
 
+// refuse answers the caller of a new flow that no target takes, and stops the
+// timers that would place the flow again.
+func (m *Machine) refuse(p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
+	m.reset(p, reason, out)
+	m.tell(relay.Refused, p.Key, msg, out)
+	m.unplace(p.Key)
+	if r := m.records[p.Key]; r != nil && !r.confirmed {
+		delete(m.records, p.Key)
+	}
+}
+
+// tell gives the balancer and the home of a new flow word of it.
+func (m *Machine) tell(kind relay.Kind, key flow.Key, msg *relay.Message, out *plane.Out) {
+	word := relay.Message{Kind: kind, Service: m.tag, Flow: key, Load: m.Load(), Origin: msg.Origin}
+	for i, to := range []netip.Addr{msg.Origin, msg.Home} {
+		if to.IsValid() && to != m.Self && (i == 0 || to != msg.Origin) {
+			out.Send(to, word)
+		}
+	}
+}
+
 // accepted takes the target's answer to an opening packet.
 func (m *Machine) accepted(now time.Duration, f *owned, p *flow.Packet, out *plane.Out) {
 	if !f.accepted {
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -149,30 +149,11 @@
 	if pl := m.placing[msg.Flow]; pl != nil {
 		m.reports.Observe(now - pl.sent)
 	}
-	if msg.Kind == relay.Waiting {
-		p.suspect = 0
-		m.unplace(msg.Flow)
-		if r := m.records[msg.Flow]; r != nil && !r.confirmed {
-			r.owner, r.waiting = from, true
-		}
-		return
-	}
-	if msg.Kind == relay.Owner {
-		p.suspect = 0
-		m.unplace(msg.Flow)
-		if r := m.records[msg.Flow]; r != nil {
-			r.owner, r.confirmed, r.seen = from, true, now
-		} else if len(m.records) < maxFlows {
-			m.records[msg.Flow] = &record{owner: from, confirmed: true, seen: now}
-		}
-		if s != nil {
-			s.done = true
-			clear(s.probing)
-			out.Event(plane.Event{Kind: plane.EventFound, Flow: msg.Flow, Peer: from})
-		}
-		return
-	}
 	switch {
+	case msg.Kind == relay.Waiting, msg.Kind == relay.Refused:
+		m.placedWord(from, msg, p)
+	case msg.Kind == relay.Owner:
+		m.ownerFound(now, from, msg, p, s, out)
 	case s == nil:
 	case s.probing[from] && msg.Kind == relay.NotOwner:
 		m.probeFailed(from, msg.Flow, s, out)
@@ -185,6 +166,35 @@
 	}
 }
 
+// placedWord takes word of a flow that this agent placed and that is not open.
+func (m *Machine) placedWord(from netip.Addr, msg *relay.Message, p *peer) {
+	p.suspect = 0
+	m.unplace(msg.Flow)
+	switch r := m.records[msg.Flow]; {
+	case r == nil || r.confirmed:
+	case msg.Kind == relay.Waiting:
+		r.owner, r.waiting = from, true
+	default:
+		delete(m.records, msg.Flow)
+	}
+}
+
+// ownerFound notes the owner of a flow, placed or searched for.
+func (m *Machine) ownerFound(now time.Duration, from netip.Addr, msg *relay.Message, p *peer, s *search, out *plane.Out) {
+	p.suspect = 0
+	m.unplace(msg.Flow)
+	if r := m.records[msg.Flow]; r != nil {
+		r.owner, r.confirmed, r.seen = from, true, now
+	} else if len(m.records) < maxFlows {
+		m.records[msg.Flow] = &record{owner: from, confirmed: true, seen: now}
+	}
+	if s != nil {
+		s.done = true
+		clear(s.probing)
+		out.Event(plane.Event{Kind: plane.EventFound, Flow: msg.Flow, Peer: from})
+	}
+}
+
 // probeFailed notes that the target of a probed agent does not hold the flow.
 // After the last one nobody does, if all agents have answered.
 func (m *Machine) probeFailed(from netip.Addr, key flow.Key, s *search, out *plane.Out) {
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -54,7 +53,8 @@
 	return slots > 0 && m.stats.pending() >= slots+1+slots/8
 }
 
-// hold lets a new flow wait for a slot, and reports whether it waits.
+// hold lets a new flow wait for a slot, and reports whether the target gets it
+// later or not at all.
 func (m *Machine) hold(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) bool {
 	since := now - ageOf(p.Ack)
 	if !m.queue.Has(p.Key, since) {
@@ -70,25 +70,19 @@
 			it.Objective = cmp.Or(time.Duration(r.ObjectiveMS)*time.Millisecond, defaultObjective)
 			it.Timeout = min(openingLimit, cmp.Or(time.Duration(r.TimeoutMS)*time.Millisecond, defaultTimeout))
 		}
-		if !m.queue.Push(it) {
-			return false
+		left, full := m.queue.Push(it, now, m.serviceTime())
+		if full {
+			m.refuseWaiting(&left, "queue_full", out)
+			if left.Key == it.Key {
+				return true
+			}
 		}
 		out.Event(plane.Event{Kind: plane.EventQueued, Flow: p.Key, Number: p.Seq, Reason: "target_busy", Value: int64(m.queue.Len())})
 	}
-	m.tellWaiting(p.Key, msg, out)
+	m.tell(relay.Waiting, p.Key, msg, out)
 	return true
 }
 
-// tellWaiting stops the timers of the balancer and the home.
-func (m *Machine) tellWaiting(key flow.Key, msg *relay.Message, out *plane.Out) {
-	answer := relay.Message{Kind: relay.Waiting, Service: m.tag, Flow: key, Load: m.Load(), Origin: msg.Origin}
-	for _, to := range slices.Compact([]netip.Addr{msg.Origin, msg.Home}) {
-		if to.IsValid() && to != m.Self {
-			out.Send(to, answer)
-		}
-	}
-}
-
 // admit gives waiting flows to the target as long as it has free slots.
 func (m *Machine) admit(now time.Duration, out *plane.Out) {
 	if m.queue.Len() == 0 {
@@ -96,9 +90,7 @@
 	}
 	service := m.serviceTime()
 	for it, ok := m.queue.Expired(now, service); ok; it, ok = m.queue.Expired(now, service) {
-		if p, err := m.Codec.FromCaller(it.Value.raw); err == nil {
-			m.reset(&p, "no_slot_in_time", out)
-		}
+		m.refuseWaiting(&it, "no_slot_in_time", out)
 	}
 	reason := m.refusal(now)
 	for m.queue.Len() > 0 && (reason != "" || !m.full()) {
@@ -117,6 +109,14 @@
 	}
 }
 
+// refuseWaiting answers the caller of a flow that waited. The flow has reached
+// no target.
+func (m *Machine) refuseWaiting(it *waitqueue.Item[flow.Key, waiting], reason string, out *plane.Out) {
+	if p, err := m.Codec.FromCaller(it.Value.raw); err == nil {
+		m.refuse(&p, &it.Value.msg, reason, out)
+	}
+}
+
 // serviceTime is the mean time of a request that does not wait.
 func (m *Machine) serviceTime() time.Duration {
 	return time.Duration(m.stats.serviceTime * float64(time.Second))
--- /dev/null
+++ b/core/ownership/waiting_test.go
@@ -0,0 +1,70 @@
+package ownership
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/flow/flowtest"
+	"trefoilweir.example/core/relay"
+)
+
+// Guards against a busy target that gets every flow which does not fit into
+// the queue. With 70 requests in progress at 7 slots it shed what it had
+// accepted. The load is that of the first second after a loss of all VMs.
+func TestFullQueueDoesNotFloodTarget(t *testing.T) {
+	f := newFixture(t, true)
+	const flows = maxWaiting + 100
+	atTarget := 0
+	for port := uint16(1); port <= flows; port++ {
+		f.send(relay.Place, flow.Packet{Key: keyOf(port), Open: true, Seq: 100})
+		atTarget += len(f.out.ToTarget)
+	}
+	assert.Equal(t, atTarget, 5)
+	assert.Equal(t, f.Queued(), maxWaiting)
+}
+
+// Guards against a full queue in which flows of callers that have waited for
+// long, and are late already, keep out those that can be served in time.
+func TestFullQueueRefusesTheLeastUrgent(t *testing.T) {
+	f := newFixture(t, true)
+	for port := uint16(1); port <= maxWaiting+5; port++ {
+		f.send(relay.Place, flow.Packet{Key: keyOf(port), Open: true, Seq: 100, Ack: 2})
+	}
+	f.send(relay.Place, flow.Packet{Key: keyOf(1000), Open: true, Seq: 100})
+	assert.Equal(t, len(f.out.ToCaller), 1)
+	assert.Assert(t, f.queue.Has(keyOf(1000), f.now))
+	assert.Equal(t, f.Queued(), maxWaiting)
+	// A flow that is as late as the others is refused itself.
+	f.send(relay.Place, flow.Packet{Key: keyOf(1001), Open: true, Seq: 100, Ack: 2})
+	assert.Equal(t, len(f.out.ToCaller), 1)
+	assert.Assert(t, !f.queue.Has(keyOf(1001), f.now))
+}
+
+// Guards against a flow that is placed a second time after its caller was
+// refused: the second target would hold it for nobody.
+func TestRefusedFlowIsNotPlacedAgain(t *testing.T) {
+	f := newFixture(t, true)
+	f.Leave()
+	f.send(relay.Open, flow.Packet{Key: keyOf(1), Open: true, Seq: 100})
+	to := f.out.Sends[0].To
+	f.out.Clear()
+	f.FromPeer(f.now, to, &relay.Message{Kind: relay.Refused, Service: tag, Flow: keyOf(1), Load: relay.Load{Flags: relay.FlagAgent}}, &f.out)
+	f.later(maxOwnerTimeout)
+	assert.Equal(t, len(f.out.Sends), 0)
+	assert.Equal(t, f.Records(), 0)
+}
+
+// Guards against a refusal of which the balancer and the home hear nothing, so
+// that they place the flow again.
+func TestRefusalIsTold(t *testing.T) {
+	f := newFixture(t, true)
+	f.Leave()
+	f.out.Clear()
+	p := flow.Packet{Key: keyOf(1), Open: true, Seq: 100}
+	f.FromPeer(f.now, agent(1), &relay.Message{Kind: relay.Place, Service: tag, Origin: balancer, Home: agent(1), Hops: maxHops, Body: flowtest.Encode(p)}, &f.out)
+	assert.Equal(t, len(f.out.ToCaller), 1)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Refused, relay.Refused})
+	assert.Equal(t, f.out.Sends[0].To, balancer)
+	assert.Equal(t, f.out.Sends[1].To, agent(1))
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -43,10 +43,12 @@
 	Waiting
 	// Beat tells load and the revision of the sender's view.
 	Beat
+	// Refused says that the sender has refused a new flow to its caller.
+	Refused
 )
 
 var kindNames = [...]string{Open: "open", Place: "place", Packet: "packet", Search: "search", Probe: "probe",
-	Owner: "owner", NotOwner: "not_owner", MaybeOwner: "maybe_owner", Waiting: "waiting", Beat: "beat"}
+	Owner: "owner", NotOwner: "not_owner", MaybeOwner: "maybe_owner", Waiting: "waiting", Beat: "beat", Refused: "refused"}
 
 // String returns the name for logs and metrics.
 func (k Kind) String() string {
@@ -143,7 +145,7 @@
 	case Open, Place, Packet, Search, Probe:
 		b = appendAddr(appendAddr(appendAddr(b, m.Origin), m.Home), m.Refused)
 		return append(b, m.Body...)
-	case Owner, NotOwner, MaybeOwner, Waiting:
+	case Owner, NotOwner, MaybeOwner, Waiting, Refused:
 		b = m.Load.append(m.Flow.Append(b))
 		return appendAddr(b, m.Origin)
 	case Beat:
@@ -183,7 +185,7 @@
 			return m, ErrMalformed
 		}
 		m.Origin, m.Home, m.Refused, m.Body = parseAddr(rest), parseAddr(rest[4:]), parseAddr(rest[8:]), rest[12:]
-	case Owner, NotOwner, MaybeOwner, Waiting:
+	case Owner, NotOwner, MaybeOwner, Waiting, Refused:
 		if len(b) != answerSize {
 			return m, ErrMalformed
 		}
--- a/core/waitqueue/waitqueue.go
+++ b/core/waitqueue/waitqueue.go
@@ -32,13 +32,22 @@
 // Len returns the number of waiting flows.
 func (q *Queue[K, V]) Len() int { return len(q.items) }
 
-// Push adds a flow. It returns false if the queue is full.
-func (q *Queue[K, V]) Push(it Item[K, V]) bool {
-	if len(q.items) >= q.limit {
-		return false
-	}
+// Push adds a flow. If the queue is full, the flow that would be next after all
+// others leaves it and is returned. That may be the added one.
+func (q *Queue[K, V]) Push(it Item[K, V], now, service time.Duration) (left Item[K, V], full bool) {
 	q.items = append(q.items, it)
-	return true
+	if len(q.items) <= q.limit {
+		return left, false
+	}
+	last := 0
+	for i := range q.items {
+		if !q.before(&q.items[i], &q.items[last], now, service) {
+			last = i
+		}
+	}
+	left = q.items[last]
+	q.remove(last)
+	return left, true
 }
 
 // Has reports whether a flow waits. since moves back the time at which its
@@ -100,14 +109,4 @@
 	return it, false
 }
 
-// Take removes and returns any flow.
-func (q *Queue[K, V]) Take() (it Item[K, V], ok bool) {
-	if len(q.items) == 0 {
-		return it, false
-	}
-	it = q.items[0]
-	q.remove(0)
-	return it, true
-}
-
 func (q *Queue[K, V]) remove(i int) { q.items = append(q.items[:i], q.items[i+1:]...) }
--- a/core/waitqueue/waitqueue_test.go
+++ b/core/waitqueue/waitqueue_test.go
@@ -17,10 +17,10 @@
 // what comes after it late too.
 func TestFreshBeforeLate(t *testing.T) {
 	q := New[int, string](10)
-	q.Push(item(1, 0, 1))
-	q.Push(item(2, 300*ms, 2))
-	q.Push(item(3, 350*ms, 2))
-	q.Push(item(4, 360*ms, 1))
+	push(q, item(1, 0, 1))
+	push(q, item(2, 300*ms, 2))
+	push(q, item(3, 350*ms, 2))
+	push(q, item(4, 360*ms, 1))
 	var order []int
 	for it, ok := q.Pop(380*ms, 20*ms); ok; it, ok = q.Pop(380*ms, 20*ms) {
 		order = append(order, it.Key)
@@ -32,7 +32,7 @@
 // Guards against flows that wait although their callers have given up.
 func TestExpired(t *testing.T) {
 	q := New[int, string](10)
-	q.Push(item(1, 0, 1))
+	push(q, item(1, 0, 1))
 	_, ok := q.Expired(980*ms, 20*ms)
 	assert.Assert(t, !ok)
 	it, ok := q.Expired(981*ms, 20*ms)
@@ -44,10 +44,30 @@
 // Guards against a queue without bound, and against a flow that waits twice.
 func TestBoundAndCopies(t *testing.T) {
 	q := New[int, string](1)
-	assert.Assert(t, q.Push(item(1, 500*ms, 1)))
-	assert.Assert(t, !q.Push(item(2, 500*ms, 1)))
+	_, full := push(q, item(1, 500*ms, 1))
+	assert.Assert(t, !full)
+	left, full := push(q, item(2, 500*ms, 1))
+	assert.Assert(t, full)
+	assert.Equal(t, left.Key, 2)
+	assert.Equal(t, q.Len(), 1)
 	assert.Assert(t, q.Has(1, 300*ms))
 	assert.Assert(t, !q.Has(2, 300*ms))
-	it, _ := q.Take()
+	it, _ := q.Pop(600*ms, 20*ms)
 	assert.Equal(t, it.Since, 300*ms)
 }
+
+// Guards against a full queue that keeps out flows which can be served in time.
+func TestFullQueueDropsTheLast(t *testing.T) {
+	q := New[int, string](2)
+	push(q, item(1, 0, 1))
+	push(q, item(2, 450*ms, 1))
+	left, full := push(q, item(3, 490*ms, 2))
+	assert.Assert(t, full)
+	assert.Equal(t, left.Key, 1)
+	left, _ = push(q, item(4, 480*ms, 1))
+	assert.Equal(t, left.Key, 3)
+}
+
+func push(q *Queue[int, string], it Item[int, string]) (Item[int, string], bool) {
+	return q.Push(it, 500*ms, 20*ms)
+}
