core/ownership: a target that started with its agent holds no earlier flow

Ruled out: searches that do not end (20 to 22 ms from search to reset).

Change: an agent ends the doubt when its target's entry says that the target is warming up and started no earlier than 250 ms before the agent. All flows of such a target came through this agent. Both signs are needed, because the time of day may be off by seconds. An agent that restarts alone stays in doubt.

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -65,6 +65,10 @@
 	// unsureFor is how long a restarted agent allows that its target holds
 	// flows that it does not know.
 	unsureFor = 60 * time.Second
+	// startSpread is by how much a target may start before its agent if both
+	// start because their VM does. An agent that restarts alone takes longer,
+	// so a target that started in this time has been seen by no other agent.
+	startSpread = 250 * time.Millisecond
 	// sweepEvery is the time between sweeps of the tables.
 	sweepEvery = time.Second
 )
@@ -78,8 +82,11 @@
 	Target  netip.AddrPort
 	// FirstStart says that the target cannot hold flows from before.
 	FirstStart bool
-	Codec      flow.Codec
-	View       *fleet.View
+	// Started is the time of day at which the agent started, in Unix
+	// milliseconds.
+	Started int64
+	Codec   flow.Codec
+	View    *fleet.View
 }
 
 // Machine is the state of one agent. It is not safe for concurrent use.
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/plane"
 )
@@ -33,6 +34,21 @@
 		m.stats.serviceTime = 0
 	}
 	m.born = t.Born
+	m.checkFresh(t, out)
+}
+
+// checkFresh ends the doubt about flows of the target from before the start of
+// the agent, if the target started no earlier. All its flows came through this
+// agent then. After the loss of all VMs each packet of a lost flow would
+// otherwise be given to every target of the service as a probe. The time of
+// day may be off by seconds, so the target must be warming up as well.
+func (m *Machine) checkFresh(t *fleet.Target, out *plane.Out) {
+	age := time.Duration(m.Started-t.Born) * time.Millisecond
+	if m.unsureUntil == 0 || t.WarmupMS <= 0 || age > startSpread {
+		return
+	}
+	m.unsureUntil = 0
+	out.Event(plane.Event{Kind: plane.EventTargetFresh, Reason: "started_with_agent", Value: age.Milliseconds()})
 }
 
 // sweep drops what is idle or closed.
