Packet plane: no seeds, margin in the order of waiting flows, slots of lost flows

Cause: three findings in the seconds after a loss of all VMs. 1.

Ruled out: slow searches (1,917 resets within 2 ms), idle slots before 38.4 s.

Change: no role serves the interface of seeds; a process reads the platform when it starts, follows its parents at the first start, and parents tell a child that has fallen silent their revision for 30 s. The waiting queue orders by mean plus two deviations of the measured time to the first answer. Admission counts accepted flows by the measured part whose request comes.

--- a/core/ownership/flows.go
+++ b/core/ownership/flows.go
@@ -22,8 +22,11 @@
 	callerKnown          bool
 	// since is when the phase began. alone says that the request in progress
 	// did not wait for a slot.
-	since        time.Duration
-	alone        bool
+	since time.Duration
+	alone bool
+	// admitted is when the target got the opening packet, 0 after the first
+	// answer.
+	admitted     time.Duration
 	callerClosed bool
 	targetClosed bool
 	created      time.Duration
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -102,10 +102,13 @@
 	peers   map[netip.Addr]*peer
 
 	// reports estimates how long agents take to report.
-	reports  *rto.Estimator
-	stats    *stats
-	outcomes outcomes
-	leaving  bool
+	reports *rto.Estimator
+	// firstAnswers estimates the time from the admission of a flow to the
+	// first answer of its target.
+	firstAnswers *rto.Estimator
+	stats        *stats
+	outcomes     outcomes
+	leaving      bool
 	// silent says that the target does not answer; retryAt is when it gets the
 	// next new flow as a probe.
 	silent      bool
@@ -140,7 +143,8 @@
 	m := &Machine{
 		Options: o, tag: relay.ServiceTag(o.Service),
 		flows: map[flow.Key]*owned{}, records: map[flow.Key]*record{}, placing: map[flow.Key]*placement{},
-		search: map[flow.Key]*search{}, peers: map[netip.Addr]*peer{}, queue: waitqueue.New[flow.Key, waiting](maxWaiting), reports: rto.New(ownerTimeout, maxOwnerTimeout), stats: newStats(now),
+		search: map[flow.Key]*search{}, peers: map[netip.Addr]*peer{}, queue: waitqueue.New[flow.Key, waiting](maxWaiting), reports: rto.New(ownerTimeout, maxOwnerTimeout),
+		firstAnswers: rto.New(0, openingLimit), stats: newStats(now),
 	}
 	if !o.FirstStart {
 		m.unsureUntil = now + unsureFor
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -189,6 +189,9 @@
 	}
 	f.seen, f.origin, f.home = now, msg.Origin, msg.Home
 	f.syn, f.synKnown = p.Seq, true
+	if f.admitted == 0 {
+		f.admitted = now
+	}
 	if !f.accepted && f.phase != phaseOffered {
 		f.raw = slices.Clone(p.Raw)
 		m.stats.enter(now, p.Key, f, phaseOffered)
--- a/core/ownership/stats.go
+++ b/core/ownership/stats.go
@@ -17,6 +17,11 @@
 	rateWindow = 5 * time.Second
 	// serviceTimeWeight is the weight of one request in the mean service time.
 	serviceTimeWeight = 0.05
+	// arrivingWeight is the weight of one accepted flow in the part of those
+	// whose request comes.
+	arrivingWeight = 0.05
+	// leastArriving bounds the flows that are admitted for one slot.
+	leastArriving = 0.3
 	// quickAnswer and shortAnswer are the parts of the usual time and length
 	// below both of which an answer counts as an error. Its contents are not
 	// read.
@@ -88,11 +93,13 @@
 	count  [phases]int
 	// serviceTime is the mean time of a request that did not wait, in seconds.
 	serviceTime float64
-	last        time.Duration
+	// arriving is the part of the accepted flows whose request comes soon.
+	arriving float64
+	last     time.Duration
 }
 
 func newStats(now time.Duration) *stats {
-	return &stats{routes: map[netip.AddrPort]*routeStats{}, last: now}
+	return &stats{routes: map[netip.AddrPort]*routeStats{}, arriving: 1, last: now}
 }
 
 func (s *stats) route(key flow.Key) *routeStats {
@@ -126,6 +133,23 @@
 	return s.count[phaseOffered] + s.count[phaseHalfOpen] + s.count[phaseBusy]
 }
 
+// requestCame notes whether the request of an accepted flow came in time.
+func (s *stats) requestCame(came bool) {
+	value := 0.0
+	if came {
+		value = 1
+	}
+	s.arriving += arrivingWeight * (value - s.arriving)
+}
+
+// admitted is the number of slots that the admitted flows need. After an
+// outage many callers have given up the flows that are accepted now, so that
+// not each of them needs one.
+func (s *stats) admitted() int {
+	coming := float64(s.count[phaseOffered] + s.count[phaseHalfOpen])
+	return s.count[phaseBusy] + int(math.Round(coming*max(s.arriving, leastArriving)))
+}
+
 // advance adds the time since the last call to the averages.
 func (s *stats) advance(now time.Duration) {
 	step := (now - s.last).Seconds()
@@ -154,6 +178,9 @@
 	if f.phase == phaseBusy {
 		return
 	}
+	if f.phase == phaseHalfOpen {
+		m.stats.requestCame(true)
+	}
 	m.stats.enter(now, key, f, phaseBusy)
 	f.alone = m.stats.count[phaseBusy] <= m.slots()
 }
@@ -164,6 +191,10 @@
 	if f.phase != phaseBusy {
 		return
 	}
+	if answered && f.admitted > 0 {
+		m.firstAnswers.Observe(now - f.admitted)
+		f.admitted = 0
+	}
 	if answered {
 		out.Times = append(out.Times, plane.Time{Kind: plane.TimeFirstAnswer, Service: m.Service, Took: now - f.since})
 	}
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -80,6 +80,7 @@
 	}
 	for key, f := range m.flows {
 		if f.phase == phaseHalfOpen && now-f.since > halfOpenFor {
+			m.stats.requestCame(false)
 			m.stats.enter(now, key, f, phaseClosed)
 		}
 	}
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -50,7 +50,7 @@
 // than slots is admitted.
 func (m *Machine) full() bool {
 	slots := m.slots()
-	return slots > 0 && m.stats.pending() >= slots+1+slots/8
+	return slots > 0 && m.stats.admitted() >= slots+1+slots/8
 }
 
 // hold lets a new flow wait for a slot, and reports whether the target gets it
@@ -70,7 +70,7 @@
 			it.Objective = cmp.Or(time.Duration(r.ObjectiveMS)*time.Millisecond, defaultObjective)
 			it.Timeout = min(openingLimit, cmp.Or(time.Duration(r.TimeoutMS)*time.Millisecond, defaultTimeout))
 		}
-		left, full := m.queue.Push(it, now, m.serviceTime())
+		left, full := m.queue.Push(it, now, m.answerTime())
 		if full {
 			m.refuseWaiting(&left, "queue_full", out)
 			if left.Key == it.Key {
@@ -88,13 +88,13 @@
 	if m.queue.Len() == 0 {
 		return
 	}
-	service := m.serviceTime()
+	service, answer := m.serviceTime(), m.answerTime()
 	for it, ok := m.queue.Expired(now, service); ok; it, ok = m.queue.Expired(now, service) {
 		m.refuseWaiting(&it, "no_slot_in_time", out)
 	}
 	reason := m.refusal(now)
 	for m.queue.Len() > 0 && (reason != "" || !m.full()) {
-		it, _ := m.queue.Pop(now, service)
+		it, _ := m.queue.Pop(now, answer)
 		p, err := m.Codec.FromCaller(it.Value.raw)
 		if err != nil {
 			continue
@@ -117,6 +117,12 @@
 	}
 }
 
+// answerTime is the time from the admission of a flow in which nearly all first
+// answers come.
+func (m *Machine) answerTime() time.Duration {
+	return max(m.firstAnswers.Usual(), m.serviceTime())
+}
+
 // serviceTime is the mean time of a request that does not wait.
 func (m *Machine) serviceTime() time.Duration {
 	return time.Duration(m.stats.serviceTime * float64(time.Second))
--- a/core/rto/rto.go
+++ b/core/rto/rto.go
@@ -10,6 +10,7 @@
 	meanWeight      = 1.0 / 8
 	deviationWeight = 1.0 / 4
 	deviations      = 4
+	usualDeviations = 2
 	backoff         = 2
 )
 
@@ -41,6 +42,11 @@
 	e.mean += meanWeight * diff
 }
 
+// Usual returns the time in which nearly all answers come, 0 without answers.
+func (e *Estimator) Usual() time.Duration {
+	return time.Duration(e.mean + usualDeviations*e.deviation)
+}
+
 // TimedOut notes that an answer did not come in time.
 func (e *Estimator) TimedOut() {
 	if e.Timeout() < e.highest {
--- /dev/null
+++ b/core/waitqueue/overload_test.go
@@ -0,0 +1,107 @@
+package waitqueue
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// overload is a target that gets more flows than it can serve for a while, as
+// after a loss of all VMs.
+type overload struct {
+	slots     int
+	objective time.Duration
+	// ratio is the load in parts of what the target can serve.
+	ratio float64
+	// margin is the number of deviations that an answer is expected to take
+	// over its mean.
+	margin float64
+}
+
+const (
+	overloadMean = 40 * time.Millisecond
+	overloadFor  = 3 * time.Second
+	// way is the time from admission to the start of the request, and from the
+	// answer to the caller.
+	way = 10 * time.Millisecond
+	// objective is that of all flows.
+	objective = 200 * time.Millisecond
+)
+
+// mean returns the part of the capacity that was spent on answers in time, over
+// several seeds.
+func (o overload) mean() float64 {
+	const seeds = 10
+	sum := 0.0
+	for seed := range uint64(seeds) {
+		sum += o.play(seed)
+	}
+	return sum / seeds
+}
+
+// play returns the part of the capacity that was spent on answers in time.
+func (o overload) play(seed uint64) float64 {
+	random := rand.New(rand.NewPCG(seed, 1))
+	capacity := float64(o.slots) / overloadMean.Seconds()
+	const sigma = 0.5
+	serviceTime := func() time.Duration {
+		return time.Duration(float64(overloadMean) * math.Exp(sigma*random.NormFloat64()-sigma*sigma/2))
+	}
+	const deviation = 0.4
+	expected := overloadMean + way + time.Duration(o.margin*deviation*float64(overloadMean))
+	q := New[int, struct{}](256)
+	free := make([]time.Duration, o.slots)
+	inTime, next := 0, time.Duration(0)
+	for n := 0; ; n++ {
+		next += time.Duration(random.ExpFloat64() / (o.ratio * capacity) * float64(time.Second))
+		for q.Len() > 0 {
+			slot := slices.Index(free, slices.Min(free))
+			now := free[slot]
+			if now > next {
+				break
+			}
+			it, _ := q.Pop(now, expected)
+			now = max(now, it.Since)
+			free[slot] = now + serviceTime()
+			if free[slot]+way-it.Since <= it.Objective {
+				inTime++
+			}
+		}
+		if next > overloadFor {
+			break
+		}
+		q.Push(Item[int, struct{}]{Key: n, Since: next, Objective: o.objective, Timeout: 1350 * time.Millisecond}, next, expected)
+	}
+	return float64(inTime) / (capacity * overloadFor.Seconds())
+}
+
+// Guards against an overloaded target that spends its time on answers which
+// come a little late: in the order of arrival each flow is served at the edge
+// of its objective. Without a margin for the spread of answers 0.70 (7 slots)
+// and 0.78 (2 slots) of the capacity went into answers in time.
+func TestOverloadServesInTime(t *testing.T) {
+	const least = 0.92
+	for _, slots := range []int{2, 7} {
+		for _, ratio := range []float64{1.5, 2.5} {
+			part := overload{slots, objective, ratio, 2}.mean()
+			assert.Assert(t, part >= least, "%d slots at %.1f of the capacity: %.3f in time", slots, ratio, part)
+		}
+	}
+}
+
+// Guards against a margin that makes flows late which could be in time while
+// the target is hardly overloaded.
+func TestMarginWithoutOverload(t *testing.T) {
+	for _, slots := range []int{2, 7} {
+		for _, ratio := range []float64{0.9, 1.1} {
+			o := overload{slots, objective, ratio, 2}
+			without := o
+			without.margin = 0
+			assert.Assert(t, o.mean() >= without.mean(), "%d slots at %.1f of the capacity", slots, ratio)
+		}
+	}
+}
--- a/core/waitqueue/waitqueue.go
+++ b/core/waitqueue/waitqueue.go
@@ -33,15 +33,16 @@
 func (q *Queue[K, V]) Len() int { return len(q.items) }
 
 // Push adds a flow. If the queue is full, the flow that would be next after all
-// others leaves it and is returned. That may be the added one.
-func (q *Queue[K, V]) Push(it Item[K, V], now, service time.Duration) (left Item[K, V], full bool) {
+// others leaves it and is returned. That may be the added one. answer is as for
+// Pop.
+func (q *Queue[K, V]) Push(it Item[K, V], now, answer time.Duration) (left Item[K, V], full bool) {
 	q.items = append(q.items, it)
 	if len(q.items) <= q.limit {
 		return left, false
 	}
 	last := 0
 	for i := range q.items {
-		if !q.before(&q.items[i], &q.items[last], now, service) {
+		if !q.before(&q.items[i], &q.items[last], now, answer) {
 			last = i
 		}
 	}
@@ -62,13 +63,15 @@
 	return false
 }
 
-// Pop removes the flow that is next if a request takes the given time: of
-// those that can meet their objective the most urgent by priority and then
-// age, otherwise of the late ones.
-func (q *Queue[K, V]) Pop(now, service time.Duration) (it Item[K, V], ok bool) {
+// Pop removes the flow that is next: of those that can meet their objective the
+// most urgent by priority and then age, otherwise of the late ones. answer is
+// the time from admission in which nearly all answers come. If it is only their
+// mean, an overloaded target serves each flow at the edge of its objective and
+// half of them late.
+func (q *Queue[K, V]) Pop(now, answer time.Duration) (it Item[K, V], ok bool) {
 	best := -1
 	for i := range q.items {
-		if best < 0 || q.before(&q.items[i], &q.items[best], now, service) {
+		if best < 0 || q.before(&q.items[i], &q.items[best], now, answer) {
 			best = i
 		}
 	}
@@ -80,8 +83,8 @@
 	return it, true
 }
 
-func (q *Queue[K, V]) before(a, b *Item[K, V], now, service time.Duration) bool {
-	aLate, bLate := a.late(now, service), b.late(now, service)
+func (q *Queue[K, V]) before(a, b *Item[K, V], now, answer time.Duration) bool {
+	aLate, bLate := a.late(now, answer), b.late(now, answer)
 	switch {
 	case aLate != bLate:
 		return bLate
@@ -92,12 +95,12 @@
 	}
 }
 
-func (it *Item[K, V]) late(now, service time.Duration) bool {
-	return now-it.Since+service > it.Objective
+func (it *Item[K, V]) late(now, answer time.Duration) bool {
+	return now-it.Since+answer > it.Objective
 }
 
 // Expired removes and returns a flow that cannot be served any more before its
-// caller gives up, if there is one.
+// caller gives up, if there is one. service is the mean time of a request.
 func (q *Queue[K, V]) Expired(now, service time.Duration) (it Item[K, V], ok bool) {
 	for i := range q.items {
 		if now-q.items[i].Since+service > q.items[i].Timeout {
--- a/lab/rig/settings.go
+++ b/lab/rig/settings.go
@@ -46,9 +46,10 @@
 		"bounds":     map[string]any{"grace-s": graceS, "drain-ms": drainMS, "flow-ttl-s": flowTTLS},
 		"platform":   map[string]any{"address": m.proxy.Address()},
 	}
-	if m.Target == nil {
+	if m.Target == nil && s.Seeds {
 		listen["control"] = at(portControl)
-	} else {
+	}
+	if m.Target != nil {
 		listen["outbound"] = at(portOutbound)
 		settings["app"] = at(portTarget)
 		settings["service"] = m.Target.Service
@@ -61,8 +62,11 @@
 	return file, os.WriteFile(file, data, 0o644)
 }
 
-// seeds are the first balancers of the zones.
+// seeds are the first balancers of the zones, if the system has seeds.
 func (s *System) seeds() (seeds []string) {
+	if !s.Seeds {
+		return nil
+	}
 	for z := range s.Zones {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", s.address(zoneNet+z, 1), portControl))
 	}
--- a/lab/rig/system.go
+++ b/lab/rig/system.go
@@ -37,6 +37,9 @@
 	BalancersPerZone int
 	Services         []Service
 	Seed             uint64
+	// Seeds says that settings name the first balancers as processes to ask
+	// for the view.
+	Seeds bool
 }
 
 // System is a running system.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -70,6 +70,7 @@
 	for i := range options.Services {
 		options.Services[i].TargetsPerZone *= o.Size
 	}
+	options.Seeds = o.Seed%2 == 0
 	load := rig.DemoLoad()
 	load.Callers, load.Long = load.Callers*o.Size, load.Long*o.Size
 	r := &run{System: rig.New(options), Options: o, random: rand.New(rand.NewPCG(o.Seed, 7))}
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -151,15 +151,18 @@
 	place := s.Place()
 	age, usable := s.View.Age(s.Now()), s.View.Usable()
 	s.Lock.Unlock()
-	if !usable && s.FirstStart && !place.Reader && s.Now() < seedsFirst {
+	if !usable && s.FirstStart && s.hasSeeds() && !place.Reader && s.Now() < seedsFirst {
 		s.askSeeds(ctx)
 		return seedPause
 	}
-	if usable && !place.Reader && age < place.TakeoverAge {
+	// When the whole system starts for the first time there may be no routes
+	// yet. They come from the parents like later changes.
+	follows := usable || s.FirstStart && len(place.Parents) > 0
+	if follows && !place.Reader && age < place.TakeoverAge {
 		return min(idleCheck, place.TakeoverAge-age)
 	}
 	wait := shortWait
-	if place.Reader && age < place.TakeoverAge+fleet.WatchWait {
+	if !follows || place.Reader && age < place.TakeoverAge+fleet.WatchWait {
 		wait = fleet.WatchWait
 	}
 	changed, err := s.call(ctx, wait)
@@ -256,6 +259,12 @@
 	s.reachable, s.everCalled, s.failures = true, true, 0
 }
 
+func (s *Sync) hasSeeds() bool {
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	return len(s.Seeds) > 0
+}
+
 func (s *Sync) askSeeds(ctx context.Context) {
 	s.Lock.Lock()
 	seeds := slices.Clone(s.Seeds)
--- a/node/packetplane/beats.go
+++ b/node/packetplane/beats.go
@@ -67,3 +67,14 @@
 	ask := p.beat(now, relay.FlagAsk)
 	p.sendTo(place.Parents[p.parent%len(place.Parents)], &ask)
 }
+
+// tellChildren tells processes that have fallen silent the revision.
+func (p *Process) tellChildren(now time.Duration) {
+	if !p.view.Usable() {
+		return
+	}
+	for _, child := range p.children.silent(now) {
+		beat := p.beat(now, 0)
+		p.sendTo(child, &beat)
+	}
+}
--- a/node/packetplane/plane.go
+++ b/node/packetplane/plane.go
@@ -107,6 +107,7 @@
 	send   []byte
 
 	balancers map[netip.Addr]time.Duration
+	children  children
 	asked     time.Duration
 	parent    int
 	stopping  bool
@@ -117,7 +118,7 @@
 func newProcess(o Options, name string) (*Process, error) {
 	p := &Process{
 		Options: o, name: name, tag: relay.ServiceTag(o.Settings.Service), start: time.Now(), view: fleet.New(),
-		balancers: map[netip.Addr]time.Duration{}, send: make([]byte, 0, maxDatagram),
+		balancers: map[netip.Addr]time.Duration{}, children: newChildren(), send: make([]byte, 0, maxDatagram),
 	}
 	p.events = newEventLog(o.Log, o.Metrics)
 	p.sync = fleetsync.New(fleetsync.Options{
@@ -146,6 +147,7 @@
 		now := p.now()
 		p.role.tick(now)
 		p.askParent(now)
+		p.tellChildren(now)
 		p.view.Expire(now)
 		p.flush(now)
 		next := tickIdle
--- a/node/packetplane/sockets.go
+++ b/node/packetplane/sockets.go
@@ -104,6 +104,7 @@
 			p.balancers[peer] = now
 		}
 		if m.Load.Flags&relay.FlagAsk != 0 {
+			p.children.asked(now, peer)
 			answer := p.beat(now, 0)
 			p.sendTo(peer, &answer)
 		}
