Packet plane: split large files, remove unused settings, flow age from settings

Files of over 300 lines with two jobs are split: the openings of a balancer, the choice of a target, probes, the lookups of a view, the questions between peers. plane.Settings.Heartbeat and the event kind "recovered" had no use. How long a restarted agent doubts what its target holds was a constant of 60 s; it is the age after which the settings allow a flow to be discarded.

--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -73,26 +73,6 @@
 // complete.
 func (v *View) Revision() uint64 { return v.revision }
 
-// Version returns the version of the routes, 0 if there are none.
-func (v *View) Version() uint64 {
-	if v.config == nil {
-		return 0
-	}
-	return v.config.Version
-}
-
-// Usable reports whether new flows can be placed by the view.
-func (v *View) Usable() bool { return v.config != nil }
-
-// IdleTimeout returns after how long an idle flow may be discarded, 0 if it is
-// not known.
-func (v *View) IdleTimeout() time.Duration {
-	if v.config == nil {
-		return 0
-	}
-	return time.Duration(v.config.IdleTimeoutMS) * time.Millisecond
-}
-
 // Apply adds a delta and reports what it changed. A delta that is behind the
 // view changes nothing. A listing at the platform is no snapshot, so it may
 // name changes above the revision up to which it is complete.
@@ -280,75 +260,3 @@
 		}
 	}
 }
-
-// Route returns the route for an address.
-func (v *View) Route(address netip.AddrPort) (*Route, bool) {
-	r, ok := v.routes[address]
-	return r, ok
-}
-
-// RetiredRoute returns a route that was removed a short while ago. Packets of
-// open flows may still pass on it.
-func (v *View) RetiredRoute(address netip.AddrPort) (*Route, bool) {
-	r, ok := v.retired[address]
-	return r.route, ok
-}
-
-// ServiceOf returns the service of a route for a flow. hash decides in a route
-// with several.
-func (r *Route) ServiceOf(hash uint64) string {
-	total := 0
-	for _, s := range r.Split {
-		total += max(s.Weight, 0)
-	}
-	if total == 0 {
-		return r.Service
-	}
-	at := int(hash % uint64(total))
-	for _, s := range r.Split {
-		if at -= max(s.Weight, 0); at < 0 {
-			return s.Service
-		}
-	}
-	return r.Service
-}
-
-// Targets returns the listed targets of a service in the order of their IDs.
-// The result must not be changed.
-func (v *View) Targets(service string) []*Target { return v.index.targets(service) }
-
-// Services returns the names of the services that have targets.
-func (v *View) Services() []string {
-	var names []string
-	for name := range v.index.services {
-		if len(v.index.targets(name)) > 0 {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
-// Former returns the targets of a service that were removed in the last
-// FormerFor. They may hold open flows.
-func (v *View) Former(service string) []*Target { return v.index.former(service) }
-
-// Lapsed returns the targets of a service whose entries vanished without a
-// drain, and that may come back because the platform was disturbed when they
-// vanished or a short while ago.
-func (v *View) Lapsed(now time.Duration, service string) []*Target {
-	if !v.wasDisturbed || now-v.disturbed > ReturnGrace {
-		return nil
-	}
-	return slices.DeleteFunc(v.Former(service), func(t *Target) bool { return t.State != Ready })
-}
-
-// AtAgent returns the target that runs on the VM with an address.
-func (v *View) AtAgent(agent netip.Addr) *Target { return v.index.atAgent(agent) }
-
-// Agents returns the addresses of the VMs of all listed targets in order. The
-// result must not be changed.
-func (v *View) Agents() []netip.Addr { return v.index.allAgents() }
-
-// Place returns the place of a process in the order in which views spread.
-func (v *View) Place(seeds []netip.Addr, self netip.Addr) Place { return v.index.place(seeds, self) }
--- /dev/null
+++ b/core/ownership/choose.go
@@ -0,0 +1,99 @@
+package ownership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/relay"
+	"trefoilweir.example/core/spread"
+)
+
+// choose returns the agent of the target for a new flow.
+func (m *Machine) choose(now time.Duration, key flow.Key, tried []netip.Addr) (netip.Addr, bool) {
+	if !m.View.Usable() {
+		// Nothing is known yet but the own target.
+		return m.Self, !slices.Contains(tried, m.Self)
+	}
+	listed := m.View.Targets(m.Service)
+	for _, class := range []func(*fleet.Target) bool{
+		func(t *fleet.Target) bool {
+			return t.State == fleet.Ready && m.healthy(now, key, t.Agent()) && !slices.Contains(tried, t.Agent())
+		},
+		func(t *fleet.Target) bool {
+			return t.State == fleet.Ready && m.able(t.Agent()) && !slices.Contains(tried, t.Agent())
+		},
+		func(t *fleet.Target) bool { return t.State == fleet.Ready && m.able(t.Agent()) },
+	} {
+		if to, ok := m.chooseAmong(key, listed, class); ok {
+			return to, true
+		}
+	}
+	// Entries that lapsed while the platform was disturbed, or that were all
+	// removed at once: their agents tell whether they live.
+	former := append(m.View.Lapsed(now, m.Service), m.View.Former(m.Service)...)
+	return m.chooseAmong(key, former, func(t *fleet.Target) bool {
+		return t.State == fleet.Ready && m.healthy(now, key, t.Agent()) && !slices.Contains(tried, t.Agent())
+	})
+}
+
+func (m *Machine) chooseAmong(key flow.Key, targets []*fleet.Target, usable func(*fleet.Target) bool) (netip.Addr, bool) {
+	var candidates []spread.Candidate
+	for _, t := range targets {
+		if usable(t) {
+			candidates = append(candidates, m.candidate(t))
+		}
+	}
+	i := spread.Choose(candidates, key.Hash())
+	if i < 0 {
+		return netip.Addr{}, false
+	}
+	return candidates[i].Agent, true
+}
+
+func (m *Machine) candidate(t *fleet.Target) spread.Candidate {
+	c := spread.Candidate{Agent: t.Agent(), Slots: t.Slots, Warming: t.WarmupMS > 0}
+	load, placing := m.Load(), 0
+	if t.Agent() != m.Self {
+		p := m.peer(t.Agent())
+		load, placing = p.load, p.placing
+	}
+	c.Busy = float64(load.Busy) + float64(placing)
+	c.Expected = float64(load.Expected) / 100
+	c.ServiceTime = time.Duration(load.ServiceTime) * 100 * time.Microsecond
+	if t.DataCentre != m.DataCentre {
+		c.Distance = farDistance
+	}
+	return c
+}
+
+// otherTarget reports whether a healthy target could take a flow instead.
+func (m *Machine) otherTarget(now time.Duration, p *flow.Packet, msg *relay.Message) bool {
+	if msg.Hops >= maxHops {
+		return false
+	}
+	for _, t := range m.View.Targets(m.Service) {
+		if t.Agent() != m.Self && t.Agent() != msg.Refused && t.State == fleet.Ready && m.healthy(now, p.Key, t.Agent()) {
+			return true
+		}
+	}
+	return false
+}
+
+// refusal says why the target takes no new flow, or nothing.
+func (m *Machine) refusal(now time.Duration) string {
+	t := m.View.AtAgent(m.Self)
+	switch {
+	case m.leaving:
+		return "leaving"
+	case t != nil && (t.Service != m.Service || t.Address != m.Target):
+		return "other_service"
+	case t != nil && t.State == fleet.Draining:
+		return "draining"
+	case m.silent && now < m.retryAt:
+		return "silent"
+	}
+	return ""
+}
--- a/core/ownership/flows.go
+++ b/core/ownership/flows.go
@@ -29,7 +29,6 @@
 	admitted     time.Duration
 	callerClosed bool
 	targetClosed bool
-	created      time.Duration
 	seen         time.Duration
 	origin, home netip.Addr
 	// syn is the sequence number of the opening packet, if it is known.
@@ -120,7 +119,7 @@
 // learn adds a flow that the target holds and the agent did not know, as after
 // a restart of the agent.
 func (m *Machine) learn(now time.Duration, key flow.Key) *owned {
-	f := &owned{accepted: true, opened: true, created: now, seen: now}
+	f := &owned{accepted: true, opened: true, seen: now}
 	if len(m.flows) < maxFlows {
 		m.flows[key] = f
 		m.stats.enter(now, key, f, phaseIdle)
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -16,6 +16,7 @@
 package ownership
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -62,9 +63,8 @@
 	// targets which may not hold it.
 	probeBudget = 2
 	probeWindow = 2500 * time.Millisecond
-	// unsureFor is how long a restarted agent allows that its target holds
-	// flows that it does not know.
-	unsureFor = 60 * time.Second
+	// defaultFlowTTL stands for a FlowTTL that is not given.
+	defaultFlowTTL = 60 * time.Second
 	// startSpread is by how much a target may start before its agent if both
 	// start because their VM does. An agent that restarts alone takes longer,
 	// so a target that started in this time has been seen by no other agent.
@@ -85,6 +85,10 @@
 	// Started is the time of day at which the agent started, in Unix
 	// milliseconds.
 	Started int64
+	// FlowTTL is the age after which a flow may be discarded. That long a
+	// restarted agent allows that its target holds flows that it does not
+	// know.
+	FlowTTL time.Duration
 	Codec   flow.Codec
 	View    *fleet.View
 }
@@ -147,7 +151,7 @@
 		firstAnswers: rto.New(0, openingLimit), stats: newStats(now),
 	}
 	if !o.FirstStart {
-		m.unsureUntil = now + unsureFor
+		m.unsureUntil = now + cmp.Or(o.FlowTTL, defaultFlowTTL)
 	}
 	return m
 }
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -5,11 +5,9 @@
 	"slices"
 	"time"
 
-	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/plane"
 	"trefoilweir.example/core/relay"
-	"trefoilweir.example/core/spread"
 )
 
 // placement is a flow that a home has placed and no agent has reported yet.
@@ -90,64 +88,6 @@
 	}
 }
 
-// choose returns the agent of the target for a new flow.
-func (m *Machine) choose(now time.Duration, key flow.Key, tried []netip.Addr) (netip.Addr, bool) {
-	if !m.View.Usable() {
-		// Nothing is known yet but the own target.
-		return m.Self, !slices.Contains(tried, m.Self)
-	}
-	listed := m.View.Targets(m.Service)
-	for _, class := range []func(*fleet.Target) bool{
-		func(t *fleet.Target) bool {
-			return t.State == fleet.Ready && m.healthy(now, key, t.Agent()) && !slices.Contains(tried, t.Agent())
-		},
-		func(t *fleet.Target) bool {
-			return t.State == fleet.Ready && m.able(t.Agent()) && !slices.Contains(tried, t.Agent())
-		},
-		func(t *fleet.Target) bool { return t.State == fleet.Ready && m.able(t.Agent()) },
-	} {
-		if to, ok := m.chooseAmong(key, listed, class); ok {
-			return to, true
-		}
-	}
-	// Entries that lapsed while the platform was disturbed, or that were all
-	// removed at once: their agents tell whether they live.
-	former := append(m.View.Lapsed(now, m.Service), m.View.Former(m.Service)...)
-	return m.chooseAmong(key, former, func(t *fleet.Target) bool {
-		return t.State == fleet.Ready && m.healthy(now, key, t.Agent()) && !slices.Contains(tried, t.Agent())
-	})
-}
-
-func (m *Machine) chooseAmong(key flow.Key, targets []*fleet.Target, usable func(*fleet.Target) bool) (netip.Addr, bool) {
-	var candidates []spread.Candidate
-	for _, t := range targets {
-		if usable(t) {
-			candidates = append(candidates, m.candidate(t))
-		}
-	}
-	i := spread.Choose(candidates, key.Hash())
-	if i < 0 {
-		return netip.Addr{}, false
-	}
-	return candidates[i].Agent, true
-}
-
-func (m *Machine) candidate(t *fleet.Target) spread.Candidate {
-	c := spread.Candidate{Agent: t.Agent(), Slots: t.Slots, Warming: t.WarmupMS > 0}
-	load, placing := m.Load(), 0
-	if t.Agent() != m.Self {
-		p := m.peer(t.Agent())
-		load, placing = p.load, p.placing
-	}
-	c.Busy = float64(load.Busy) + float64(placing)
-	c.Expected = float64(load.Expected) / 100
-	c.ServiceTime = time.Duration(load.ServiceTime) * 100 * time.Microsecond
-	if t.DataCentre != m.DataCentre {
-		c.Distance = farDistance
-	}
-	return c
-}
-
 // offer gives an opening packet to the target, or passes it on.
 func (m *Machine) offer(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
 	if reason := m.refusal(now); reason != "" {
@@ -184,7 +124,7 @@
 			m.handOver(now, p, msg, "table_full", out)
 			return
 		}
-		f = &owned{created: now, origin: msg.Origin, home: msg.Home, hops: msg.Hops, refused: msg.Refused}
+		f = &owned{origin: msg.Origin, home: msg.Home, hops: msg.Hops, refused: msg.Refused}
 		m.flows[p.Key] = f
 	}
 	f.seen, f.origin, f.home = now, msg.Origin, msg.Home
@@ -202,35 +142,6 @@
 	out.ToTarget = append(out.ToTarget, m.Codec.Clean(p.Raw))
 }
 
-// otherTarget reports whether a healthy target could take a flow instead.
-func (m *Machine) otherTarget(now time.Duration, p *flow.Packet, msg *relay.Message) bool {
-	if msg.Hops >= maxHops {
-		return false
-	}
-	for _, t := range m.View.Targets(m.Service) {
-		if t.Agent() != m.Self && t.Agent() != msg.Refused && t.State == fleet.Ready && m.healthy(now, p.Key, t.Agent()) {
-			return true
-		}
-	}
-	return false
-}
-
-// refusal says why the target takes no new flow, or nothing.
-func (m *Machine) refusal(now time.Duration) string {
-	t := m.View.AtAgent(m.Self)
-	switch {
-	case m.leaving:
-		return "leaving"
-	case t != nil && (t.Service != m.Service || t.Address != m.Target):
-		return "other_service"
-	case t != nil && t.State == fleet.Draining:
-		return "draining"
-	case m.silent && now < m.retryAt:
-		return "silent"
-	}
-	return ""
-}
-
 // handOver passes an opening packet to another agent.
 func (m *Machine) handOver(now time.Duration, p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
 	tried := []netip.Addr{m.Self}
--- a/core/plane/out.go
+++ b/core/plane/out.go
@@ -92,7 +92,6 @@
 	EventProbed     EventKind = "probed"
 	EventReturned   EventKind = "returned"
 	EventSuspected  EventKind = "suspected"
-	EventRecovered  EventKind = "recovered"
 	EventDropped    EventKind = "dropped"
 	EventNextHome   EventKind = "next_home"
 	EventTargetSwap EventKind = "target_replaced"
--- a/core/plane/settings.go
+++ b/core/plane/settings.go
@@ -36,8 +36,6 @@
 	FirstStart bool
 	// Store is the address of the platform's store.
 	Store string
-	// Heartbeat is how often targets renew their entries.
-	Heartbeat time.Duration
 	// Grace is the time between a request to stop and a kill.
 	Grace time.Duration
 	// FlowTTL is the age after which a flow may be discarded.
--- /dev/null
+++ b/node/fleetsync/pull.go
@@ -0,0 +1,113 @@
+package fleetsync
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strconv"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/node/telemetry"
+)
+
+func (s *Sync) askSeeds(ctx context.Context) {
+	s.Lock.Lock()
+	seeds := slices.Clone(s.Seeds)
+	s.Lock.Unlock()
+	for _, seed := range seeds {
+		if seed.Addr() == s.Self {
+			continue
+		}
+		if err := s.pull(ctx, seed); err != nil {
+			s.Log.Debug("seed does not answer", zap.Stringer("seed", seed), telemetry.Error(err))
+			continue
+		}
+		return
+	}
+}
+
+func (s *Sync) hasSeeds() bool {
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	return len(s.Seeds) > 0
+}
+
+// Follow fetches from peers that have a newer view until ctx ends.
+func (s *Sync) Follow(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case h := <-s.hints:
+			s.Lock.Lock()
+			known := h.revision <= s.View.Revision()
+			s.Lock.Unlock()
+			if known {
+				continue
+			}
+			if err := s.pull(ctx, h.from); err != nil && ctx.Err() == nil {
+				s.Log.Warn("peer does not give its view", telemetry.Peer(h.from.String()), telemetry.Error(err))
+			}
+		}
+	}
+}
+
+func (s *Sync) pull(ctx context.Context, from netip.AddrPort) error {
+	s.pulls.Inc()
+	s.Lock.Lock()
+	after, version := s.View.Revision(), s.View.Version()
+	if !s.View.Usable() {
+		after = 0
+	}
+	s.Lock.Unlock()
+	query := url.Values{"after": {strconv.FormatUint(after, 10)}, "version": {strconv.FormatUint(version, 10)}}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+PathFleet+"?"+query.Encode(), nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return trace.Errorf("peer answered %d", response.StatusCode)
+	}
+	var d fleet.Delta
+	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxDelta)).Decode(&d); err != nil {
+		return trace.Wrap(err)
+	}
+	s.apply(&d, from.String())
+	return nil
+}
+
+// ServeHTTP gives a peer what changed after its revision.
+func (s *Sync) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after is not a revision", http.StatusBadRequest)
+		return
+	}
+	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		http.Error(w, "version is not a number", http.StatusBadRequest)
+		return
+	}
+	s.Lock.Lock()
+	usable := s.View.Usable()
+	d := s.View.Since(s.Now(), after, version)
+	s.Lock.Unlock()
+	if !usable {
+		http.Error(w, "no view yet", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(d); err != nil {
+		s.Log.Debug("peer broke off", telemetry.Error(err))
+	}
+}
--- a/node/packetplane/agent.go
+++ b/node/packetplane/agent.go
@@ -42,7 +42,7 @@
 	}
 	s := o.Settings
 	a := &agent{Process: p, machine: ownership.New(p.now(), ownership.Options{
-		Self: s.IP, DataCentre: s.DataCentre, Service: s.Service, Target: s.Target, FirstStart: s.FirstStart, Started: p.start.UnixMilli(), Codec: o.Codec, View: p.view,
+		Self: s.IP, DataCentre: s.DataCentre, Service: s.Service, Target: s.Target, FirstStart: s.FirstStart, Started: p.start.UnixMilli(), FlowTTL: s.FlowTTL, Codec: o.Codec, View: p.view,
 	})}
 	var fromTarget *net.UDPConn
 	if fromTarget, err = listen(s.FromTarget); err != nil {
