node/packetplane: a suspended process ages its view when it wakes up

Cause: the steady clock does not count the time in which a VM is suspended, so a process that wakes up takes its view for fresh (listed as a known weakness). With routes added meanwhile it would refuse their flows for up to 3 s, until a peer tells it of a newer revision.

Change: each tick compares the steady clock with the one that counts suspensions. A gap of 200 ms and more ages the view, which makes the process ask the platform at once and forbids refusals for want of a route.

--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -204,6 +204,9 @@
 	return max(0, now-v.confirmed)
 }
 
+// Suspended notes that time has passed which the steady clock did not count.
+func (v *View) Suspended(d time.Duration) { v.confirmed -= d }
+
 // Disturbed notes that a reader could not reach the platform, or not in time.
 func (v *View) Disturbed(now time.Duration) { v.disturbed, v.wasDisturbed = now, true }
 
--- a/node/packetplane/plane.go
+++ b/node/packetplane/plane.go
@@ -108,17 +108,20 @@
 
 	balancers map[netip.Addr]time.Duration
 	children  children
-	asked     time.Duration
-	parent    int
-	stopping  bool
-	stopSince time.Duration
-	events    *eventLog
+	suspended suspensions
+	// clockFailed says that a failure of the clock was logged.
+	clockFailed bool
+	asked       time.Duration
+	parent      int
+	stopping    bool
+	stopSince   time.Duration
+	events      *eventLog
 }
 
 func newProcess(o Options, name string) (*Process, error) {
 	p := &Process{
 		Options: o, name: name, tag: relay.ServiceTag(o.Settings.Service), start: time.Now(), view: fleet.New(),
-		balancers: map[netip.Addr]time.Duration{}, children: newChildren(), send: make([]byte, 0, maxDatagram),
+		balancers: map[netip.Addr]time.Duration{}, children: newChildren(), suspended: suspensions{boot: bootTime}, send: make([]byte, 0, maxDatagram),
 	}
 	p.events = newEventLog(o.Log, o.Metrics)
 	p.sync = fleetsync.New(fleetsync.Options{
@@ -145,6 +148,7 @@
 		}
 		p.mu.Lock()
 		now := p.now()
+		p.checkSuspension(now)
 		p.role.tick(now)
 		p.askParent(now)
 		p.tellChildren(now)
@@ -159,6 +163,20 @@
 	}
 }
 
+// checkSuspension ages the view by the time in which the VM was suspended. The
+// process asks the platform then instead of deciding by what it knew before.
+func (p *Process) checkSuspension(now time.Duration) {
+	gap, err := p.suspended.since(now)
+	if err != nil && !p.clockFailed {
+		p.clockFailed = true
+		p.Log.Warn("clock cannot be read, suspensions of the VM are not noticed", telemetry.Error(err))
+	}
+	if gap > 0 {
+		p.view.Suspended(gap)
+		p.Log.Warn("process was suspended", zap.Duration("for", gap), telemetry.Version(p.view.Version()), zap.Uint64("revision", p.view.Revision()))
+	}
+}
+
 // ready answers the probes of the platform's routers.
 func (p *Process) ready(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
