core/ownership: flows ahead of the slots follow the measured round trip

A busy target then got up to three times the flows that it has slots for.

Ruled out: holding a slot until the request comes.

Change: the time after which a flow counts as given up follows the measured time from acceptance to request (40 to 600 ms). Beyond the slots as many flows are admitted as slots become free in a round trip, at least one and an eighth of the slots as before, at most three times the slots.

Conclusion: kept for deployments with callers farther away.

--- a/core/ownership/flows.go
+++ b/core/ownership/flows.go
@@ -26,7 +26,10 @@
 	alone bool
 	// admitted is when the target got the opening packet, 0 after the first
 	// answer.
-	admitted     time.Duration
+	admitted time.Duration
+	// acceptedAt is when the target accepted the flow, 0 after the first
+	// request.
+	acceptedAt   time.Duration
 	callerClosed bool
 	targetClosed bool
 	seen         time.Duration
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -50,9 +50,11 @@
 	flowIdle = 30 * time.Second
 	// closedIdle is how long a flow is kept that both ends have closed.
 	closedIdle = 4 * time.Second
-	// halfOpenFor is how long an accepted flow counts as a coming request. Its
-	// caller answers within a round trip, unless it has given up.
-	halfOpenFor = 40 * time.Millisecond
+	// halfOpenFor and maxHalfOpenFor bound how long an accepted flow counts as
+	// a coming request. Its caller answers within a round trip, unless it has
+	// given up.
+	halfOpenFor    = 40 * time.Millisecond
+	maxHalfOpenFor = 600 * time.Millisecond
 	// maxFlows bounds the flows and the records, each.
 	maxFlows = 50_000
 	// searchTimeout is how long the answers to a search may take.
@@ -110,9 +112,12 @@
 	// firstAnswers estimates the time from the admission of a flow to the
 	// first answer of its target.
 	firstAnswers *rto.Estimator
-	stats        *stats
-	outcomes     outcomes
-	leaving      bool
+	// roundTrips estimates the time from the acceptance of a flow to its
+	// caller's request.
+	roundTrips *rto.Estimator
+	stats      *stats
+	outcomes   outcomes
+	leaving    bool
 	// silent says that the target does not answer; retryAt is when it gets the
 	// next new flow as a probe.
 	silent      bool
@@ -148,7 +153,7 @@
 		Options: o, tag: relay.ServiceTag(o.Service),
 		flows: map[flow.Key]*owned{}, records: map[flow.Key]*record{}, placing: map[flow.Key]*placement{},
 		search: map[flow.Key]*search{}, peers: map[netip.Addr]*peer{}, queue: waitqueue.New[flow.Key, waiting](maxWaiting), reports: rto.New(ownerTimeout, maxOwnerTimeout),
-		firstAnswers: rto.New(0, openingLimit), stats: newStats(now),
+		firstAnswers: rto.New(0, openingLimit), roundTrips: rto.New(halfOpenFor, maxHalfOpenFor), stats: newStats(now),
 	}
 	if !o.FirstStart {
 		m.unsureUntil = now + cmp.Or(o.FlowTTL, defaultFlowTTL)
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -185,6 +185,7 @@
 func (m *Machine) accepted(now time.Duration, f *owned, p *flow.Packet, out *plane.Out) {
 	if !f.accepted {
 		m.stats.enter(now, p.Key, f, phaseHalfOpen)
+		f.acceptedAt = now
 	}
 	f.accepted, f.raw = true, nil
 	f.base, f.top, f.known = p.Seq, p.Seq+1, true
--- a/core/ownership/stats.go
+++ b/core/ownership/stats.go
@@ -178,8 +178,10 @@
 	if f.phase == phaseBusy {
 		return
 	}
-	if f.phase == phaseHalfOpen {
+	if f.acceptedAt > 0 {
+		m.roundTrips.Observe(now - f.acceptedAt)
 		m.stats.requestCame(true)
+		f.acceptedAt = 0
 	}
 	m.stats.enter(now, key, f, phaseBusy)
 	f.alone = m.stats.count[phaseBusy] <= m.slots()
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -78,8 +78,9 @@
 	if m.stats.count[phaseHalfOpen] == 0 {
 		return
 	}
+	wait := m.roundTrips.Timeout()
 	for key, f := range m.flows {
-		if f.phase == phaseHalfOpen && now-f.since > halfOpenFor {
+		if f.phase == phaseHalfOpen && now-f.since > wait {
 			m.stats.requestCame(false)
 			m.stats.enter(now, key, f, phaseClosed)
 		}
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -20,6 +21,9 @@
 	defaultTimeout   = 1200 * time.Millisecond
 	// openingLimit is the age at which a caller gives up an opening packet.
 	openingLimit = 1350 * time.Millisecond
+	// maxAhead bounds the flows that are admitted beyond the slots, in parts of
+	// the slots.
+	maxAhead = 3
 	// firstCopy and secondCopy are the ages of a caller's copies of its
 	// opening packet.
 	firstCopy  = 200 * time.Millisecond
@@ -45,12 +49,22 @@
 	}
 }
 
-// full reports whether another request would wait at the target. While an
-// accepted flow's request is on its way, its slot is idle, so one flow more
-// than slots is admitted.
+// full reports whether another request would wait at the target.
 func (m *Machine) full() bool {
 	slots := m.slots()
-	return slots > 0 && m.stats.admitted() >= slots+1+slots/8
+	return slots > 0 && m.stats.admitted() >= slots+m.ahead(slots)
+}
+
+// ahead is the number of flows that are admitted beyond the slots. The request
+// of an accepted flow takes a round trip to come, and a slot that becomes free
+// meanwhile would be idle: so as many as become free in a round trip.
+func (m *Machine) ahead(slots int) int {
+	ahead := 1 + slots/8
+	if service := m.serviceTime(); service > 0 {
+		freed := float64(slots) * float64(m.roundTrips.Mean()) / float64(service)
+		ahead = max(ahead, int(min(math.Round(freed), float64(maxAhead*slots))))
+	}
+	return ahead
 }
 
 // hold lets a new flow wait for a slot, and reports whether the target gets it
--- a/core/ownership/waiting_test.go
+++ b/core/ownership/waiting_test.go
@@ -69,3 +69,30 @@
 	assert.Equal(t, f.out.Sends[0].To, balancer)
 	assert.Equal(t, f.out.Sends[1].To, fleettest.Agent(1))
 }
+
+// Guards against callers far away, whose requests come later than 40 ms after
+// the acceptance: their flows were taken for given up, and a busy target got
+// three times the flows that it has slots for.
+func TestFarCallersKeepTheirSlots(t *testing.T) {
+	f := newFixture(t, true)
+	const roundTrip = 80 * ms
+	accept := func(port uint16) {
+		f.send(relay.Place, flow.Packet{Key: fleettest.Key(port), Open: true, Seq: 100})
+		f.target(flow.Packet{Key: fleettest.Key(port), Open: true, Seq: 5000, Ack: 101})
+	}
+	const learned = 20
+	for port := uint16(1); port <= learned; port++ {
+		accept(port)
+		f.later(roundTrip / 2)
+		f.later(roundTrip / 2)
+		f.send(relay.Packet, flow.Packet{Key: fleettest.Key(port), Seq: 101, Ack: 5001, Len: 10})
+		f.target(flow.Packet{Key: fleettest.Key(port), Seq: 5001, Len: 10})
+	}
+	for port := uint16(100); port < 105; port++ {
+		accept(port)
+	}
+	f.later(roundTrip - ms)
+	f.send(relay.Place, flow.Packet{Key: fleettest.Key(200), Open: true, Seq: 100})
+	assert.Equal(t, len(f.out.ToTarget), 0)
+	assert.Equal(t, f.Queued(), 1)
+}
--- a/core/rto/rto.go
+++ b/core/rto/rto.go
@@ -42,6 +42,9 @@
 	e.mean += meanWeight * diff
 }
 
+// Mean returns the mean time of an answer, 0 without answers.
+func (e *Estimator) Mean() time.Duration { return time.Duration(e.mean) }
+
 // Usual returns the time in which nearly all answers come, 0 without answers.
 func (e *Estimator) Usual() time.Duration {
 	return time.Duration(e.mean + usualDeviations*e.deviation)
