core/waitqueue: late flows are refused in a lasting overload

Ruled out: idle capacity (the served part is what the slots can serve).

Failed try: refusing late flows after 0.3 s without a late one served.

Change: the same after 2 s, which is longer than the backlog of an outage takes.

--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -106,6 +106,9 @@
 	for it, ok := m.queue.Expired(now, service); ok; it, ok = m.queue.Expired(now, service) {
 		m.refuseWaiting(&it, "no_slot_in_time", out)
 	}
+	for it, ok := m.queue.Hopeless(now, answer); ok; it, ok = m.queue.Hopeless(now, answer) {
+		m.refuseWaiting(&it, "overload", out)
+	}
 	reason := m.refusal(now)
 	for m.queue.Len() > 0 && (reason != "" || !m.full()) {
 		it, _ := m.queue.Pop(now, answer)
--- a/core/waitqueue/waitqueue.go
+++ b/core/waitqueue/waitqueue.go
@@ -7,6 +7,11 @@
 
 import "time"
 
+// hopelessAfter is how long no late flow may have been served before those
+// that wait are refused. The backlog of an outage is served in less: refused
+// callers would come back at once and use up their tries.
+const hopelessAfter = 2 * time.Second
+
 // Item is a waiting flow.
 type Item[K comparable, V any] struct {
 	Key   K
@@ -24,6 +29,8 @@
 type Queue[K comparable, V any] struct {
 	limit int
 	items []Item[K, V]
+	// lateServed is when a late flow was last next, or no flow waited.
+	lateServed time.Duration
 }
 
 // New returns a queue for at most limit flows.
@@ -36,6 +43,9 @@
 // others leaves it and is returned. That may be the added one. answer is as for
 // Pop.
 func (q *Queue[K, V]) Push(it Item[K, V], now, answer time.Duration) (left Item[K, V], full bool) {
+	if len(q.items) == 0 {
+		q.lateServed = now
+	}
 	q.items = append(q.items, it)
 	if len(q.items) <= q.limit {
 		return left, false
@@ -80,6 +90,9 @@
 	}
 	it = q.items[best]
 	q.remove(best)
+	if it.late(now, answer) {
+		q.lateServed = now
+	}
 	return it, true
 }
 
@@ -112,4 +125,21 @@
 	return it, false
 }
 
+// Hopeless removes and returns a flow that is late already, if flows that are
+// in time have taken all slots for a while. It would wait until its caller
+// gives up.
+func (q *Queue[K, V]) Hopeless(now, answer time.Duration) (it Item[K, V], ok bool) {
+	if now-q.lateServed < hopelessAfter {
+		return it, false
+	}
+	for i := range q.items {
+		if q.items[i].late(now, answer) {
+			it = q.items[i]
+			q.remove(i)
+			return it, true
+		}
+	}
+	return it, false
+}
+
 func (q *Queue[K, V]) remove(i int) { q.items = append(q.items[:i], q.items[i+1:]...) }
--- a/core/waitqueue/waitqueue_test.go
+++ b/core/waitqueue/waitqueue_test.go
@@ -71,3 +71,42 @@
 func push(q *Queue[int, string], it Item[int, string]) (Item[int, string], bool) {
 	return q.Push(it, 500*ms, 20*ms)
 }
+
+// Guards against a lasting overload in which late flows wait until their
+// callers give up, although flows in time take every slot.
+func TestLateFlowsAreHopelessInLastingOverload(t *testing.T) {
+	const answer = 20 * ms
+	q := New[int, string](10)
+	late := item(1, 0, 1)
+	late.Timeout = time.Hour
+	q.Push(late, 0, answer)
+	var refused time.Duration
+	for now := 100 * ms; refused == 0; now += 50 * ms {
+		q.Push(item(2, now, 1), now, answer)
+		it, _ := q.Pop(now, answer)
+		assert.Equal(t, it.Key, 2)
+		if _, ok := q.Hopeless(now, answer); ok {
+			refused = now
+		}
+	}
+	assert.Equal(t, refused, hopelessAfter)
+	// A flow in time is never hopeless.
+	q.Push(item(3, refused, 1), refused, answer)
+	_, ok := q.Hopeless(refused+50*ms, answer)
+	assert.Assert(t, !ok)
+}
+
+// Guards against refusals while the backlog of an outage is served: a late flow
+// that got a slot shows that others will.
+func TestServedLateFlowGivesHope(t *testing.T) {
+	const answer = 20 * ms
+	q := New[int, string](10)
+	q.Push(item(1, 0, 1), 0, answer)
+	q.Push(item(2, 0, 1), 0, answer)
+	it, _ := q.Pop(hopelessAfter, answer)
+	assert.Equal(t, it.Key, 1)
+	_, ok := q.Hopeless(2*hopelessAfter-ms, answer)
+	assert.Assert(t, !ok)
+	_, ok = q.Hopeless(2*hopelessAfter, answer)
+	assert.Assert(t, ok)
+}
