--- a/core/ownership/stats.go
+++ b/core/ownership/stats.go
@@ -179,14 +179,24 @@
 		return
 	}
 	if f.acceptedAt > 0 {
-		m.roundTrips.Observe(now - f.acceptedAt)
-		m.stats.requestCame(true)
-		f.acceptedAt = 0
+		m.firstRequest(now-f.acceptedAt, f)
 	}
 	m.stats.enter(now, key, f, phaseBusy)
 	f.alone = m.stats.count[phaseBusy] <= m.slots()
 }
 
+// firstRequest notes how long after the acceptance of a flow its first request
+// came. A caller that opens a flow and sends later says nothing of the way.
+func (m *Machine) firstRequest(took time.Duration, f *owned) {
+	f.acceptedAt = 0
+	if took > maxHalfOpenFor {
+		f.admitted = 0
+		return
+	}
+	m.roundTrips.Observe(took)
+	m.stats.requestCame(true)
+}
+
 // endRequest notes that the target is done with a request. The time of one
 // that it did not answer says nothing of its speed.
 func (m *Machine) endRequest(now time.Duration, f *owned, key flow.Key, answered bool, out *plane.Out) {
--- a/core/ownership/waiting_test.go
+++ b/core/ownership/waiting_test.go
@@ -96,3 +96,24 @@
 	assert.Equal(t, len(f.out.ToTarget), 0)
 	assert.Equal(t, f.Queued(), 1)
 }
+
+// Guards against callers that open flows long before their first request: the
+// expected time of an answer grew to seconds, and every waiting flow counted
+// as late.
+func TestIdleCallersDoNotCountAsSlow(t *testing.T) {
+	f := newFixture(t, true)
+	for port := uint16(1); port <= 20; port++ {
+		f.send(relay.Place, flow.Packet{Key: fleettest.Key(port), Open: true, Seq: 100})
+		f.target(flow.Packet{Key: fleettest.Key(port), Open: true, Seq: 5000, Ack: 101})
+		wait := 5 * ms
+		if port%2 == 0 {
+			wait = 3 * maxHalfOpenFor
+		}
+		f.later(wait)
+		f.send(relay.Packet, flow.Packet{Key: fleettest.Key(port), Seq: 101, Ack: 5001, Len: 10})
+		f.later(30 * ms)
+		f.target(flow.Packet{Key: fleettest.Key(port), Seq: 5001, Len: 10})
+	}
+	assert.Assert(t, f.answerTime() < 100*ms, "answers take %s", f.answerTime())
+	assert.Assert(t, f.roundTrips.Mean() < 10*ms, "requests take %s", f.roundTrips.Mean())
+}
