--- a/lab/rig/load.go
+++ b/lab/rig/load.go
@@ -79,7 +79,7 @@
 	var users sync.WaitGroup
 	for z, zone := range s.Zones {
 		for n := range load.Callers {
-			c, err := packets.StartCaller(netip.AddrPortFrom(s.address(callerNet+z, n+1), portPackets), s.route(zone), s.Journal)
+			c, err := packets.StartCaller(netip.AddrPortFrom(s.callerAddress(z, n), portPackets), s.route(zone), s.Journal)
 			if err != nil {
 				return Report{}, err
 			}
--- a/lab/rig/routecheck.go
+++ b/lab/rig/routecheck.go
@@ -21,7 +21,7 @@
 	for i, b := range s.Balancers() {
 		to := netip.AddrPortFrom(b.IP, portPackets)
 		route := func(netip.AddrPort, netip.AddrPort) netip.AddrPort { return to }
-		c, err := packets.StartCaller(netip.AddrPortFrom(s.address(callerNet+len(s.Zones), i+1), portPackets), route, s.Journal)
+		c, err := packets.StartCaller(netip.AddrPortFrom(s.callerAddress(len(s.Zones), i), portPackets), route, s.Journal)
 		if err != nil {
 			return err
 		}
--- a/lab/rig/settings.go
+++ b/lab/rig/settings.go
@@ -81,6 +81,18 @@
 	callerNet = 100
 )
 
+// netsPerZone is the number of third octets for the callers of a zone, and
+// callersPerNet the number of callers in each.
+const (
+	netsPerZone   = 10
+	callersPerNet = 250
+)
+
+// callerAddress returns the address of a caller of a zone.
+func (s *System) callerAddress(zone, n int) netip.Addr {
+	return s.address(callerNet+zone*netsPerZone+n/callersPerNet, 1+n%callersPerNet)
+}
+
 func (s *System) address(third, fourth int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, byte(s.Net), byte(third), byte(fourth)})
 }
--- /dev/null
+++ b/lab/rig/settings_test.go
@@ -0,0 +1,23 @@
+package rig
+
+import (
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against two callers with one address: a soak with 336 callers a zone
+// did not start.
+func TestCallerAddressesDiffer(t *testing.T) {
+	s := New(Options{Net: 1})
+	seen := map[netip.Addr]bool{}
+	const zones, callers = 4, 1000
+	for zone := range zones {
+		for n := range callers {
+			a := s.callerAddress(zone, n)
+			assert.Assert(t, !seen[a], "%s stands twice", a)
+			seen[a] = true
+		}
+	}
+}
