--- a/lab/cmd/trefoilweir-lab/soak.go
+++ b/lab/cmd/trefoilweir-lab/soak.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -15,7 +16,8 @@
 	flags := append(rigFlags(),
 		&cli.IntFlag{Name: "seeds", Usage: "number of seeds to play, one after the other", Value: 1},
 		&cli.DurationFlag{Name: "length", Usage: "how long faults are injected", Value: 10 * time.Second},
-		&cli.IntFlag{Name: "size", Usage: "multiplies targets and callers", Value: 1},
+		&cli.IntFlag{Name: "size", Usage: "multiplies targets", Value: 1},
+		&cli.IntFlag{Name: "load", Usage: "multiplies callers (default: as size)"},
 		&cli.BoolFlag{Name: "plan", Usage: "print the faults of each seed"},
 	)
 	return &cli.Command{
@@ -24,7 +26,7 @@
 			broken := 0
 			for n := range uint64(c.Int("seeds")) {
 				o := soak.Options{Dir: c.String("dir"), Bin: c.String("bin"), Net: netBase + os.Getpid()%netOctets,
-					Seed: c.Uint64("seed") + n, Length: c.Duration("length"), Size: c.Int("size")}
+					Seed: c.Uint64("seed") + n, Length: c.Duration("length"), Size: c.Int("size"), Load: cmp.Or(c.Int("load"), c.Int("size"))}
 				result, err := soak.Run(o)
 				if err != nil {
 					return trace.Wrap(err, "seed %d", o.Seed)
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -24,8 +24,8 @@
 	Seed uint64
 	// Length is how long faults are injected.
 	Length time.Duration
-	// Size multiplies the numbers of targets and callers.
-	Size int
+	// Size multiplies the number of targets, Load the number of callers.
+	Size, Load int
 }
 
 const (
@@ -72,7 +72,7 @@
 	}
 	options.Seeds = o.Seed%2 == 0
 	load := rig.DemoLoad()
-	load.Callers, load.Long = load.Callers*o.Size, load.Long*o.Size
+	load.Callers, load.Long = load.Callers*o.Load, load.Long*o.Load
 	r := &run{System: rig.New(options), Options: o, random: rand.New(rand.NewPCG(o.Seed, 7))}
 	defer r.Stop()
 	if err := r.Start(); err != nil {
