--- /dev/null
+++ b/lab/rig/targets.go
@@ -0,0 +1,116 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"trefoilweir.example/lab/packets"
+)
+
+// AddTarget adds a target with its agent.
+func (s *System) AddTarget(service *Service, zone, n int, first bool) (*Machine, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, err := s.newMachine("agent", zone)
+	if err != nil {
+		return nil, err
+	}
+	if m.Target, err = s.startTarget(m, service, n); err != nil {
+		return nil, err
+	}
+	s.agents = append(s.agents, m)
+	s.register(m)
+	return m, s.start(m, first)
+}
+
+func (s *System) startTarget(m *Machine, service *Service, n int) (*packets.Target, error) {
+	const queuePerSlot = 4
+	return packets.StartTarget(packets.TargetOptions{
+		Name: fmt.Sprintf("%s@%s", service.Name, m.Name), Service: service.Name, Address: netip.AddrPortFrom(m.IP, portTarget),
+		Outbound: netip.AddrPortFrom(m.IP, portOutbound), Slots: service.Slots, Queue: queuePerSlot * service.Slots,
+		Speed: service.Speeds[n%len(service.Speeds)], Log: s.Journal,
+	})
+}
+
+// register writes the entry of a new incarnation of a machine's target.
+func (s *System) register(m *Machine) {
+	born := time.Now().UnixMilli()
+	e := &entry{Service: m.Target.Service, Address: netip.AddrPortFrom(m.IP, portTarget).String(), Zone: m.Zone, Version: "v1", Slots: m.Target.Slots, State: "ready", Born: born}
+	id := fmt.Sprintf("i-%s-%d", m.Name, born)
+	s.entries[id] = e
+	s.put(id, e)
+}
+
+func (s *System) put(id string, e *entry) {
+	data, err := json.Marshal(e)
+	if err != nil {
+		s.failures = append(s.failures, err.Error())
+		return
+	}
+	s.Store.Put("servers/"+id, data)
+}
+
+func (s *System) entryOf(m *Machine) (string, *entry) {
+	address := netip.AddrPortFrom(m.IP, portTarget).String()
+	for id, e := range s.entries {
+		if e.Address == address {
+			return id, e
+		}
+	}
+	return "", nil
+}
+
+// DrainTarget reports a drain, ends the target when its flows are gone, at the
+// latest after a while, and then removes its machine.
+func (s *System) DrainTarget(m *Machine, most time.Duration) {
+	s.mu.Lock()
+	id, e := s.entryOf(m)
+	if e != nil {
+		e.State = "draining"
+		s.put(id, e)
+	}
+	m.Target.Drain()
+	s.mu.Unlock()
+	go func() {
+		time.Sleep(drainMS * time.Millisecond)
+		for end := time.Now().Add(most); m.Target.Flows() > 0 && time.Now().Before(end); {
+			time.Sleep(50 * time.Millisecond)
+		}
+		s.mu.Lock()
+		delete(s.entries, id)
+		s.agents = slices.DeleteFunc(s.agents, func(a *Machine) bool { return a == m })
+		s.leaving = append(s.leaving, m)
+		s.mu.Unlock()
+		s.Store.Remove("servers/" + id)
+		m.Target.Stop()
+		s.Remove(m)
+	}()
+}
+
+// CrashTarget ends a target without notice; a new incarnation starts after a
+// while, and the old entry lapses after three heartbeats.
+func (s *System) CrashTarget(m *Machine, service *Service, down time.Duration) {
+	s.mu.Lock()
+	id, _ := s.entryOf(m)
+	delete(s.entries, id)
+	s.mu.Unlock()
+	m.Target.Stop()
+	time.AfterFunc(3*heartbeatMS*time.Millisecond, func() { s.Store.Remove("servers/" + id) })
+	time.AfterFunc(down, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.closed || m.removed {
+			return
+		}
+		t, err := s.startTarget(m, service, s.random.IntN(len(service.Speeds)))
+		if err != nil {
+			s.failures = append(s.failures, err.Error())
+			return
+		}
+		m.Target = t
+		s.register(m)
+	})
+}
--- /dev/null
+++ b/node/balancer/health.go
@@ -0,0 +1,57 @@
+package balancer
+
+import (
+	"net/netip"
+
+	"trefoilweir.example/core/placement"
+	"trefoilweir.example/core/wire"
+)
+
+func (b *Balancer) ping(service uint32, to netip.AddrPort) {
+	h := wire.Header{Kind: wire.Ping}
+	var buf [wire.HeaderLen]byte
+	b.seal(buf[:], &h, service)
+	if why := b.send(buf[:], to); why != reasonNone {
+		b.counters.drop(why)
+		return
+	}
+	b.counters.pingsSent.Inc()
+}
+
+// choose ranks the targets for the first packet in r and picks a usable one.
+func (b *Balancer) choose(r *reader, service uint32, targets []placement.Target) (netip.AddrPort, bool) {
+	r.candidates = placement.Rank(r.candidates, service, r.packet.dcid, targets, fewCandidates)
+	agent, probe, ok := b.chooseHealthy(r.candidates)
+	if ok && len(targets) > fewCandidates && !b.usable(agent) {
+		r.candidates = placement.Rank(r.candidates, service, r.packet.dcid, targets, placement.MaxRank)
+		agent, _, ok = b.chooseHealthy(r.candidates)
+	}
+	if probe.IsValid() {
+		b.ping(service, probe)
+	}
+	return agent, ok
+}
+
+func (b *Balancer) chooseHealthy(candidates []netip.AddrPort) (agent, probe netip.AddrPort, ok bool) {
+	b.healthMu.Lock()
+	defer b.healthMu.Unlock()
+	return b.health.Choose(b.now(), candidates)
+}
+
+func (b *Balancer) usable(agent netip.AddrPort) bool {
+	b.healthMu.Lock()
+	defer b.healthMu.Unlock()
+	return b.health.Usable(b.now(), agent)
+}
+
+func (b *Balancer) echoed(service uint32, agent netip.AddrPort) {
+	b.healthMu.Lock()
+	defer b.healthMu.Unlock()
+	b.health.Echoed(b.now(), service, agent)
+}
+
+func (b *Balancer) heardAgent(agent netip.AddrPort, h *wire.Header) {
+	b.healthMu.Lock()
+	defer b.healthMu.Unlock()
+	b.health.Heard(b.now(), agent, h.State&wire.StateDraining != 0)
+}
--- /dev/null
+++ b/node/packetplane/signals.go
@@ -0,0 +1,57 @@
+package packetplane
+
+import (
+	"os"
+	"slices"
+	"syscall"
+
+	"go.uber.org/zap"
+	"trefoilweir.example/node/telemetry"
+)
+
+func (p *Process) signalled(s os.Signal) {
+	if s == syscall.SIGHUP {
+		p.reload(reloadSignal)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopping {
+		return
+	}
+	p.stopping, p.stopSince = true, p.now()
+	p.Log.Info("planned stop begins", zap.Duration("grace", p.Settings.Grace))
+}
+
+// reload takes from the settings what may change while the process runs: the
+// seeds and the grace period. Addresses and the service stay until the next
+// start.
+func (p *Process) reload(cause string) {
+	s, err := p.Reload()
+	if err != nil {
+		p.Log.Error("settings cannot be read again, the old ones stay in force", telemetry.Error(err))
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s.Grace == p.Settings.Grace && slices.Equal(s.Seeds, p.sync.Seeds) {
+		if cause == reloadSignal {
+			p.Log.Info("settings read again, nothing changed that applies before the next start")
+		}
+		return
+	}
+	p.Settings.Grace = s.Grace
+	p.sync.Seeds = s.Seeds
+	p.Log.Info("settings reloaded", telemetry.Reason(cause), zap.Int("seeds", len(s.Seeds)), zap.Duration("grace", s.Grace))
+}
+
+// mayEnd reports whether a planned stop is complete.
+func (p *Process) mayEnd() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.stopping {
+		return false
+	}
+	now := p.now()
+	return p.role.stopped(now, p.stopSince) || now-p.stopSince > p.Settings.Grace-graceMargin
+}
