TestCallerThatCancels: wait until the target has the request

Cause: the agent counts a slot as busy when it admits a request, before it has connected to the target. On a busy machine the test cancelled in between, so the target never saw the request, and the test waited for its word for ever (verdict_test.go:199).

Change: the test waits for the run at the target before it cancels, and its wait for the target is bounded.

--- a/node/agent/verdict_test.go
+++ b/node/agent/verdict_test.go
@@ -182,7 +182,8 @@
 // a slot that stays taken.
 func TestCallerThatCancels(t *testing.T) {
 	cancelled := make(chan struct{}, 1)
-	c := newCluster(t, hangs(cancelled))
+	var runs atomic.Int64
+	c := newCluster(t, counting(&runs, hangs(cancelled)))
 	ctx, cancel := context.WithCancel(t.Context())
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url("/map"), nil)
 	assert.NilError(t, err)
@@ -192,11 +193,17 @@
 		_, err := client.Do(request)
 		failed <- err
 	}()
-	eventually(t, "a busy slot", func() bool { return c.agents[0].Status().Busy == 1 })
+	// The slot is busy before the target has the request. A caller that cancels
+	// in between reaches no target at all.
+	eventually(t, "a busy slot and a running request", func() bool { return c.agents[0].Status().Busy == 1 && runs.Load() == 1 })
 	started := time.Now()
 	cancel()
 	assert.Assert(t, errors.Is(<-failed, context.Canceled))
-	<-cancelled
+	select {
+	case <-cancelled:
+	case <-time.After(testPatience):
+		t.Fatal("the target was not told that its caller has gone")
+	}
 	assert.Assert(t, time.Since(started) < testDeadline/2, "only the deadline ended the exchange")
 	eventually(t, "a free slot", func() bool {
 		s := c.agents[0].Status()
