node/packetplane: a panic in one decision ends that decision only

Cause: decisions ran between Lock and Unlock without defer. Supervision caught a panic and started the reader again, but the lock stayed held, so every other part of the process waited for ever: one unexpected datagram stopped a balancer or an agent. Of panics that can be reached, one was found: the name of a service in the routes goes into the name of a metric, and a quote in it panics.

Ruled out: leaving it to supervision with the lock released. It pauses the parts after a few failures in a row, and a part that reads packets must not pause.

Names in metrics are quoted; counters are looked up by a struct in place of a string made for each event.

--- a/node/packetplane/beats.go
+++ b/node/packetplane/beats.go
@@ -11,6 +11,7 @@
 
 // viewChanged tells others of the new revision. The lock is held.
 func (p *Process) viewChanged(targets, config bool) {
+	defer p.recoverStep("view")
 	now := p.now()
 	p.role.changed(now)
 	p.flush(now)
--- a/node/packetplane/events.go
+++ b/node/packetplane/events.go
@@ -1,6 +1,7 @@
 package packetplane
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -43,16 +44,35 @@
 	metrics *metrics.Set
 	budgets map[plane.EventKind]*budget
 	failed  *metrics.Counter
+	// decisions and durations are the metrics by what they are of, so that a
+	// name is made once.
+	decisions map[decision]*metrics.Counter
+	durations map[duration]*metrics.Histogram
 }
 
+// decision and duration are what a counter and a histogram are of.
+type (
+	decision struct {
+		kind   plane.EventKind
+		reason string
+	}
+	duration struct {
+		kind    plane.TimeKind
+		service string
+	}
+)
+
 func newEventLog(log *zap.Logger, set *metrics.Set) *eventLog {
-	return &eventLog{log: log, metrics: set, budgets: map[plane.EventKind]*budget{}, failed: set.GetOrCreateCounter("trefoilweir_send_errors_total")}
+	return &eventLog{
+		log: log, metrics: set, budgets: map[plane.EventKind]*budget{}, failed: set.GetOrCreateCounter("trefoilweir_send_errors_total"),
+		decisions: map[decision]*metrics.Counter{}, durations: map[duration]*metrics.Histogram{},
+	}
 }
 
 func (l *eventLog) add(now time.Duration, events []plane.Event, view *fleet.View) {
 	for i := range events {
 		e := &events[i]
-		l.metrics.GetOrCreateCounter(`trefoilweir_decisions_total{kind="` + string(e.Kind) + `",reason="` + e.Reason + `"}`).Inc()
+		l.counter(e.Kind, e.Reason).Inc()
 		if left, ok := l.allow(now, e.Kind); ok {
 			l.write(now, e, left, view)
 		}
@@ -67,7 +87,26 @@
 }
 
 func (l *eventLog) time(kind plane.TimeKind, service string, took time.Duration) {
-	l.metrics.GetOrCreateHistogram(`trefoilweir_` + string(kind) + `_seconds{service="` + service + `"}`).Update(took.Seconds())
+	l.histogram(kind, service).Update(took.Seconds())
+}
+
+func (l *eventLog) counter(kind plane.EventKind, reason string) *metrics.Counter {
+	c := l.decisions[decision{kind, reason}]
+	if c == nil {
+		c = l.metrics.GetOrCreateCounter(fmt.Sprintf("trefoilweir_decisions_total{kind=%q,reason=%q}", kind, reason))
+		l.decisions[decision{kind, reason}] = c
+	}
+	return c
+}
+
+// histogram quotes the name of the service, which may have any characters.
+func (l *eventLog) histogram(kind plane.TimeKind, service string) *metrics.Histogram {
+	h := l.durations[duration{kind, service}]
+	if h == nil {
+		h = l.metrics.GetOrCreateHistogram(fmt.Sprintf("trefoilweir_%s_seconds{service=%q}", kind, service))
+		l.durations[duration{kind, service}] = h
+	}
+	return h
 }
 
 // allow reports whether a line may be written, and how many were left out
--- a/node/packetplane/events_test.go
+++ b/node/packetplane/events_test.go
@@ -34,3 +34,14 @@
 	last := lines.FilterMessage("refused").All()
 	assert.Equal(t, last[len(last)-1].ContextMap()["left_out"], int64(burst-failureLinesPerSecond))
 }
+
+// Guards against a service whose name stops the process, because it does not
+// fit into the name of a metric.
+func TestServiceNameWithQuotes(t *testing.T) {
+	set := metrics.NewSet()
+	l := newEventLog(zap.NewNop(), set)
+	for _, service := range []string{"a", `b"c\`, "d\ne", "}", ""} {
+		l.times([]plane.Time{{Kind: plane.TimeOwnerReport, Service: service, Took: time.Millisecond}})
+	}
+	assert.Equal(t, len(set.ListMetricNames()), 5+1)
+}
--- a/node/packetplane/plane.go
+++ b/node/packetplane/plane.go
@@ -145,23 +145,27 @@
 			return ctx.Err()
 		case <-timer.C:
 		}
-		p.mu.Lock()
-		now := p.now()
-		p.checkSuspension(now)
-		p.role.tick(now)
-		p.askParent(now)
-		p.tellChildren(now)
-		p.view.Expire(now)
-		p.flush(now)
 		next := tickIdle
-		if p.role.waiting() {
-			next = tickBusy
-		}
-		p.mu.Unlock()
+		p.step("tick", func(now time.Duration) {
+			p.tick(now)
+			p.flush(now)
+			if p.role.waiting() {
+				next = tickBusy
+			}
+		})
 		timer.Reset(next)
 	}
 }
 
+// tick passes time. The lock is held.
+func (p *Process) tick(now time.Duration) {
+	p.checkSuspension(now)
+	p.role.tick(now)
+	p.askParent(now)
+	p.tellChildren(now)
+	p.view.Expire(now)
+}
+
 // checkSuspension ages the view by the time in which the VM was suspended. The
 // process asks the platform then instead of deciding by what it knew before.
 func (p *Process) checkSuspension(now time.Duration) {
@@ -179,9 +183,8 @@
 // ready answers the probes of the platform's routers.
 func (p *Process) ready(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
-	ok := p.view.Usable() && !p.stopping
-	p.mu.Unlock()
-	if !ok {
+	defer p.mu.Unlock()
+	if !p.view.Usable() || p.stopping {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/node/packetplane/sockets.go
+++ b/node/packetplane/sockets.go
@@ -78,14 +78,13 @@
 				return trace.Wrap(err)
 			}
 			received := p.now()
-			p.mu.Lock()
-			now := p.now()
-			take(now, from, b[:n])
-			p.flush(now)
-			if count%forwardSample == 0 {
-				p.events.time(plane.TimeForwarded, p.Settings.Service, p.now()-received)
-			}
-			p.mu.Unlock()
+			p.step("datagram", func(now time.Duration) {
+				take(now, from, b[:n])
+				p.flush(now)
+				if count%forwardSample == 0 {
+					p.events.time(plane.TimeForwarded, p.Settings.Service, p.now()-received)
+				}
+			})
 		}
 	}
 }
