core/fleet: a malformed or outdated delta of a peer changes nothing

Cause 1: a delta from a peer was applied as decoded. A target without an address made the index panic with the view half changed and, on the way of a request to a peer, with the lock held. Cause 2: a delta that is behind the view was applied entry by entry. An entry that was removed more than 60 s ago is forgotten, so its old state in such a delta came back as a new target.

Change: Delta.Validate names the field that is wrong, and a pull fails on it. An unknown entry of a delta that is behind the view is left out. Reads of the view for a peer unlock in a defer.

Both tests failed before: TestMalformedAnswerOfPeer (panic: As4 called on IP zero value) and TestForgottenTargetDoesNotComeBack.

--- a/core/fleet/changelog_test.go
+++ b/core/fleet/changelog_test.go
@@ -84,3 +84,18 @@
 		assert.Assert(t, v.AtAgent(netip.MustParseAddr("10.0.0.1")) == nil)
 	}
 }
+
+// Guards against a target that has left, was forgotten, and comes back by a
+// delta that was long on its way.
+func TestForgottenTargetDoesNotComeBack(t *testing.T) {
+	v := New()
+	there := Change{ID: "a", Revision: 3, Target: target("a", 1, Ready, 1)}
+	v.Apply(0, &Delta{Revision: 3, Changes: []Change{there}})
+	v.Apply(0, &Delta{Revision: 5, Changes: []Change{{ID: "a", Revision: 5}}})
+	v.Expire(FormerFor + time.Second)
+	v.Apply(FormerFor+time.Second, &Delta{Revision: 4, Changes: []Change{there}})
+	assert.Equal(t, len(v.Targets("booking")), 0)
+	// Its ID may be used again.
+	v.Apply(FormerFor+time.Second, &Delta{Revision: 6, Changes: []Change{{ID: "a", Revision: 6, Target: target("a", 1, Ready, 2)}}})
+	assert.Equal(t, len(v.Targets("booking")), 1)
+}
--- /dev/null
+++ b/core/fleet/validate.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+)
+
+var (
+	errAddress = errors.New("not IPv4:port")
+	errEmpty   = errors.New("is empty")
+)
+
+// Validate checks a delta that came from another process. The error names the
+// field. A view must not take a delta that fails.
+func (d *Delta) Validate() error {
+	if d.ConfirmedMS < 0 {
+		return fmt.Errorf("confirmed_ms: %d is negative", d.ConfirmedMS)
+	}
+	for i := range d.Changes {
+		if err := d.Changes[i].validate(); err != nil {
+			return fmt.Errorf("changes[%d].%w", i, err)
+		}
+	}
+	if d.Config != nil {
+		if err := validateRoutes(d.Config.Routes); err != nil {
+			return fmt.Errorf("config.routes%w", err)
+		}
+	}
+	if d.Patch != nil {
+		if err := validateRoutes(d.Patch.Set); err != nil {
+			return fmt.Errorf("patch.set%w", err)
+		}
+	}
+	return nil
+}
+
+func (c *Change) validate() error {
+	switch {
+	case c.ID == "":
+		return fmt.Errorf("id: %w", errEmpty)
+	case c.Target == nil:
+		return nil
+	case !isIPv4(c.Target.Address):
+		return fmt.Errorf("target.address: %w", errAddress)
+	case c.Target.State != Ready && c.Target.State != Draining:
+		return fmt.Errorf("target.state: %q is not known", c.Target.State)
+	}
+	return nil
+}
+
+func validateRoutes(routes []Route) error {
+	for i := range routes {
+		if !isIPv4(routes[i].Address) {
+			return fmt.Errorf("[%d].address: %w", i, errAddress)
+		}
+	}
+	return nil
+}
+
+func isIPv4(a netip.AddrPort) bool { return a.IsValid() && a.Addr().Is4() }
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -79,7 +79,13 @@
 func (v *View) Apply(now time.Duration, d *Delta) (targets, config bool) {
 	behind := d.Revision < v.revision
 	for i := range d.Changes {
-		targets = v.change(now, &d.Changes[i]) || targets
+		c := &d.Changes[i]
+		if behind && c.Revision <= v.revision && v.entries[c.ID] == nil {
+			// The view is complete up to its revision, so the entry was removed
+			// and forgotten.
+			continue
+		}
+		targets = v.change(now, c) || targets
 	}
 	complete := d.Revision
 	if d.Full {
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -142,10 +142,7 @@
 
 // readOnce makes at most one call and returns the pause before the next.
 func (s *Sync) readOnce(ctx context.Context) time.Duration {
-	s.Lock.Lock()
-	place := s.Place()
-	age, usable := s.View.Age(s.Now()), s.View.Usable()
-	s.Lock.Unlock()
+	place, age, usable := s.standing()
 	if !usable && s.FirstStart && s.hasSeeds() && !place.Reader && s.Now() < seedsFirst {
 		s.askSeeds(ctx)
 		return seedPause
@@ -175,6 +172,14 @@
 	}
 }
 
+// standing returns the place of the process, and the age of its view and
+// whether new flows can be placed by it.
+func (s *Sync) standing() (place fleet.Place, age time.Duration, usable bool) {
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	return s.Place(), s.View.Age(s.Now()), s.View.Usable()
+}
+
 func (s *Sync) call(ctx context.Context, wait time.Duration) (changed bool, err error) {
 	s.calls.Inc()
 	began := s.Now()
--- a/node/fleetsync/pull.go
+++ b/node/fleetsync/pull.go
@@ -37,6 +37,17 @@
 	return len(s.Seeds) > 0
 }
 
+// have returns the revision from which a peer's view is needed, and the version
+// of the routes.
+func (s *Sync) have() (after, version uint64) {
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	if !s.View.Usable() {
+		return 0, s.View.Version()
+	}
+	return s.View.Revision(), s.View.Version()
+}
+
 // Follow fetches from peers that have a newer view until ctx ends.
 func (s *Sync) Follow(ctx context.Context) error {
 	for {
@@ -44,10 +55,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case h := <-s.hints:
-			s.Lock.Lock()
-			known := h.revision <= s.View.Revision()
-			s.Lock.Unlock()
-			if known {
+			if s.knows(h.revision) {
 				continue
 			}
 			if err := s.pull(ctx, h.from); err != nil && ctx.Err() == nil {
@@ -57,14 +65,15 @@
 	}
 }
 
+func (s *Sync) knows(revision uint64) bool {
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	return revision <= s.View.Revision()
+}
+
 func (s *Sync) pull(ctx context.Context, from netip.AddrPort) error {
 	s.pulls.Inc()
-	s.Lock.Lock()
-	after, version := s.View.Revision(), s.View.Version()
-	if !s.View.Usable() {
-		after = 0
-	}
-	s.Lock.Unlock()
+	after, version := s.have()
 	query := url.Values{"after": {strconv.FormatUint(after, 10)}, "version": {strconv.FormatUint(version, 10)}}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+PathFleet+"?"+query.Encode(), nil)
 	if err != nil {
@@ -82,10 +91,20 @@
 	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxDelta)).Decode(&d); err != nil {
 		return trace.Wrap(err)
 	}
+	if err := d.Validate(); err != nil {
+		return trace.Wrap(err, "peer gave a malformed view")
+	}
 	s.apply(&d, from.String())
 	return nil
 }
 
+// since returns what changed after a revision, if there is a view to give.
+func (s *Sync) since(after, version uint64) (d fleet.Delta, usable bool) {
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	return s.View.Since(s.Now(), after, version), s.View.Usable()
+}
+
 // ServeHTTP gives a peer what changed after its revision.
 func (s *Sync) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
@@ -98,10 +117,7 @@
 		http.Error(w, "version is not a number", http.StatusBadRequest)
 		return
 	}
-	s.Lock.Lock()
-	usable := s.View.Usable()
-	d := s.View.Since(s.Now(), after, version)
-	s.Lock.Unlock()
+	d, usable := s.since(after, version)
 	if !usable {
 		http.Error(w, "no view yet", http.StatusServiceUnavailable)
 		return
--- /dev/null
+++ b/node/fleetsync/pull_test.go
@@ -0,0 +1,42 @@
+package fleetsync
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a peer whose malformed answer stops the process: an address
+// that is none makes the index panic.
+func TestMalformedAnswerOfPeer(t *testing.T) {
+	for name, answer := range map[string]string{
+		"changes[0].target.address":  `{"revision":5,"changes":[{"id":"a","revision":5,"target":{"id":"a","service":"s","address":"","state":"ready"}}]}`,
+		"changes[1].target.address":  `{"revision":5,"changes":[{"id":"b","revision":4},{"id":"a","revision":5,"target":{"id":"a","address":"[::1]:80","state":"ready"}}]}`,
+		"changes[0].target.state":    `{"revision":5,"changes":[{"id":"a","revision":5,"target":{"id":"a","address":"10.0.0.1:80","state":"x"}}]}`,
+		"changes[0].id":              `{"revision":5,"changes":[{"revision":5}]}`,
+		"config.routes[0].address":   `{"revision":5,"config":{"version":2,"routes":[{"name":"r"}]}}`,
+		"patch.set[0].address":       `{"revision":5,"patch":{"base":1,"version":2,"set":[{"name":"r","address":"[::1]:1"}]}}`,
+		"unexpected EOF":             `{"revision":5,"changes":[{"id":"a"`,
+		"confirmed_ms":               `{"revision":5,"confirmed_ms":-1}`,
+		"invalid character 'o' in l": `no`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, err := w.Write([]byte(answer))
+				assert.NilError(t, err)
+			}))
+			defer peer.Close()
+			f := newFixture(0)
+			err := f.pull(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(peer.URL, "http://")))
+			assert.ErrorContains(t, err, name)
+			f.Lock.Lock()
+			defer f.Lock.Unlock()
+			assert.Equal(t, f.View.Revision(), uint64(0))
+		})
+	}
+}
