A target whose entry was removed takes no new flows

Cause: when no target of a service was listed, homes and balancers fell back on all targets removed in the last 60 s, and an agent took new flows without an entry for its target. The fallback was meant for entries that lapse while the platform is away, of which only readers knew. A server that is cut off from the platform for good, or that has left, was in use again in that case.

Ruled out: dropping the fallback.

Change: a delta says how long ago the platform was found disturbed, so that all processes know which removals count. New flows go to lapsed targets only, an agent refuses new flows once its own entry has gone while the platform was well, and a service without targets is refused at once by the balancer. Open flows go on as before.

TestGoneTargetTakesNothingNew and TestDisturbanceIsTold failed before.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -168,7 +168,7 @@
 		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Number: p.Seq, Reason: "no_route"})
 		return
 	}
-	homes := m.homes(now, service, p.Key)
+	homes := m.homes(now, service, p.Key, m.view.Former(service))
 	if len(homes) == 0 {
 		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Number: p.Seq, Reason: "no_target"})
 		return
@@ -176,11 +176,12 @@
 	out.Send(homes[0], relay.Message{Kind: relay.Packet, Service: relay.ServiceTag(service), Origin: m.self, Home: homes[0], Body: p.Raw})
 }
 
-// homes returns the homes of a flow in order, suspects last.
-func (m *Machine) homes(now time.Duration, service string, key flow.Key) []netip.Addr {
+// homes returns the homes of a flow in order, suspects last. If no target is
+// listed, others take their place.
+func (m *Machine) homes(now time.Duration, service string, key flow.Key, others []*fleet.Target) []netip.Addr {
 	hash := key.Hash()
 	m.scratch = m.scratch[:0]
-	for _, targets := range [][]*fleet.Target{m.ready(service), m.view.Targets(service), m.view.Former(service)} {
+	for _, targets := range [][]*fleet.Target{m.ready(service), m.view.Targets(service), others} {
 		if m.scratch = fleet.Homes(m.scratch, targets, hash, m.dataCentre); len(m.scratch) > 0 {
 			break
 		}
--- a/core/dispatch/opening.go
+++ b/core/dispatch/opening.go
@@ -16,7 +16,7 @@
 		return
 	}
 	service := r.ServiceOf(p.Key.Hash())
-	homes := m.homes(now, service, p.Key)
+	homes := m.homes(now, service, p.Key, m.view.Lapsed(now, service))
 	if len(homes) == 0 {
 		m.reset(p, "no_target", out)
 		return
--- a/core/fleet/changelog_test.go
+++ b/core/fleet/changelog_test.go
@@ -99,3 +99,20 @@
 	v.Apply(FormerFor+time.Second, &Delta{Revision: 6, Changes: []Change{{ID: "a", Revision: 6, Target: target("a", 1, Ready, 2)}}})
 	assert.Equal(t, len(v.Targets("booking")), 1)
 }
+
+// Guards against a process that learns of removed entries from a peer and not
+// that the platform was away when they vanished, or for longer than it was.
+func TestDisturbanceIsTold(t *testing.T) {
+	reader, peer := New(), New()
+	reader.Apply(0, &Delta{Revision: 3, Changes: []Change{{ID: "a", Revision: 3, Target: target("a", 1, Ready, 1)}}})
+	follow := func(now time.Duration) {
+		d := reader.Since(now, peer.Revision(), 0)
+		peer.Apply(now, &d)
+	}
+	follow(0)
+	reader.Disturbed(5 * time.Second)
+	reader.Apply(6*time.Second, &Delta{Revision: 4, Changes: []Change{{ID: "a", Revision: 4}}})
+	follow(6 * time.Second)
+	assert.Equal(t, ids(peer.Lapsed(5*time.Second+ReturnGrace, "booking")), "a")
+	assert.Equal(t, len(peer.Lapsed(5*time.Second+ReturnGrace+time.Millisecond, "booking")), 0)
+}
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -110,6 +110,9 @@
 	// ConfirmedMS is how long ago the sender's revision was known to be the
 	// newest, in milliseconds.
 	ConfirmedMS int64 `json:"confirmed_ms"`
+	// DisturbedMS is how long ago the platform was last found disturbed, in
+	// milliseconds, nil if it was not.
+	DisturbedMS *int64 `json:"disturbed_ms,omitempty"`
 }
 
 // Times of a view.
--- a/core/fleet/validate.go
+++ b/core/fleet/validate.go
@@ -17,6 +17,9 @@
 	if d.ConfirmedMS < 0 {
 		return fmt.Errorf("confirmed_ms: %d is negative", d.ConfirmedMS)
 	}
+	if d.DisturbedMS != nil && *d.DisturbedMS < 0 {
+		return fmt.Errorf("disturbed_ms: %d is negative", *d.DisturbedMS)
+	}
 	for i := range d.Changes {
 		if err := d.Changes[i].validate(); err != nil {
 			return fmt.Errorf("changes[%d].%w", i, err)
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -52,7 +52,8 @@
 	// confirmed is when the revision was last known to be the newest.
 	confirmed time.Duration
 	everKnown bool
-	// disturbed is when a reader last failed to reach the platform.
+	// disturbed is when a reader last failed to reach the platform, this
+	// process or one that told it.
 	disturbed    time.Duration
 	wasDisturbed bool
 
@@ -77,6 +78,9 @@
 // view changes nothing. A listing at the platform is no snapshot, so it may
 // name changes above the revision up to which it is complete.
 func (v *View) Apply(now time.Duration, d *Delta) (targets, config bool) {
+	if d.DisturbedMS != nil {
+		v.Disturbed(now - time.Duration(*d.DisturbedMS)*time.Millisecond)
+	}
 	behind := d.Revision < v.revision
 	for i := range d.Changes {
 		c := &d.Changes[i]
@@ -214,12 +218,20 @@
 func (v *View) Suspended(d time.Duration) { v.confirmed -= d }
 
 // Disturbed notes that a reader could not reach the platform, or not in time.
-func (v *View) Disturbed(now time.Duration) { v.disturbed, v.wasDisturbed = now, true }
+func (v *View) Disturbed(now time.Duration) {
+	if !v.wasDisturbed || now > v.disturbed {
+		v.disturbed, v.wasDisturbed = now, true
+	}
+}
 
 // Since returns what changed after a revision for a view that has a version of
 // the routes. An after that is too old gives a full delta.
 func (v *View) Since(now time.Duration, after, version uint64) Delta {
 	d := Delta{Revision: v.revision, Full: after == 0 || after < v.floor, ConfirmedMS: int64(min(v.Age(now), time.Hour) / time.Millisecond)}
+	if v.wasDisturbed {
+		ms := int64((now - v.disturbed) / time.Millisecond)
+		d.DisturbedMS = &ms
+	}
 	if entries, complete := v.recent.since(after); complete && !d.Full {
 		d.add(entries)
 	} else {
--- a/core/ownership/choose.go
+++ b/core/ownership/choose.go
@@ -31,11 +31,10 @@
 			return to, true
 		}
 	}
-	// Entries that lapsed while the platform was disturbed, or that were all
-	// removed at once: their agents tell whether they live.
-	former := append(m.View.Lapsed(now, m.Service), m.View.Former(m.Service)...)
-	return m.chooseAmong(key, former, func(t *fleet.Target) bool {
-		return t.State == fleet.Ready && m.healthy(now, key, t.Agent()) && !slices.Contains(tried, t.Agent())
+	// Of entries that lapsed while the platform was disturbed, the agents tell
+	// whether the targets live.
+	return m.chooseAmong(key, m.View.Lapsed(now, m.Service), func(t *fleet.Target) bool {
+		return m.healthy(now, key, t.Agent()) && !slices.Contains(tried, t.Agent())
 	})
 }
 
@@ -94,6 +93,15 @@
 		return "draining"
 	case m.silent && now < m.retryAt:
 		return "silent"
+	case t == nil && m.gone(now):
+		return "gone"
 	}
 	return ""
 }
+
+// gone reports whether the entry of the target was removed while the platform
+// was well.
+func (m *Machine) gone(now time.Duration) bool {
+	here := func(t *fleet.Target) bool { return t.Address == m.Target }
+	return slices.ContainsFunc(m.View.Former(m.Service), here) && !slices.ContainsFunc(m.View.Lapsed(now, m.Service), here)
+}
--- /dev/null
+++ b/core/ownership/gone_test.go
@@ -0,0 +1,63 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/fleet/fleettest"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/relay"
+)
+
+// remove takes the entries of targets off the list.
+func (f *fixture) remove(targets ...byte) {
+	for _, n := range targets {
+		revision := f.View.Revision() + 1
+		f.View.Apply(f.now, &fleet.Delta{Revision: revision, Changes: []fleet.Change{{ID: string('a' + rune(n)), Revision: revision}}})
+	}
+}
+
+// Guards against new flows at a target that has left the list while the
+// platform was well, at its agent or by way of a home to which no other target
+// is left.
+func TestGoneTargetTakesNothingNew(t *testing.T) {
+	f := newFixture(t, true)
+	f.remove(0)
+	f.send(relay.Place, flow.Packet{Key: fleettest.Key(1), Open: true, Seq: 1})
+	assert.Equal(t, len(f.out.ToTarget), 0)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Place})
+
+	f.remove(1, 2)
+	f.send(relay.Open, flow.Packet{Key: fleettest.Key(2), Open: true, Seq: 1})
+	assert.Equal(t, len(f.out.ToTarget), 0)
+	assert.Equal(t, len(f.out.ToCaller), 1)
+	assert.Equal(t, f.out.Events[len(f.out.Events)-1].Reason, "no_target")
+}
+
+// Guards against targets that are given up because their entries lapsed while
+// the platform was away.
+func TestLapsedTargetsServe(t *testing.T) {
+	f := newFixture(t, true)
+	f.View.Disturbed(f.now)
+	f.remove(0, 1, 2)
+	f.send(relay.Open, flow.Packet{Key: fleettest.Key(1), Open: true, Seq: 1})
+	assert.Equal(t, len(f.out.ToTarget)+len(f.out.Sends), 1)
+	f.send(relay.Place, flow.Packet{Key: fleettest.Key(2), Open: true, Seq: 1})
+	assert.Equal(t, len(f.out.ToTarget), 1)
+	f.later(fleet.ReturnGrace + time.Millisecond)
+	f.send(relay.Place, flow.Packet{Key: fleettest.Key(3), Open: true, Seq: 1})
+	assert.Equal(t, len(f.out.ToTarget), 0)
+	assert.Equal(t, len(f.out.ToCaller), 1)
+}
+
+// Guards against an open flow that is cut because its target has left the
+// list: a target that drains ends its flows itself.
+func TestGoneTargetKeepsItsFlows(t *testing.T) {
+	f := newFixture(t, true)
+	f.openHere(1)
+	f.remove(0)
+	f.send(relay.Packet, flow.Packet{Key: fleettest.Key(1), Seq: 111, Ack: 5001, Len: 10})
+	assert.Equal(t, len(f.out.ToTarget), 1)
+}
