core/fleet: views spread by data centre

Ruled out: pushes to fewer random processes.

Change: readers are in two data centres, two gateways in each data centre follow them, all others follow a tree within their data centre, and a change is told to those who ask. A newer view is fetched from near peers and parents only, from anyone once the view is older than it gets in the tree. TestFewCrossBorders and TestChangesComeFromNearPeers state it. Each data centre that is cut off has its gateways ask the platform by age, which gives it a reader of its own.

--- a/core/fleet/index.go
+++ b/core/fleet/index.go
@@ -193,12 +193,21 @@
 	return x.agents
 }
 
-func (x *index) place(seeds []netip.Addr, self netip.Addr) Place {
+// members returns the VMs with their data centres.
+func (x *index) members() []Member {
+	members := make([]Member, 0, len(x.atVM))
+	for vm, e := range x.atVM {
+		members = append(members, Member{netip.AddrFrom4(vm), e.known.DataCentre})
+	}
+	return members
+}
+
+func (x *index) place(seeds []netip.Addr, self Member) Place {
 	if len(x.atVM) == 0 {
 		return PlaceOf(nil, seeds, self)
 	}
 	if x.placed == nil {
-		p := PlaceOf(x.allAgents(), seeds, self)
+		p := PlaceOf(x.members(), seeds, self)
 		x.placed = &p
 	}
 	return *x.placed
--- a/core/fleet/lookup.go
+++ b/core/fleet/lookup.go
@@ -76,7 +76,7 @@
 func (v *View) Agents() []netip.Addr { return v.index.allAgents() }
 
 // Place returns the place of a process in the order in which views spread.
-func (v *View) Place(seeds []netip.Addr, self netip.Addr) Place { return v.index.place(seeds, self) }
+func (v *View) Place(seeds []netip.Addr, self Member) Place { return v.index.place(seeds, self) }
 
 // IdleTimeout returns after how long an idle flow may be discarded, 0 if it is
 // not known.
--- a/core/fleet/reader.go
+++ b/core/fleet/reader.go
@@ -14,23 +14,37 @@
 	// Readers is how many agents watch the platform. The loss of one is
 	// noticed by nobody.
 	Readers = 2
-	// fanOut is how many processes ask one parent on average.
+	// gateways is how many agents of a data centre get changes from another
+	// one. All others get them within the data centre.
+	gateways = 2
+	// fanOut is how many agents ask one parent on average.
 	fanOut = 8
 	// WatchWait is how long a watch of a reader waits, and so the age that the
 	// view of a reader reaches.
 	WatchWait = time.Second
-	// takeoverAge is the age at which a process that is no reader asks the
-	// platform itself, takeoverStep the additional age for each place after.
-	takeoverAge  = 1900 * time.Millisecond
-	takeoverStep = 40 * time.Millisecond
-	// takeoverSpread bounds the additional age.
-	takeoverSpread = time.Second
+	// takeoverAge is the age at which a gateway asks the platform itself.
+	// takeoverLevel is the additional age for each level below: a view gets
+	// older by the time between two questions with each.
+	takeoverAge   = 1900 * time.Millisecond
+	takeoverLevel = 400 * time.Millisecond
+	// takeoverStep is the additional age for each place in a data centre, so
+	// that one process after the other takes over, and takeoverSpread bounds
+	// it.
+	takeoverStep   = 20 * time.Millisecond
+	takeoverSpread = 500 * time.Millisecond
 )
 
+// Member is a process that may pass views on.
+type Member struct {
+	VM         netip.Addr
+	DataCentre string
+}
+
 // Place is the place of a process in the order in which views spread.
 type Place struct {
-	// Reader says that the process watches the platform.
-	Reader bool
+	// Reader says that the process watches the platform, Gateway that it gets
+	// changes from other data centres.
+	Reader, Gateway bool
 	// Parents are processes to ask for the age of their view. It is empty if
 	// no agent is known.
 	Parents []netip.Addr
@@ -40,39 +54,79 @@
 }
 
 // PlaceOf returns the place of a process. The agents of all listed targets are
-// ordered by hash, the first Readers of them are readers, and the others form
-// a tree below them. A process that is not among them is below the last. As
-// long as no target is listed, the seeds are the readers and parents of all.
-func PlaceOf(agents, seeds []netip.Addr, self netip.Addr) Place {
+// ordered by hash. The first of all and the first in another data centre are
+// readers. In each data centre the first agents are gateways, which follow the
+// readers, and the others form a tree below them, so a change crosses the
+// border of a data centre once for each gateway. A process that is not among
+// the agents is below some of them. As long as no target is listed, the seeds
+// are the readers and parents of all.
+func PlaceOf(agents []Member, seeds []netip.Addr, self Member) Place {
 	if len(agents) == 0 {
-		return placeBySeeds(seeds, self)
+		return placeBySeeds(seeds, self.VM)
 	}
 	order := slices.Clone(agents)
-	slices.SortFunc(order, byRank)
-	i := slices.Index(order, self)
+	slices.SortFunc(order, func(a, b Member) int { return byRank(a.VM, b.VM) })
+	readers := readersOf(order)
+	if slices.Contains(readers, self.VM) {
+		return Place{Reader: true, Gateway: true}
+	}
+	near := nearOrder(order, readers, self.DataCentre)
+	i := slices.Index(near, self.VM)
+	if i >= 0 && i < gateways {
+		return Place{Gateway: true, Parents: readers, TakeoverAge: takeoverAge + time.Duration(i)*takeoverStep}
+	}
+	if len(near) == 0 {
+		// No agent is in this data centre.
+		return Place{Gateway: true, Parents: readers, TakeoverAge: takeoverAge + takeoverLevel}
+	}
 	if i < 0 {
-		i = len(order) + int(rankOf(self)%fanOut)
+		i = gateways + int(rankOf(self.VM)%uint64(max(1, len(near)-gateways)))
 	}
-	p := Place{Reader: i < Readers && i < len(order)}
-	if p.Reader {
-		return p
+	level, first := 1, (i-gateways)/fanOut
+	for up := first; up >= gateways; up = (up - gateways) / fanOut {
+		level++
 	}
-	p.TakeoverAge = takeoverAge + min(takeoverSpread, time.Duration(i)*takeoverStep)
-	first := max(0, i-Readers) / fanOut
+	p := Place{TakeoverAge: takeoverAge + time.Duration(level)*takeoverLevel + min(takeoverSpread, time.Duration(i)*takeoverStep)}
 	for _, at := range []int{first, first + 1} {
-		if at < len(order) && at < max(i, Readers) && order[at] != self {
-			p.Parents = append(p.Parents, order[at])
+		if at < len(near) && at < max(i, gateways) && near[at] != self.VM {
+			p.Parents = append(p.Parents, near[at])
 		}
 	}
 	return p
 }
 
+// readersOf returns the readers, in two data centres if there are several.
+func readersOf(order []Member) []netip.Addr {
+	readers := []netip.Addr{order[0].VM}
+	for _, elsewhere := range []bool{true, false} {
+		for _, a := range order[1:] {
+			if len(readers) < Readers && (a.DataCentre != order[0].DataCentre || !elsewhere) {
+				readers = append(readers, a.VM)
+			}
+		}
+	}
+	return readers
+}
+
+// nearOrder returns the agents of a data centre, readers first.
+func nearOrder(order []Member, readers []netip.Addr, dataCentre string) []netip.Addr {
+	var near []netip.Addr
+	for _, reader := range []bool{true, false} {
+		for _, a := range order {
+			if a.DataCentre == dataCentre && slices.Contains(readers, a.VM) == reader {
+				near = append(near, a.VM)
+			}
+		}
+	}
+	return near
+}
+
 func placeBySeeds(seeds []netip.Addr, self netip.Addr) Place {
 	if slices.Contains(seeds, self) {
-		return Place{Reader: true}
+		return Place{Reader: true, Gateway: true}
 	}
 	spread := time.Duration(rankOf(self) % uint64(takeoverSpread))
-	return Place{Parents: seeds, TakeoverAge: takeoverAge + spread}
+	return Place{Gateway: true, Parents: seeds, TakeoverAge: takeoverAge + spread}
 }
 
 // byRank orders addresses by hash.
--- /dev/null
+++ b/core/fleet/reader_test.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// agentsIn returns agents that are dealt to data centres in turn.
+func agentsIn(agents, dataCentres int) (members []Member) {
+	for i := range agents {
+		members = append(members, Member{netip.AddrFrom4([4]byte{10, byte(i % dataCentres), byte(i / 250), byte(i%250 + 1)}), fmt.Sprint("dc-", i%dataCentres)})
+	}
+	return members
+}
+
+// Guards against readers that are too few or too many, and against processes
+// whose questions never reach a reader.
+func TestPlaces(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 10, 300} {
+		for _, dataCentres := range []int{1, 3, 5} {
+			agents := agentsIn(n, dataCentres)
+			places, readers := map[netip.Addr]Place{}, 0
+			for _, a := range agents {
+				places[a.VM] = PlaceOf(agents, nil, a)
+				if places[a.VM].Reader {
+					readers++
+				}
+			}
+			assert.Equal(t, readers, min(n, Readers))
+			balancers := []Member{{netip.MustParseAddr("10.9.9.9"), "dc-0"}, {netip.MustParseAddr("10.9.9.8"), "dc-9"}}
+			for _, a := range append(balancers, agents...) {
+				steps, older := 0, PlaceOf(agents, nil, a).TakeoverAge
+				for p := PlaceOf(agents, nil, a); !p.Reader; p = places[p.Parents[0]] {
+					assert.Assert(t, len(p.Parents) > 0)
+					assert.Assert(t, p.TakeoverAge <= older, "a parent takes over first")
+					older = p.TakeoverAge
+					steps++
+					assert.Assert(t, steps < 6)
+				}
+			}
+		}
+	}
+}
+
+// Guards against changes that cross the border of a data centre once for each
+// process in it.
+func TestFewCrossBorders(t *testing.T) {
+	for _, n := range []int{30, 300} {
+		const dataCentres = 5
+		agents := agentsIn(n, dataCentres)
+		dataCentreOf, crossing := map[netip.Addr]string{}, 0
+		for _, a := range agents {
+			dataCentreOf[a.VM] = a.DataCentre
+		}
+		for _, a := range agents {
+			p := PlaceOf(agents, nil, a)
+			for _, parent := range p.Parents {
+				if dataCentreOf[parent] != a.DataCentre {
+					assert.Assert(t, p.Gateway)
+					crossing++
+				}
+			}
+		}
+		assert.Assert(t, crossing <= dataCentres*gateways*Readers, "%d questions cross a border", crossing)
+	}
+}
+
+// Guards against two readers that one data centre takes with it.
+func TestReadersInTwoDataCentres(t *testing.T) {
+	agents := agentsIn(30, 3)
+	readers := map[string]bool{}
+	for _, a := range agents {
+		if PlaceOf(agents, nil, a).Reader {
+			readers[a.DataCentre] = true
+		}
+	}
+	assert.Equal(t, len(readers), Readers)
+}
+
+// Guards against a starting system in which every process reads the platform
+// because no target is listed yet.
+func TestPlacesBeforeTheFirstTarget(t *testing.T) {
+	seeds := []netip.Addr{netip.MustParseAddr("10.0.0.1"), netip.MustParseAddr("10.0.0.2")}
+	assert.Assert(t, PlaceOf(nil, seeds, Member{VM: seeds[0]}).Reader)
+	p := PlaceOf(nil, seeds, Member{VM: netip.MustParseAddr("10.0.0.9")})
+	assert.Assert(t, !p.Reader)
+	assert.Equal(t, len(p.Parents), 2)
+	assert.Assert(t, p.TakeoverAge >= takeoverAge)
+}
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +39,9 @@
 	// two questions.
 	seedsFirst = 2 * time.Second
 	seedPause  = 200 * time.Millisecond
+	// farMargin is how long before its turn to ask the platform a process
+	// fetches from anyone with a newer view.
+	farMargin = 200 * time.Millisecond
 	// pullTimeout bounds a question to a peer.
 	pullTimeout = 600 * time.Millisecond
 	// maxDelta bounds the answer of a peer, in bytes.
@@ -57,8 +61,9 @@
 
 // Options of a Sync.
 type Options struct {
-	Self   netip.Addr
-	Source Source
+	Self       netip.Addr
+	DataCentre string
+	Source     Source
 	// PeerPort is the port at which peers answer PathFleet.
 	PeerPort uint16
 	// Seeds are asked when the platform does not answer a starting process,
@@ -112,6 +117,9 @@
 		s.View.Confirm(s.Now(), age, revision)
 		return
 	}
+	if !s.mayFetch(from) {
+		return
+	}
 	select {
 	case s.hints <- hint{netip.AddrPortFrom(from, s.PeerPort), revision}:
 	default:
@@ -119,6 +127,19 @@
 	}
 }
 
+// mayFetch reports whether to fetch a newer view from a peer: one in the same
+// data centre, a parent, or anyone if neither has told anything for long.
+func (s *Sync) mayFetch(from netip.Addr) bool {
+	place := s.Place()
+	return s.near(from) || slices.Contains(place.Parents, from) || !s.View.Usable() || s.View.Age(s.Now()) > place.TakeoverAge-farMargin
+}
+
+// near reports whether an agent is in the data centre of this process.
+func (s *Sync) near(agent netip.Addr) bool {
+	t := s.View.AtAgent(agent)
+	return t != nil && t.DataCentre == s.DataCentre
+}
+
 // Read reads the platform until ctx ends.
 func (s *Sync) Read(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -137,7 +158,7 @@
 	for _, seed := range s.Seeds {
 		seeds = append(seeds, seed.Addr())
 	}
-	return s.View.Place(seeds, s.Self)
+	return s.View.Place(seeds, fleet.Member{VM: s.Self, DataCentre: s.DataCentre})
 }
 
 // readOnce makes at most one call and returns the pause before the next.
--- a/node/fleetsync/fleetsync_test.go
+++ b/node/fleetsync/fleetsync_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
@@ -94,3 +95,36 @@
 	f.readOnce(context.Background())
 	assert.Equal(t, len(f.platform.snapshots), 2)
 }
+
+// Guards against a change that each process fetches across the border of its
+// data centre, from whoever tells of it first.
+func TestChangesComeFromNearPeers(t *testing.T) {
+	const agents = 40
+	f := newFixture(0)
+	f.DataCentre = "dc-0"
+	d := &fleet.Delta{Revision: agents, Listed: agents, Full: true, Config: &fleet.Config{Version: 1}, ConfigRevision: 1}
+	for i := range agents {
+		t := &fleet.Target{ID: fmt.Sprint(i), Service: "s", DataCentre: fmt.Sprint("dc-", i%2), State: fleet.Ready,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i % 2), 0, byte(i)}), 80)}
+		d.Changes = append(d.Changes, fleet.Change{ID: t.ID, Revision: uint64(i + 1), Target: t})
+	}
+	f.View.Apply(0, d)
+	hinted := func(from netip.Addr) bool {
+		f.Heard(from, agents+1, 0)
+		select {
+		case <-f.hints:
+			return true
+		default:
+			return false
+		}
+	}
+	far, near := netip.MustParseAddr("10.1.0.1"), netip.MustParseAddr("10.0.0.2")
+	assert.Assert(t, !hinted(far))
+	assert.Assert(t, hinted(near))
+	for _, parent := range f.Place().Parents {
+		assert.Assert(t, hinted(parent))
+	}
+	// Those who should have told are silent, so anyone will do.
+	f.now = f.Place().TakeoverAge
+	assert.Assert(t, hinted(far))
+}
--- a/node/packetplane/beats.go
+++ b/node/packetplane/beats.go
@@ -1,50 +1,22 @@
 package packetplane
 
 import (
-	"math/rand/v2"
-	"net/netip"
-	"slices"
 	"time"
 
 	"trefoilweir.example/core/relay"
 )
 
-// viewChanged tells others of the new revision. The lock is held.
+// viewChanged tells the processes that ask this one of the new revision. The
+// lock is held.
 func (p *Process) viewChanged(targets, config bool) {
 	defer p.recoverStep("view")
 	now := p.now()
 	p.role.changed(now)
 	p.flush(now)
-	to := someOf(p.view.Agents(), pushTo)
-	for b, seen := range p.balancers {
-		if now-seen > balancerSeen {
-			delete(p.balancers, b)
-			continue
-		}
-		if len(to) < 2*pushTo {
-			to = append(to, b)
-		}
-	}
 	beat := p.beat(now, 0)
-	for _, a := range to {
-		if a != p.Settings.IP {
-			p.sendTo(a, &beat)
-		}
-	}
-}
-
-// someOf returns up to n different addresses at random.
-func someOf(all []netip.Addr, n int) []netip.Addr {
-	if len(all) <= n {
-		return slices.Clone(all)
-	}
-	some := make([]netip.Addr, 0, n)
-	for len(some) < n {
-		if a := all[rand.N(len(all))]; !slices.Contains(some, a) {
-			some = append(some, a)
-		}
+	for _, child := range p.children.present(now) {
+		p.sendTo(child, &beat)
 	}
-	return some
 }
 
 // beat returns a Beat of this process.
--- a/node/packetplane/children.go
+++ b/node/packetplane/children.go
@@ -34,6 +34,16 @@
 	}
 }
 
+// present returns the processes that have asked lately.
+func (c *children) present(now time.Duration) (to []netip.Addr) {
+	for child, heard := range c.heard {
+		if now-heard <= childSilent {
+			to = append(to, child)
+		}
+	}
+	return to
+}
+
 // silent returns the processes to be told now.
 func (c *children) silent(now time.Duration) (to []netip.Addr) {
 	if now-c.told < childEvery {
--- a/node/packetplane/children_test.go
+++ b/node/packetplane/children_test.go
@@ -40,3 +40,14 @@
 	}
 	assert.Equal(t, len(c.heard), maxChildren)
 }
+
+// Guards against a change that is told to processes which ask others now.
+func TestPresentChildren(t *testing.T) {
+	c := newChildren()
+	gone, asks := netip.MustParseAddr("10.1.0.1"), netip.MustParseAddr("10.1.0.2")
+	c.asked(0, gone)
+	c.asked(childSilent, asks)
+	present := c.present(childSilent + 1)
+	assert.Equal(t, len(present), 1)
+	assert.Equal(t, present[0], asks)
+}
--- a/node/packetplane/plane.go
+++ b/node/packetplane/plane.go
@@ -39,11 +39,6 @@
 	partBackoff = time.Second
 	// askEvery is how often a parent is asked for the age of its view.
 	askEvery = 400 * time.Millisecond
-	// pushTo is the number of processes that are told of a change at once.
-	pushTo = 8
-	// balancerSeen is how long a balancer is told of changes after it was
-	// heard.
-	balancerSeen = 3 * time.Second
 	// httpTimeout bounds a slow client.
 	httpTimeout = 5 * time.Second
 	// reloadEvery is how often the settings file is read again.
@@ -105,7 +100,6 @@
 	caller *net.UDPConn
 	send   []byte
 
-	balancers map[netip.Addr]time.Duration
 	children  children
 	suspended suspensions
 	// clockFailed says that a failure of the clock was logged.
@@ -120,11 +114,11 @@
 func newProcess(o Options, name string) (*Process, error) {
 	p := &Process{
 		Options: o, name: name, tag: relay.ServiceTag(o.Settings.Service), start: time.Now(), view: fleet.New(),
-		balancers: map[netip.Addr]time.Duration{}, children: newChildren(), suspended: suspensions{boot: bootTime}, send: make([]byte, 0, maxDatagram),
+		children: newChildren(), suspended: suspensions{boot: bootTime}, send: make([]byte, 0, maxDatagram),
 	}
 	p.events = newEventLog(o.Log, o.Metrics)
 	p.sync = fleetsync.New(fleetsync.Options{
-		Self: o.Settings.IP, Source: o.Source, PeerPort: o.Settings.PeerPort, Seeds: o.Settings.Seeds, FirstStart: o.Settings.FirstStart, Lock: &p.mu,
+		Self: o.Settings.IP, DataCentre: o.Settings.DataCentre, Source: o.Source, PeerPort: o.Settings.PeerPort, Seeds: o.Settings.Seeds, FirstStart: o.Settings.FirstStart, Lock: &p.mu,
 		View: p.view, Now: p.now, Changed: p.viewChanged, Log: o.Log.Named("fleetsync"), Metrics: o.Metrics,
 	})
 	var err error
--- a/node/packetplane/sockets.go
+++ b/node/packetplane/sockets.go
@@ -99,9 +99,6 @@
 	peer := from.Addr().Unmap()
 	if m.Kind == relay.Beat {
 		p.sync.Heard(peer, m.Revision, m.Age)
-		if m.Load.Flags&relay.FlagAgent == 0 {
-			p.balancers[peer] = now
-		}
 		if m.Load.Flags&relay.FlagAsk != 0 {
 			p.children.asked(now, peer)
 			answer := p.beat(now, 0)
