core/ownership: a search asks each other data centre once

Cause: a search asked all agents of the service with the whole packet.

Ruled out: fresh agents that answer for the time before their start. The age of an unknown flow is not known, so nothing follows from a start. Asking fewer agents: a reset needs the word of all.

Change: a search asks the own data centre first. If nobody there owns the flow, one agent of each other data centre is asked to search there (Survey); the owner answers the asker itself, Surveyed names the agents that restarted and cannot know. An agent whose view is older than the asker's gives no answer for its data centre. One or two agents are asked directly. The result that nobody holds a flow is kept for the packets that follow with the same acknowledgement.

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -57,8 +57,15 @@
 	maxHalfOpenFor = 600 * time.Millisecond
 	// maxFlows bounds the flows and the records, each.
 	maxFlows = 50_000
-	// searchTimeout is how long the answers to a search may take.
-	searchTimeout = 20 * time.Millisecond
+	// searchTimeout is how long the answers of the agents in a data centre may
+	// take, and farSearchTimeout those of the other data centres.
+	searchTimeout    = 20 * time.Millisecond
+	farSearchTimeout = 50 * time.Millisecond
+	// directMost is the number of agents of another data centre up to which
+	// each is asked. Of more one is asked to search for all.
+	directMost = 2
+	// maxSurveys bounds the flows that other data centres search for here.
+	maxSurveys = 4096
 	// searchKeep is how long the result of a search is remembered.
 	searchKeep = 2 * time.Second
 	// probeBudget and probeWindow bound the packets of a flow that reach
@@ -104,6 +111,7 @@
 	records map[flow.Key]*record
 	placing map[flow.Key]*placement
 	search  map[flow.Key]*search
+	surveys map[flow.Key][]*survey
 	queue   *waitqueue.Queue[flow.Key, waiting]
 	peers   map[netip.Addr]*peer
 
@@ -152,7 +160,7 @@
 	m := &Machine{
 		Options: o, tag: relay.ServiceTag(o.Service),
 		flows: map[flow.Key]*owned{}, records: map[flow.Key]*record{}, placing: map[flow.Key]*placement{},
-		search: map[flow.Key]*search{}, peers: map[netip.Addr]*peer{}, queue: waitqueue.New[flow.Key, waiting](maxWaiting), reports: rto.New(ownerTimeout, maxOwnerTimeout),
+		search: map[flow.Key]*search{}, surveys: map[flow.Key][]*survey{}, peers: map[netip.Addr]*peer{}, queue: waitqueue.New[flow.Key, waiting](maxWaiting), reports: rto.New(ownerTimeout, maxOwnerTimeout),
 		firstAnswers: rto.New(0, openingLimit), roundTrips: rto.New(halfOpenFor, maxHalfOpenFor), stats: newStats(now),
 	}
 	if !o.FirstStart {
@@ -172,7 +180,7 @@
 
 // Waiting reports whether Tick has short timeouts to watch.
 func (m *Machine) Waiting() bool {
-	return len(m.placing) > 0 || len(m.search) > 0 || m.queue.Len() > 0 || m.offering()
+	return len(m.placing) > 0 || len(m.search) > 0 || len(m.surveys) > 0 || m.queue.Len() > 0 || m.offering()
 }
 
 func (m *Machine) offering() bool { return m.stats.count[phaseOffered] > 0 }
@@ -194,7 +202,7 @@
 	case relay.Beat:
 		m.heard(now, from, msg)
 		return
-	case relay.Owner, relay.NotOwner, relay.MaybeOwner, relay.Waiting, relay.Refused:
+	case relay.Owner, relay.NotOwner, relay.MaybeOwner, relay.Waiting, relay.Refused, relay.Surveyed:
 		m.answered(now, from, msg, out)
 		return
 	}
@@ -216,6 +224,8 @@
 		m.packet(now, &p, msg, out)
 	case relay.Search:
 		m.searched(now, from, &p, msg, out)
+	case relay.Survey:
+		m.surveyed(now, from, &p, msg, out)
 	case relay.Probe:
 		m.probed(now, from, &p, msg, out)
 	}
--- a/core/ownership/rapid_test.go
+++ b/core/ownership/rapid_test.go
@@ -15,7 +15,24 @@
 	"trefoilweir.example/core/relay"
 )
 
-const simAgents = 4
+const simAgents = 6
+
+// simDataCentre deals the agents to two data centres, of two and of four: the
+// agents of the first are asked one by one, those of the second by a survey.
+func simDataCentre(n int) string {
+	if n < 2 {
+		return "small"
+	}
+	return "large"
+}
+
+func simAgentTargets() []*fleet.Target {
+	targets := fleettest.Ready(simAgents)
+	for n, t := range targets {
+		t.DataCentre = simDataCentre(n)
+	}
+	return targets
+}
 
 // simMessage is a datagram on its way.
 type simMessage struct {
@@ -59,7 +76,7 @@
 }
 
 func newSim(t *rapid.T) *sim {
-	s := &sim{T: t, view: fleettest.View(0, fleettest.Ready(simAgents)...), down: make([]bool, simAgents), owners: map[flow.Key]netip.Addr{}, bases: 1000}
+	s := &sim{T: t, view: fleettest.View(0, simAgentTargets()...), down: make([]bool, simAgents), owners: map[flow.Key]netip.Addr{}, bases: 1000}
 	for n := range simAgents {
 		s.targets = append(s.targets, &simTarget{map[flow.Key]uint32{}, map[flow.Key]bool{}})
 		s.agents = append(s.agents, s.newAgent(n, true))
@@ -71,7 +88,7 @@
 }
 
 func (s *sim) newAgent(n int, first bool) *Machine {
-	m := New(s.now, Options{Self: fleettest.Agent(byte(n)), DataCentre: "dc", Service: "booking", Target: netip.AddrPortFrom(fleettest.Agent(byte(n)), 80),
+	m := New(s.now, Options{Self: fleettest.Agent(byte(n)), DataCentre: simDataCentre(n), Service: "booking", Target: netip.AddrPortFrom(fleettest.Agent(byte(n)), 80),
 		FirstStart: first, Codec: flowtest.Codec{}, View: s.view})
 	return m
 }
@@ -272,3 +289,42 @@
 		}
 	}
 }
+
+// TestSurveysAgainstNaive guards against resets of a flow in another data
+// centre that nobody knows there: its owner, and agents beside it, may have
+// restarted, and datagrams are lost and reordered while it is searched for.
+func TestSurveysAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t)
+		c := s.callers[0]
+		owner := rapid.IntRange(0, simAgents-1).Draw(t, "owner")
+		s.network = append(s.network, simMessage{balancer, fleettest.Agent(byte(owner)), relay.Message{
+			Kind: relay.Place, Service: tag, Origin: balancer, Body: flowtest.Encode(flow.Packet{Key: c.key, Open: true, Seq: 100}),
+		}})
+		s.drain()
+		s.send(c)
+		s.drain()
+		clear(s.owners)
+		for n := range s.agents {
+			if rapid.IntRange(0, 3).Draw(t, "restart") == 0 {
+				s.down[n] = true
+				s.start(n)
+			}
+		}
+		for range rapid.IntRange(1, 4).Draw(t, "packets") {
+			s.send(c)
+			for steps := 0; len(s.network) > 0 && steps < 200; steps++ {
+				i := rapid.IntRange(0, len(s.network)-1).Draw(t, "message")
+				if rapid.IntRange(0, 30).Draw(t, "lost") > 0 {
+					s.deliver(i)
+				}
+				s.network = slices.Delete(s.network, i, i+1)
+			}
+			s.now += time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * ms
+			for n := range s.agents {
+				s.step(n, func(m *Machine, out *plane.Out) { m.Tick(s.now, out) })
+			}
+		}
+		s.settle()
+	})
+}
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -1,6 +1,8 @@
 package ownership
 
 import (
+	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -11,13 +13,17 @@
 	"trefoilweir.example/core/relay"
 )
 
-// search looks for the owner of a flow.
+// search looks for the owner of a flow, first in the own data centre and then
+// in the others.
 type search struct {
-	// began is when the last round began.
+	// began is when the last round or its second part began.
 	began time.Duration
-	// raw and msg are the packet that is looked for.
+	// raw is the packet that is looked for, origin the balancer that took it.
 	raw    []byte
 	origin netip.Addr
+	// rounds counts the rounds, far says that the other data centres are asked.
+	rounds int
+	far    bool
 	// asked are the agents that have not answered, unsure those whose target
 	// may hold the flow, probing those that are asking their target.
 	asked   map[netip.Addr]bool
@@ -25,6 +31,10 @@
 	probing map[netip.Addr]bool
 	// done says that the round is over.
 	done bool
+	// nobody says that no target holds the flow to which a packet with the
+	// acknowledgement ack belongs: all agents have answered.
+	nobody bool
+	ack    uint32
 	// prober is the agent for which the own target was asked, for the packet
 	// that the balancer origin took.
 	prober netip.Addr
@@ -49,6 +59,10 @@
 		// The caller's next packet comes by itself.
 		return
 	}
+	if s != nil && s.nobody && s.ack == p.Ack {
+		m.reset(p, "no_target_holds_flow", out)
+		return
+	}
 	if s == nil {
 		s = &search{}
 		m.search[p.Key] = s
@@ -62,11 +76,14 @@
 	m.begin(now, p, msg, s, out)
 }
 
-// begin asks all other agents of the service.
+// begin asks the other agents of the service in the own data centre.
 func (m *Machine) begin(now time.Duration, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
 	s.began, s.raw, s.origin, s.done = now, slices.Clone(p.Raw), msg.Origin, false
 	s.asked, s.probing, s.unsure = map[netip.Addr]bool{}, map[netip.Addr]bool{}, s.unsure[:0]
-	for _, a := range m.searchable(now) {
+	s.far, s.nobody, s.ack = false, false, p.Ack
+	s.rounds++
+	near, _ := m.searchable(now)
+	for _, a := range near {
 		s.asked[a] = true
 		m.pass(a, relay.Search, p, msg, out)
 	}
@@ -77,13 +94,46 @@
 	m.endSearch(now, p.Key, s, out)
 }
 
-// searchable returns the other agents that may hold flows of the service.
-func (m *Machine) searchable(now time.Duration) []netip.Addr {
-	var out []netip.Addr
+// beginFar asks the other data centres: each agent where there are few, and one
+// for all where there are many. Another one is asked in the next round.
+func (m *Machine) beginFar(now time.Duration, key flow.Key, s *search, out *plane.Out) {
+	s.began, s.far = now, true
+	p, err := m.Codec.FromCaller(s.raw)
+	if err != nil {
+		return
+	}
+	_, far := m.searchable(now)
+	for _, dataCentre := range slices.Sorted(maps.Keys(far)) {
+		agents := far[dataCentre]
+		if len(agents) <= directMost {
+			for _, a := range agents {
+				s.asked[a] = true
+				m.pass(a, relay.Search, &p, &relay.Message{Origin: s.origin}, out)
+			}
+			continue
+		}
+		slices.SortFunc(agents, func(a, b netip.Addr) int { return cmp.Compare(fleet.Score(key.Hash(), b), fleet.Score(key.Hash(), a)) })
+		a := agents[(s.rounds-1)%len(agents)]
+		s.asked[a] = true
+		out.Send(a, relay.Message{Kind: relay.Survey, Hops: 1, Service: m.tag, Origin: s.origin, Home: m.Self, Revision: m.View.Revision(), Body: p.Raw})
+	}
+}
+
+// searchable returns the other agents that may hold flows of the service: those
+// in the own data centre, and those of each other one.
+func (m *Machine) searchable(now time.Duration) (near []netip.Addr, far map[string][]netip.Addr) {
+	far = map[string][]netip.Addr{}
+	seen := map[netip.Addr]bool{m.Self: true}
 	add := func(t *fleet.Target) {
-		if a := t.Agent(); a != m.Self && !slices.Contains(out, a) {
-			out = append(out, a)
+		a := t.Agent()
+		switch {
+		case seen[a]:
+		case t.DataCentre == m.DataCentre:
+			near = append(near, a)
+		default:
+			far[t.DataCentre] = append(far[t.DataCentre], a)
 		}
+		seen[a] = true
 	}
 	for _, t := range m.View.Targets(m.Service) {
 		add(t)
@@ -93,7 +143,7 @@
 			add(t)
 		}
 	}
-	return out
+	return near, far
 }
 
 // unsure reports whether the target may hold flows that the agent does not
@@ -108,6 +158,9 @@
 	case f != nil && f.takes(p):
 		m.deliver(now, f, p, out)
 		m.report(f, msg.Origin, p.Key, out)
+		if msg.Home != from {
+			m.report(f, msg.Home, p.Key, out)
+		}
 		answer.Kind = relay.Owner
 	case m.unsure(now) && !m.disowned(p.Key):
 		answer.Kind = relay.MaybeOwner
@@ -127,6 +180,7 @@
 	}
 	p := m.peer(from)
 	p.load, p.heard, p.everHeard = msg.Load, now, true
+	m.surveyAnswered(from, msg, out)
 	s := m.search[msg.Flow]
 	if pl := m.placing[msg.Flow]; pl != nil {
 		m.reports.Observe(now - pl.sent)
@@ -144,6 +198,7 @@
 		if msg.Kind == relay.MaybeOwner {
 			s.unsure = append(s.unsure, from)
 		}
+		s.unsure = append(s.unsure, msg.Unsure...)
 		m.endSearch(now, msg.Flow, s, out)
 	}
 }
@@ -178,16 +233,24 @@
 }
 
 func (m *Machine) resetSearched(s *search, out *plane.Out) {
+	s.nobody = true
 	if p, err := m.Codec.FromCaller(s.raw); err == nil {
 		m.reset(&p, "no_target_holds_flow", out)
 	}
 }
 
-// endSearch acts on the answers once all are there.
+// endSearch goes on with the other data centres once all answers of the own one
+// are there, and acts on the answers once all of those are.
 func (m *Machine) endSearch(now time.Duration, key flow.Key, s *search, out *plane.Out) {
 	if s.done || len(s.asked) > 0 {
 		return
 	}
+	if !s.far {
+		m.beginFar(now, key, s, out)
+		if len(s.asked) > 0 {
+			return
+		}
+	}
 	s.done = true
 	if len(s.unsure) > 0 {
 		// The owner is among them, because all others know that they are not.
@@ -197,11 +260,20 @@
 	m.resetSearched(s, out)
 }
 
-// checkSearches ends searches whose answers do not come.
+// checkSearches ends searches whose answers do not come. The owner may be in
+// another data centre although an agent of the own one is silent.
 func (m *Machine) checkSearches(now time.Duration, out *plane.Out) {
 	for key, s := range m.search {
+		if !s.done && !s.far && now-s.began >= searchTimeout {
+			silent := len(s.asked)
+			m.beginFar(now, key, s, out)
+			if len(s.asked) > silent {
+				continue
+			}
+			s.began = now - farSearchTimeout
+		}
 		switch {
-		case !s.done && now-s.began >= searchTimeout:
+		case !s.done && s.far && now-s.began >= farSearchTimeout:
 			s.done = true
 			m.probe(now, key, s, probeBudget, out)
 		case s.done && now-s.began >= max(searchKeep, probeWindow):
--- /dev/null
+++ b/core/ownership/survey.go
@@ -0,0 +1,96 @@
+package ownership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/plane"
+	"trefoilweir.example/core/relay"
+)
+
+// survey is a search of the own data centre on behalf of an agent in another
+// one. It keeps the messages of a search that cross the border of a data centre
+// at one question and one answer, however large the service is.
+type survey struct {
+	began time.Duration
+	asker netip.Addr
+	// asked are the agents that have not answered, unsure those whose target
+	// may hold the flow.
+	asked  map[netip.Addr]bool
+	unsure []netip.Addr
+}
+
+// surveyed searches the own data centre for the owner of a flow. The owner
+// answers the asker itself. An agent whose view is older than the asker's
+// cannot answer for the data centre and stays silent.
+func (m *Machine) surveyed(now time.Duration, from netip.Addr, p *flow.Packet, msg *relay.Message, out *plane.Out) {
+	if f := m.flows[p.Key]; f != nil && f.takes(p) {
+		m.deliver(now, f, p, out)
+		m.report(f, msg.Origin, p.Key, out)
+		m.report(f, from, p.Key, out)
+		return
+	}
+	if msg.Revision > m.View.Revision() || len(m.surveys) >= maxSurveys {
+		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Number: p.Seq, Peer: from, Reason: "survey_not_possible"})
+		return
+	}
+	s := &survey{began: now, asker: from, asked: map[netip.Addr]bool{}}
+	if m.unsure(now) && !m.disowned(p.Key) {
+		s.unsure = append(s.unsure, m.Self)
+	}
+	near, _ := m.searchable(now)
+	for _, a := range near {
+		s.asked[a] = true
+		m.pass(a, relay.Search, p, &relay.Message{Origin: msg.Origin, Home: from, Hops: msg.Hops}, out)
+	}
+	m.surveys[p.Key] = append(slices.DeleteFunc(m.surveys[p.Key], func(o *survey) bool { return o.asker == from }), s)
+	m.endSurveys(p.Key, out)
+}
+
+// surveyAnswered takes the answer of an agent of the own data centre.
+func (m *Machine) surveyAnswered(from netip.Addr, msg *relay.Message, out *plane.Out) {
+	if len(m.surveys[msg.Flow]) == 0 {
+		return
+	}
+	if msg.Kind == relay.Owner {
+		delete(m.surveys, msg.Flow)
+		return
+	}
+	for _, s := range m.surveys[msg.Flow] {
+		if s.asked[from] && msg.Kind == relay.MaybeOwner {
+			s.unsure = append(s.unsure, from)
+		}
+		delete(s.asked, from)
+	}
+	m.endSurveys(msg.Flow, out)
+}
+
+// endSurveys answers the askers whose surveys are complete.
+func (m *Machine) endSurveys(key flow.Key, out *plane.Out) {
+	left := slices.DeleteFunc(m.surveys[key], func(s *survey) bool {
+		if len(s.asked) > 0 {
+			return false
+		}
+		out.Send(s.asker, relay.Message{Kind: relay.Surveyed, Service: m.tag, Flow: key, Load: m.Load(), Unsure: s.unsure})
+		return true
+	})
+	m.keepSurveys(key, left)
+}
+
+func (m *Machine) keepSurveys(key flow.Key, left []*survey) {
+	if len(left) == 0 {
+		delete(m.surveys, key)
+		return
+	}
+	m.surveys[key] = left
+}
+
+// checkSurveys drops surveys that some agent has not answered. The asker then
+// knows no more than that.
+func (m *Machine) checkSurveys(now time.Duration) {
+	for key, surveys := range m.surveys {
+		m.keepSurveys(key, slices.DeleteFunc(surveys, func(s *survey) bool { return now-s.began >= searchTimeout }))
+	}
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -45,10 +45,17 @@
 	Beat
 	// Refused says that the sender has refused a new flow to its caller.
 	Refused
+	// Survey asks an agent to search its data centre for the owner of a flow,
+	// and carries the packet.
+	Survey
+	// Surveyed answers a Survey: no agent of the data centre owns the flow but,
+	// perhaps, those that it names.
+	Surveyed
 )
 
 var kindNames = [...]string{Open: "open", Place: "place", Packet: "packet", Search: "search", Probe: "probe",
-	Owner: "owner", NotOwner: "not_owner", MaybeOwner: "maybe_owner", Waiting: "waiting", Beat: "beat", Refused: "refused"}
+	Owner: "owner", NotOwner: "not_owner", MaybeOwner: "maybe_owner", Waiting: "waiting", Beat: "beat", Refused: "refused",
+	Survey: "survey", Surveyed: "surveyed"}
 
 // String returns the name for logs and metrics.
 func (k Kind) String() string {
@@ -113,6 +120,8 @@
 	// be the newest.
 	Revision uint64
 	Age      time.Duration
+	// Unsure are the agents that a Surveyed names.
+	Unsure []netip.Addr
 	// Body is the caller's packet.
 	Body []byte
 }
@@ -120,10 +129,12 @@
 // Sizes of the headers, in bytes.
 const (
 	commonSize = 4 + 8
-	packetSize = commonSize + 3*4
+	packetSize = commonSize + 3*addrSize
+	surveySize = packetSize + 8
 	answerSize = commonSize + flow.KeySize + loadSize + 4
 	beatSize   = commonSize + loadSize + 8 + 2
 	loadSize   = 1 + 2*4
+	addrSize   = 4
 	// MaxHeader is the largest header.
 	MaxHeader = answerSize
 )
@@ -145,9 +156,16 @@
 	case Open, Place, Packet, Search, Probe:
 		b = appendAddr(appendAddr(appendAddr(b, m.Origin), m.Home), m.Refused)
 		return append(b, m.Body...)
-	case Owner, NotOwner, MaybeOwner, Waiting, Refused:
+	case Survey:
+		b = appendAddr(appendAddr(appendAddr(b, m.Origin), m.Home), m.Refused)
+		return append(binary.BigEndian.AppendUint64(b, m.Revision), m.Body...)
+	case Owner, NotOwner, MaybeOwner, Waiting, Refused, Surveyed:
 		b = m.Load.append(m.Flow.Append(b))
-		return appendAddr(b, m.Origin)
+		b = appendAddr(b, m.Origin)
+		for _, a := range m.Unsure {
+			b = appendAddr(b, a)
+		}
+		return b
 	case Beat:
 		b = m.Load.append(b)
 		b = binary.BigEndian.AppendUint64(b, m.Revision)
@@ -185,13 +203,25 @@
 			return m, ErrMalformed
 		}
 		m.Origin, m.Home, m.Refused, m.Body = parseAddr(rest), parseAddr(rest[4:]), parseAddr(rest[8:]), rest[12:]
+	case Survey:
+		if len(b) <= surveySize {
+			return m, ErrMalformed
+		}
+		m.Origin, m.Home, m.Refused = parseAddr(rest), parseAddr(rest[4:]), parseAddr(rest[8:])
+		m.Revision, m.Body = binary.BigEndian.Uint64(rest[12:]), rest[20:]
 	case Owner, NotOwner, MaybeOwner, Waiting, Refused:
 		if len(b) != answerSize {
 			return m, ErrMalformed
 		}
-		m.Flow, _ = flow.ParseKey(rest)
-		m.Load = parseLoad(rest[flow.KeySize:])
-		m.Origin = parseAddr(rest[flow.KeySize+loadSize:])
+		m.parseAnswer(rest)
+	case Surveyed:
+		if len(b) < answerSize || (len(b)-answerSize)%addrSize != 0 {
+			return m, ErrMalformed
+		}
+		m.parseAnswer(rest)
+		for named := b[answerSize:]; len(named) > 0; named = named[addrSize:] {
+			m.Unsure = append(m.Unsure, parseAddr(named))
+		}
 	case Beat:
 		if len(b) != beatSize {
 			return m, ErrMalformed
@@ -204,6 +234,12 @@
 	return m, nil
 }
 
+func (m *Message) parseAnswer(b []byte) {
+	m.Flow, _ = flow.ParseKey(b)
+	m.Load = parseLoad(b[flow.KeySize:])
+	m.Origin = parseAddr(b[flow.KeySize+loadSize:])
+}
+
 func parseLoad(b []byte) Load {
 	return Load{
 		Flags: b[0], Busy: binary.BigEndian.Uint16(b[1:]), Expected: binary.BigEndian.Uint16(b[3:]),
