An agent checks whether its target runs at all

Ruled out: the time since the start of the VM as a sign that the target started with it. The clock that counts suspensions starts anew with each process there. A reset without the word of an unsure agent breaks flows.

Change: an agent that is none of the first connects to its target's address when it starts, and again at most every 300 ms while a probe is not returned and nothing was heard. A refused connection says that no process listens: there are no flows from before. Any other outcome says nothing.

--- /dev/null
+++ b/core/ownership/check_test.go
@@ -0,0 +1,75 @@
+package ownership
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"trefoilweir.example/core/fleet/fleettest"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/flow/flowtest"
+	"trefoilweir.example/core/relay"
+)
+
+// Guards against callers of lost flows that wait until their deadlines: after
+// a loss of all VMs one target did not come back, its agent could not say
+// whether it holds a flow, and so no lost flow of the service was reset.
+func TestTargetThatDoesNotRunHoldsNothing(t *testing.T) {
+	f := newFixture(t, false)
+	p := flow.Packet{Key: fleettest.Key(1), Seq: 111, Ack: 5001, Len: 10}
+	f.probe(1, p)
+	assert.Equal(t, len(f.out.ToTarget), 1)
+	assert.Assert(t, !f.NeedsCheck(f.now))
+	f.later(acceptTimeout)
+	assert.Assert(t, f.NeedsCheck(f.now))
+	assert.Assert(t, !f.NeedsCheck(f.now), "a check costs the target a connection")
+	f.later(checkEvery)
+	assert.Assert(t, f.NeedsCheck(f.now))
+	f.out.Clear()
+	f.TargetNotRunning(f.now, &f.out)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.NotOwner})
+
+	p.Key = fleettest.Key(2)
+	f.probe(1, p)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.NotOwner})
+	f.out.Clear()
+	f.FromPeer(f.now, fleettest.Agent(1), &relay.Message{Kind: relay.Search, Service: tag, Origin: balancer, Body: flowtest.Encode(p)}, &f.out)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.NotOwner})
+}
+
+// Guards against a running target whose flows are reset because one check
+// failed, and against checks without a need.
+func TestRunningTargetIsNotChecked(t *testing.T) {
+	f := newFixture(t, false)
+	f.later(checkEvery)
+	assert.Assert(t, !f.NeedsCheck(f.now), "nothing was asked of the target")
+	p := flow.Packet{Key: fleettest.Key(1), Seq: 111, Ack: 5001, Len: 10}
+	f.probe(1, p)
+	p.Returned = true
+	f.target(p)
+	f.later(checkEvery)
+	assert.Assert(t, !f.NeedsCheck(f.now))
+	f.TargetNotRunning(f.now, &f.out)
+	assert.Assert(t, f.unsure(f.now))
+}
+
+// Guards against a search that ends with its first step when the own target
+// does not run.
+func TestSearchGoesOnWithoutOwnTarget(t *testing.T) {
+	f := newFixture(t, false)
+	f.out.Clear()
+	f.FromPeer(f.now, balancer, &relay.Message{Kind: relay.Packet, Service: tag, Origin: balancer,
+		Body: flowtest.Encode(flow.Packet{Key: fleettest.Key(1), Seq: 111, Ack: 5001, Len: 10})}, &f.out)
+	assert.Equal(t, len(f.out.ToTarget), 1)
+	f.out.Clear()
+	f.TargetNotRunning(f.now, &f.out)
+	assert.DeepEqual(t, f.kinds(), []relay.Kind{relay.Search, relay.Search})
+	f.answer(1, relay.NotOwner, 1)
+	f.answer(2, relay.NotOwner, 1)
+	assert.Equal(t, len(f.out.ToCaller), 1)
+}
+
+// probe lets a peer ask for a flow of the target.
+func (f *fixture) probe(from byte, p flow.Packet) {
+	f.out.Clear()
+	f.FromPeer(f.now, fleettest.Agent(from), &relay.Message{Kind: relay.Probe, Service: tag, Origin: balancer, Body: flowtest.Encode(p)}, &f.out)
+}
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -78,6 +78,9 @@
 	// start because their VM does. An agent that restarts alone takes longer,
 	// so a target that started in this time has been seen by no other agent.
 	startSpread = 250 * time.Millisecond
+	// checkEvery is the time between checks whether a target that does not
+	// return probes runs at all.
+	checkEvery = 300 * time.Millisecond
 	// sweepEvery is the time between sweeps of the tables.
 	sweepEvery = time.Second
 )
@@ -131,8 +134,13 @@
 	silent      bool
 	retryAt     time.Duration
 	unsureUntil time.Duration
-	swept       time.Duration
-	born        int64
+	// targetHeard says that the target has sent anything since the start of
+	// the agent, wasProbed that it got a probe, the first one at probedAt.
+	// nextCheck is when to check again whether it runs.
+	targetHeard, wasProbed bool
+	probedAt, nextCheck    time.Duration
+	swept                  time.Duration
+	born                   int64
 }
 
 // record is what a home knows of a flow.
@@ -255,6 +263,7 @@
 
 // FromTarget takes a packet of the target.
 func (m *Machine) FromTarget(now time.Duration, raw []byte, out *plane.Out) {
+	m.targetHeard = true
 	m.fromTarget(now, raw, out)
 	m.admit(now, out)
 }
--- a/core/ownership/probe.go
+++ b/core/ownership/probe.go
@@ -17,9 +17,47 @@
 	s.prober = m.Self
 	m.countProbe(now, s)
 	out.Event(plane.Event{Kind: plane.EventProbed, Flow: p.Key, Number: p.Seq, Peer: m.Self, Value: int64(s.probes)})
+	m.probeTarget(now, p, out)
+}
+
+// probeTarget gives the target a packet that it returns unless it holds the
+// flow.
+func (m *Machine) probeTarget(now time.Duration, p *flow.Packet, out *plane.Out) {
+	if !m.wasProbed {
+		m.wasProbed, m.probedAt = true, now
+	}
 	out.ToTarget = append(out.ToTarget, m.Codec.Clean(p.Raw))
 }
 
+// NeedsCheck reports whether to check that the target runs: it got a probe and
+// has sent nothing since the start of the agent. It is true once in a while.
+func (m *Machine) NeedsCheck(now time.Duration) bool {
+	if m.targetHeard || !m.unsure(now) || !m.wasProbed || now-m.probedAt < acceptTimeout || now < m.nextCheck {
+		return false
+	}
+	m.nextCheck = now + checkEvery
+	return true
+}
+
+// TargetNotRunning notes that no process listens at the address of the target.
+// It holds no flows then, and one that starts later holds none that the agent
+// has not seen.
+func (m *Machine) TargetNotRunning(now time.Duration, out *plane.Out) {
+	if m.targetHeard || !m.unsure(now) {
+		return
+	}
+	m.unsureUntil = 0
+	out.Event(plane.Event{Kind: plane.EventTargetFresh, Reason: "not_running"})
+	for key, s := range m.search {
+		switch {
+		case s.selfFirst:
+			m.ownTargetDisowns(now, s, out)
+		case s.prober.IsValid():
+			m.tellNotHeld(key, s, out)
+		}
+	}
+}
+
 // countProbe counts a packet at a target that may not hold the flow.
 func (m *Machine) countProbe(now time.Duration, s *search) {
 	if now-s.firstProbe > probeWindow || s.probes == 0 {
@@ -72,7 +110,7 @@
 		m.tellNotHeld(p.Key, s, out)
 		return
 	}
-	out.ToTarget = append(out.ToTarget, m.Codec.Clean(p.Raw))
+	m.probeTarget(now, p, out)
 }
 
 // probeFailed notes that the target of a probed agent does not hold the flow.
@@ -94,15 +132,21 @@
 	}
 	s.disowned = true
 	if s.selfFirst {
-		s.selfFirst, s.prober = false, netip.Addr{}
-		if clean, err := m.Codec.FromCaller(s.raw); err == nil {
-			m.begin(now, &clean, &relay.Message{Origin: s.origin}, s, out)
-		}
+		m.ownTargetDisowns(now, s, out)
 		return
 	}
 	m.tellNotHeld(p.Key, s, out)
 }
 
+// ownTargetDisowns goes on to the other agents after the own target was asked
+// first.
+func (m *Machine) ownTargetDisowns(now time.Duration, s *search, out *plane.Out) {
+	s.selfFirst, s.prober = false, netip.Addr{}
+	if clean, err := m.Codec.FromCaller(s.raw); err == nil {
+		m.begin(now, &clean, &relay.Message{Origin: s.origin}, s, out)
+	}
+}
+
 // tellNotHeld answers the agent that asked for the flow.
 func (m *Machine) tellNotHeld(key flow.Key, s *search, out *plane.Out) {
 	switch {
--- a/node/packetplane/agent.go
+++ b/node/packetplane/agent.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/ownership"
 	"trefoilweir.example/core/plane"
 	"trefoilweir.example/core/relay"
+	"trefoilweir.example/node/telemetry"
 )
 
 const (
@@ -22,6 +25,9 @@
 	agentLeaveLeast = 400 * time.Millisecond
 	// agentLeaveMost bounds the wait for requests in progress.
 	agentLeaveMost = 3 * time.Second
+	// targetCheckTimeout bounds the connection of a check, which stays on the
+	// VM.
+	targetCheckTimeout = 200 * time.Millisecond
 )
 
 // agent is the role of a process beside a target.
@@ -32,6 +38,8 @@
 	near, far time.Duration
 	// nearby and faraway are the agents that are told.
 	nearby, faraway []netip.Addr
+	// checks has a request to check whether the target runs.
+	checks chan struct{}
 }
 
 // RunAgent runs an agent until it is stopped.
@@ -41,7 +49,7 @@
 		return err
 	}
 	s := o.Settings
-	a := &agent{Process: p, machine: ownership.New(p.now(), ownership.Options{
+	a := &agent{Process: p, checks: make(chan struct{}, 1), machine: ownership.New(p.now(), ownership.Options{
 		Self: s.IP, DataCentre: s.DataCentre, Service: s.Service, Target: s.Target, FirstStart: s.FirstStart, Started: p.start.UnixMilli(), FlowTTL: s.FlowTTL, Codec: o.Codec, View: p.view,
 	})}
 	var fromTarget *net.UDPConn
@@ -49,7 +57,7 @@
 		return err
 	}
 	p.role, p.caller = a, fromTarget
-	return p.run(ctx, []part{{"from_target", p.read(fromTarget, a.fromTarget)}})
+	return p.run(ctx, []part{{"from_target", p.read(fromTarget, a.fromTarget)}, {"target_check", a.checkLoop}})
 }
 
 func (a *agent) fromTarget(now time.Duration, _ netip.AddrPort, raw []byte) {
@@ -65,6 +73,13 @@
 		a.machine.Leave()
 	}
 	a.machine.Tick(now, &a.out)
+	if a.machine.NeedsCheck(now) {
+		select {
+		case a.checks <- struct{}{}:
+		default:
+			// The check before has not ended.
+		}
+	}
 	near, far := now-a.near >= nearEvery, now-a.far >= farEvery
 	if !near && !far {
 		return
@@ -110,3 +125,40 @@
 	wait := now - since
 	return wait > agentLeaveLeast && (a.machine.Idle() || wait > agentLeaveMost)
 }
+
+// checkTarget finds out whether a process listens at the address of the target.
+// An agent that restarted alone cannot know its target's flows; one whose
+// target does not run knows that there are none.
+func (a *agent) checkTarget(ctx context.Context) {
+	conn, err := (&net.Dialer{Timeout: targetCheckTimeout}).DialContext(ctx, "tcp4", a.Settings.Target.String())
+	if err == nil {
+		if err := conn.Close(); err != nil {
+			a.Log.Debug("connection to the target not closed", telemetry.Error(err))
+		}
+		return
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		a.Log.Info("target cannot be checked", telemetry.Error(err))
+		return
+	}
+	a.step("target_check", func(now time.Duration) {
+		a.machine.TargetNotRunning(now, &a.out)
+		a.flush(now)
+	})
+}
+
+// checkLoop checks the target at the start of an agent that is none of the
+// first, and when the machine asks for it.
+func (a *agent) checkLoop(ctx context.Context) error {
+	if !a.Settings.FirstStart {
+		a.checkTarget(ctx)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-a.checks:
+			a.checkTarget(ctx)
+		}
+	}
+}
