core/ownership: a survey needs the same agents, not the same revision

Cause: while targets register after an outage the revision changes several times a second, and an agent of another data centre whose view was one change older gave no answer.

Change: a survey has a digest of the agents that it is about. An agent answers if it knows the same ones, or has a newer view.

--- a/core/fleet/lookup.go
+++ b/core/fleet/lookup.go
@@ -42,6 +42,17 @@
 // The result must not be changed.
 func (v *View) Targets(service string) []*Target { return v.index.targets(service) }
 
+// Roster returns a digest of the VMs of a service's listed targets in a data
+// centre. Two views with the same digest know the same ones.
+func (v *View) Roster(service, dataCentre string) (digest uint64) {
+	for _, t := range v.Targets(service) {
+		if t.DataCentre == dataCentre {
+			digest ^= rankOf(t.Agent())
+		}
+	}
+	return digest
+}
+
 // Services returns the names of the services that have targets.
 func (v *View) Services() []string {
 	var names []string
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -115,7 +115,8 @@
 		slices.SortFunc(agents, func(a, b netip.Addr) int { return cmp.Compare(fleet.Score(key.Hash(), b), fleet.Score(key.Hash(), a)) })
 		a := agents[(s.rounds-1)%len(agents)]
 		s.asked[a] = true
-		out.Send(a, relay.Message{Kind: relay.Survey, Hops: 1, Service: m.tag, Origin: s.origin, Home: m.Self, Revision: m.View.Revision(), Body: p.Raw})
+		out.Send(a, relay.Message{Kind: relay.Survey, Hops: 1, Service: m.tag, Origin: s.origin, Home: m.Self, Revision: m.View.Revision(),
+			Roster: m.View.Roster(m.Service, dataCentre), Body: p.Raw})
 	}
 }
 
--- a/core/ownership/survey.go
+++ b/core/ownership/survey.go
@@ -23,8 +23,8 @@
 }
 
 // surveyed searches the own data centre for the owner of a flow. The owner
-// answers the asker itself. An agent whose view is older than the asker's
-// cannot answer for the data centre and stays silent.
+// answers the asker itself. An agent that may not know all agents which the
+// asker knows cannot answer for the data centre and stays silent.
 func (m *Machine) surveyed(now time.Duration, from netip.Addr, p *flow.Packet, msg *relay.Message, out *plane.Out) {
 	if f := m.flows[p.Key]; f != nil && f.takes(p) {
 		m.deliver(now, f, p, out)
@@ -32,7 +32,8 @@
 		m.report(f, from, p.Key, out)
 		return
 	}
-	if msg.Revision > m.View.Revision() || len(m.surveys) >= maxSurveys {
+	older := msg.Revision > m.View.Revision() && msg.Roster != m.View.Roster(m.Service, m.DataCentre)
+	if older || len(m.surveys) >= maxSurveys {
 		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Number: p.Seq, Peer: from, Reason: "survey_not_possible"})
 		return
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -120,6 +120,9 @@
 	// be the newest.
 	Revision uint64
 	Age      time.Duration
+	// Roster is a digest of the agents that a Survey is about, as the sender
+	// knows them.
+	Roster uint64
 	// Unsure are the agents that a Surveyed names.
 	Unsure []netip.Addr
 	// Body is the caller's packet.
@@ -130,7 +133,7 @@
 const (
 	commonSize = 4 + 8
 	packetSize = commonSize + 3*addrSize
-	surveySize = packetSize + 8
+	surveySize = packetSize + 2*8
 	answerSize = commonSize + flow.KeySize + loadSize + 4
 	beatSize   = commonSize + loadSize + 8 + 2
 	loadSize   = 1 + 2*4
@@ -158,7 +161,8 @@
 		return append(b, m.Body...)
 	case Survey:
 		b = appendAddr(appendAddr(appendAddr(b, m.Origin), m.Home), m.Refused)
-		return append(binary.BigEndian.AppendUint64(b, m.Revision), m.Body...)
+		b = binary.BigEndian.AppendUint64(b, m.Revision)
+		return append(binary.BigEndian.AppendUint64(b, m.Roster), m.Body...)
 	case Owner, NotOwner, MaybeOwner, Waiting, Refused, Surveyed:
 		b = m.Load.append(m.Flow.Append(b))
 		b = appendAddr(b, m.Origin)
@@ -208,7 +212,7 @@
 			return m, ErrMalformed
 		}
 		m.Origin, m.Home, m.Refused = parseAddr(rest), parseAddr(rest[4:]), parseAddr(rest[8:])
-		m.Revision, m.Body = binary.BigEndian.Uint64(rest[12:]), rest[20:]
+		m.Revision, m.Roster, m.Body = binary.BigEndian.Uint64(rest[12:]), binary.BigEndian.Uint64(rest[20:]), rest[28:]
 	case Owner, NotOwner, MaybeOwner, Waiting, Refused:
 		if len(b) != answerSize {
 			return m, ErrMalformed
