core/ownership: an incomplete search goes on by itself

The search was incomplete, so nothing was reset, and the next packet came 1.6 s later, after the deadline.

Ruled out: whole new rounds. They cost as many messages as the first.

Change: an agent that denied a flow has denied it for good, and so has a data centre with the same agents; a search keeps that, and goes on after 100, 200, 400 and 800 ms with those who have not answered. A packet with another acknowledgement begins anew.

TestSearchGoesOnByItself failed before.

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -68,6 +68,11 @@
 	maxSurveys = 4096
 	// searchKeep is how long the result of a search is remembered.
 	searchKeep = 2 * time.Second
+	// searchAgain is the time until a search that is not complete goes on by
+	// itself, twice as long after each time, and maxSearchAgain how often it
+	// does. The caller's own packets come ever later.
+	searchAgain    = 100 * time.Millisecond
+	maxSearchAgain = 4
 	// probeBudget and probeWindow bound the packets of a flow that reach
 	// targets which may not hold it.
 	probeBudget = 2
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -21,16 +21,23 @@
 	// raw is the packet that is looked for, origin the balancer that took it.
 	raw    []byte
 	origin netip.Addr
-	// rounds counts the rounds, far says that the other data centres are asked.
-	rounds int
-	far    bool
-	// asked are the agents that have not answered, unsure those whose target
-	// may hold the flow, probing those that are asking their target.
-	asked   map[netip.Addr]bool
+	// rounds counts the rounds, repeats those that the agent began by itself.
+	// far says that the other data centres are asked.
+	rounds, repeats int
+	far             bool
+	// denied are the agents that do not own the flow, and deniedBy the rosters
+	// of the data centres in which nobody does. Neither changes later, so a
+	// further round asks the others only.
+	denied   map[netip.Addr]bool
+	deniedBy map[string]uint64
+	// asked are the agents that have not answered, with the data centre for
+	// which they were asked, if for one. unsure are those whose target may hold
+	// the flow, probing those that are asking their target.
+	asked   map[netip.Addr]surveyedFor
 	unsure  []netip.Addr
 	probing map[netip.Addr]bool
-	// done says that the round is over.
-	done bool
+	// done says that the round is over, found that the owner is known.
+	done, found bool
 	// nobody says that no target holds the flow to which a packet with the
 	// acknowledgement ack belongs: all agents have answered.
 	nobody bool
@@ -48,6 +55,13 @@
 	disowned bool
 }
 
+// surveyedFor is the data centre that an agent was asked about. It is the zero
+// value if the agent was asked for itself.
+type surveyedFor struct {
+	dataCentre string
+	roster     uint64
+}
+
 // unknown takes a packet whose owner is not known here.
 func (m *Machine) unknown(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
 	if p.Reset {
@@ -79,13 +93,15 @@
 // begin asks the other agents of the service in the own data centre.
 func (m *Machine) begin(now time.Duration, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
 	s.began, s.raw, s.origin, s.done = now, slices.Clone(p.Raw), msg.Origin, false
-	s.asked, s.probing, s.unsure = map[netip.Addr]bool{}, map[netip.Addr]bool{}, s.unsure[:0]
-	s.far, s.nobody, s.ack = false, false, p.Ack
+	s.asked, s.probing, s.unsure = map[netip.Addr]surveyedFor{}, map[netip.Addr]bool{}, s.unsure[:0]
+	if s.denied == nil || s.ack != p.Ack {
+		s.denied, s.deniedBy, s.repeats = map[netip.Addr]bool{}, map[string]uint64{}, 0
+	}
+	s.far, s.found, s.nobody, s.ack = false, false, false, p.Ack
 	s.rounds++
 	near, _ := m.searchable(now)
 	for _, a := range near {
-		s.asked[a] = true
-		m.pass(a, relay.Search, p, msg, out)
+		m.ask(a, p, msg, s, out)
 	}
 	if m.unsure(now) && !s.disowned {
 		s.unsure = append(s.unsure, m.Self)
@@ -94,6 +110,15 @@
 	m.endSearch(now, p.Key, s, out)
 }
 
+// ask asks an agent for itself, unless it has denied before.
+func (m *Machine) ask(a netip.Addr, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
+	if s.denied[a] {
+		return
+	}
+	s.asked[a] = surveyedFor{}
+	m.pass(a, relay.Search, p, msg, out)
+}
+
 // beginFar asks the other data centres: each agent where there are few, and one
 // for all where there are many. Another one is asked in the next round.
 func (m *Machine) beginFar(now time.Duration, key flow.Key, s *search, out *plane.Out) {
@@ -107,16 +132,19 @@
 		agents := far[dataCentre]
 		if len(agents) <= directMost {
 			for _, a := range agents {
-				s.asked[a] = true
-				m.pass(a, relay.Search, &p, &relay.Message{Origin: s.origin}, out)
+				m.ask(a, &p, &relay.Message{Origin: s.origin}, s, out)
 			}
 			continue
 		}
+		roster := m.View.Roster(m.Service, dataCentre)
+		if denied, ok := s.deniedBy[dataCentre]; ok && denied == roster {
+			continue
+		}
 		slices.SortFunc(agents, func(a, b netip.Addr) int { return cmp.Compare(fleet.Score(key.Hash(), b), fleet.Score(key.Hash(), a)) })
 		a := agents[(s.rounds-1)%len(agents)]
-		s.asked[a] = true
+		s.asked[a] = surveyedFor{dataCentre, roster}
 		out.Send(a, relay.Message{Kind: relay.Survey, Hops: 1, Service: m.tag, Origin: s.origin, Home: m.Self, Revision: m.View.Revision(),
-			Roster: m.View.Roster(m.Service, dataCentre), Body: p.Raw})
+			Roster: roster, Body: p.Raw})
 	}
 }
 
@@ -193,15 +221,32 @@
 		m.ownerFound(now, from, msg, p, s, out)
 	case s == nil:
 	case s.probing[from] && msg.Kind == relay.NotOwner:
+		s.denied[from] = true
 		m.probeFailed(from, msg.Flow, s, out)
-	case !s.done && s.asked[from]:
-		delete(s.asked, from)
-		if msg.Kind == relay.MaybeOwner {
-			s.unsure = append(s.unsure, from)
-		}
+	default:
+		m.searchAnswered(now, from, msg, s, out)
+	}
+}
+
+// searchAnswered takes an answer to a search, of an agent for itself or for its
+// data centre. One that comes after the end of a round counts in the next.
+func (m *Machine) searchAnswered(now time.Duration, from netip.Addr, msg *relay.Message, s *search, out *plane.Out) {
+	asked, ok := s.asked[from]
+	if !ok || (msg.Kind == relay.Surveyed) != (asked != surveyedFor{}) {
+		return
+	}
+	delete(s.asked, from)
+	switch {
+	case msg.Kind == relay.NotOwner:
+		s.denied[from] = true
+	case msg.Kind == relay.MaybeOwner:
+		s.unsure = append(s.unsure, from)
+	case len(msg.Unsure) == 0:
+		s.deniedBy[asked.dataCentre] = asked.roster
+	default:
 		s.unsure = append(s.unsure, msg.Unsure...)
-		m.endSearch(now, msg.Flow, s, out)
 	}
+	m.endSearch(now, msg.Flow, s, out)
 }
 
 // placedWord takes word of a flow that this agent placed and that is not open.
@@ -227,7 +272,7 @@
 		m.records[msg.Flow] = &record{owner: from, confirmed: true, seen: now}
 	}
 	if s != nil {
-		s.done = true
+		s.done, s.found = true, true
 		clear(s.probing)
 		out.Event(plane.Event{Kind: plane.EventFound, Flow: msg.Flow, Peer: from})
 	}
@@ -261,10 +306,28 @@
 	m.resetSearched(s, out)
 }
 
-// checkSearches ends searches whose answers do not come. The owner may be in
-// another data centre although an agent of the own one is silent.
+// searchOn begins another round of a search that was not complete: somebody did
+// not answer, or a probe was not returned. After an outage agents and targets
+// come back one by one, and the caller's next packet may come too late.
+func (m *Machine) searchOn(now time.Duration, s *search, out *plane.Out) {
+	if !s.done || s.found || s.nobody || len(s.raw) == 0 || s.repeats >= maxSearchAgain || now-s.began < searchAgain<<s.repeats {
+		return
+	}
+	p, err := m.Codec.FromCaller(s.raw)
+	if err != nil {
+		return
+	}
+	s.repeats++
+	s.selfFirst = false
+	m.begin(now, &p, &relay.Message{Origin: s.origin, Home: m.Self}, s, out)
+}
+
+// checkSearches ends rounds whose answers do not come, and begins the next one
+// where nothing was found. The owner may be in another data centre although an
+// agent of the own one is silent.
 func (m *Machine) checkSearches(now time.Duration, out *plane.Out) {
 	for key, s := range m.search {
+		m.searchOn(now, s, out)
 		if !s.done && !s.far && now-s.began >= searchTimeout {
 			silent := len(s.asked)
 			m.beginFar(now, key, s, out)
--- /dev/null
+++ b/core/ownership/search_test.go
@@ -0,0 +1,69 @@
+package ownership
+
+import (
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"trefoilweir.example/core/fleet/fleettest"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/relay"
+)
+
+// asked returns the agents that were asked in the last step.
+func (f *fixture) asked() (asked []netip.Addr) {
+	for _, s := range f.out.Sends {
+		if s.Message.Kind == relay.Search {
+			asked = append(asked, s.To)
+		}
+	}
+	return asked
+}
+
+// Guards against callers of lost flows that wait for their own next packet
+// after an outage: it comes after 1.6 s, which is after the deadline of many.
+// In the load it answers, all agents of a service come back within 0.3 s and
+// the callers' packets come before the last of them.
+func TestSearchGoesOnByItself(t *testing.T) {
+	f := newFixture(t, true)
+	p := flow.Packet{Key: fleettest.Key(1), Seq: 111, Ack: 5001, Len: 10}
+	f.send(relay.Packet, p)
+	assert.Equal(t, len(f.asked()), 2)
+	f.answer(1, relay.NotOwner, 1)
+	f.later(searchTimeout)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+	f.later(searchAgain)
+	assert.Equal(t, len(f.asked()), 1, "who has denied is asked again")
+	assert.Equal(t, f.asked()[0], fleettest.Agent(2))
+	f.answer(2, relay.NotOwner, 1)
+	assert.Equal(t, len(f.out.ToCaller), 1)
+	// A flow that has the same addresses later is another one.
+	p.Ack = 9001
+	f.send(relay.Packet, p)
+	assert.Equal(t, len(f.asked()), 2)
+}
+
+// Guards against a search without end for a flow of which an agent stays away.
+func TestSearchEnds(t *testing.T) {
+	f := newFixture(t, true)
+	f.send(relay.Packet, flow.Packet{Key: fleettest.Key(1), Seq: 111, Ack: 5001, Len: 10})
+	rounds := 0
+	for end := f.now + 2*searchKeep + probeWindow; f.now < end; {
+		f.later(searchTimeout)
+		if len(f.asked()) > 0 {
+			rounds++
+		}
+	}
+	assert.Equal(t, rounds, maxSearchAgain)
+	assert.Equal(t, len(f.search), 0)
+}
+
+// Guards against a search that goes on although the owner was found.
+func TestFoundFlowIsNotSearchedAgain(t *testing.T) {
+	f := newFixture(t, true)
+	f.send(relay.Packet, flow.Packet{Key: fleettest.Key(1), Seq: 111, Ack: 5001, Len: 10})
+	f.answer(2, relay.Owner, 1)
+	f.later(searchAgain)
+	f.later(searchAgain)
+	assert.Equal(t, len(f.asked()), 0)
+}
