node/fleetsync: the second reader waits longer between changes

Cause: both readers asked for each batch of changes, up to seven calls a second each while targets are replaced. The second one is there for the loss of the first and gets its changes from it.

Change: the second reader is a standby. It follows the first and pauses 700 ms after a call that brought changes. A change is in force that much later if the first reader is lost or cut off.

TestStandbyReaderPauses failed before.

--- a/core/fleet/reader.go
+++ b/core/fleet/reader.go
@@ -42,9 +42,10 @@
 
 // Place is the place of a process in the order in which views spread.
 type Place struct {
-	// Reader says that the process watches the platform, Gateway that it gets
-	// changes from other data centres.
-	Reader, Gateway bool
+	// Reader says that the process watches the platform. Standby says that
+	// another reader does so too, from which changes come sooner. Gateway says
+	// that the process gets changes from other data centres.
+	Reader, Standby, Gateway bool
 	// Parents are processes to ask for the age of their view. It is empty if
 	// no agent is known.
 	Parents []netip.Addr
@@ -67,8 +68,11 @@
 	order := slices.Clone(agents)
 	slices.SortFunc(order, func(a, b Member) int { return byRank(a.VM, b.VM) })
 	readers := readersOf(order)
-	if slices.Contains(readers, self.VM) {
+	switch slices.Index(readers, self.VM) {
+	case 0:
 		return Place{Reader: true, Gateway: true}
+	case 1:
+		return Place{Reader: true, Standby: true, Gateway: true, Parents: readers[:1]}
 	}
 	near := nearOrder(order, readers, self.DataCentre)
 	i := slices.Index(near, self.VM)
--- a/core/fleet/reader_test.go
+++ b/core/fleet/reader_test.go
@@ -22,14 +22,18 @@
 	for _, n := range []int{1, 2, 3, 10, 300} {
 		for _, dataCentres := range []int{1, 3, 5} {
 			agents := agentsIn(n, dataCentres)
-			places, readers := map[netip.Addr]Place{}, 0
+			places, readers, standbys := map[netip.Addr]Place{}, 0, 0
 			for _, a := range agents {
 				places[a.VM] = PlaceOf(agents, nil, a)
 				if places[a.VM].Reader {
 					readers++
 				}
+				if places[a.VM].Standby {
+					standbys++
+				}
 			}
 			assert.Equal(t, readers, min(n, Readers))
+			assert.Equal(t, standbys, readers-1)
 			balancers := []Member{{netip.MustParseAddr("10.9.9.9"), "dc-0"}, {netip.MustParseAddr("10.9.9.8"), "dc-9"}}
 			for _, a := range append(balancers, agents...) {
 				steps, older := 0, PlaceOf(agents, nil, a).TakeoverAge
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -26,6 +26,9 @@
 	// batchDelay is the pause of a reader after a change, so that changes in
 	// quick succession cost one call.
 	batchDelay = 150 * time.Millisecond
+	// standbyDelay is that pause of a standby reader, which gets most changes
+	// from the other reader.
+	standbyDelay = 700 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a call failed.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
@@ -178,12 +181,14 @@
 	if !follows || place.Reader && age < place.TakeoverAge+fleet.WatchWait {
 		wait = fleet.WatchWait
 	}
-	changed, err := s.call(ctx, wait)
+	changed, events, err := s.call(ctx, wait)
 	if err != nil {
 		return s.callFailed(ctx, err, usable)
 	}
 	s.callSucceeded()
 	switch {
+	case events && place.Standby:
+		return standbyDelay
 	case changed:
 		return batchDelay
 	case place.Reader:
@@ -201,7 +206,9 @@
 	return s.Place(), s.View.Age(s.Now()), s.View.Usable()
 }
 
-func (s *Sync) call(ctx context.Context, wait time.Duration) (changed bool, err error) {
+// call reads or watches the platform once. events says that the answer has any,
+// changed that one of them was new.
+func (s *Sync) call(ctx context.Context, wait time.Duration) (changed, events bool, err error) {
 	s.calls.Inc()
 	began := s.Now()
 	var d *fleet.Delta
@@ -216,13 +223,13 @@
 		}
 	}
 	if err != nil {
-		return false, err
+		return false, false, err
 	}
 	if wait <= shortWait || d.Full {
 		// The answer may be as old as the question.
 		d.ConfirmedMS = int64((s.Now() - began) / time.Millisecond)
 	}
-	return s.apply(d, "platform"), nil
+	return s.apply(d, "platform"), len(d.Changes) > 0 || d.Config != nil, nil
 }
 
 // apply adds a delta to the view.
--- a/node/fleetsync/fleetsync_test.go
+++ b/node/fleetsync/fleetsync_test.go
@@ -128,3 +128,30 @@
 	f.now = f.Place().TakeoverAge
 	assert.Assert(t, hinted(far))
 }
+
+// Guards against two readers that each ask for every change: in a release of
+// targets that is seven calls a second each.
+func TestStandbyReaderPauses(t *testing.T) {
+	for _, standby := range []bool{false, true} {
+		f := newFixture(4)
+		f.readOnce(context.Background())
+		for _, target := range f.View.Targets(fleettest.Service) {
+			f.Self = target.Agent()
+			if place := fleet.PlaceOf(members(f.View), nil, fleet.Member{VM: f.Self}); place.Reader && place.Standby == standby {
+				break
+			}
+		}
+		f.platform.delta.Revision, f.platform.delta.Listed = 10, 10
+		f.platform.delta.Changes[0].Revision = 10
+		f.cursor = 0
+		pause := f.readOnce(context.Background())
+		assert.Equal(t, pause, map[bool]time.Duration{false: batchDelay, true: standbyDelay}[standby])
+	}
+}
+
+func members(v *fleet.View) (members []fleet.Member) {
+	for _, t := range v.Targets(fleettest.Service) {
+		members = append(members, fleet.Member{VM: t.Agent(), DataCentre: t.DataCentre})
+	}
+	return members
+}
