core/ownership: a sequential test finds targets that fail a part of their requests

Cause: a target was left after three failures in a row. One that fails half of its requests answers in between, so it was left late, and after two answers in a row it got new requests again; meanwhile it looked idle and fast.

Ruled out: a share over a window. It needs a length that fits both a busy and a quiet target.

Change: a cumulative sum test between shares of 0.01 and 0.3, with the old rule as its bound for a target that fails everything. A target gets new requests again after four answered in a row. The two tests of the old rule answer four probes in place of two, and check that fewer don't do.

--- a/core/ownership/outcome.go
+++ b/core/ownership/outcome.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"math"
 	"time"
 
 	"trefoilweir.example/core/fleet"
@@ -14,28 +15,62 @@
 	// it would attract all flows.
 	failuresInRow = 3
 	// successesInRow is how many flows in a row it has to answer to get new
-	// ones again.
-	successesInRow = 2
+	// ones again. One that fails half of its flows answers two in a row often.
+	successesInRow = 4
 	// retryFailing is how often a failing target gets a new flow as a probe.
 	retryFailing = 300 * time.Millisecond
+	// healthyShare and failingShare are the shares of failures between which
+	// the test of a target decides.
+	healthyShare = 0.01
+	failingShare = 0.3
+)
+
+// The test adds up how much more likely each outcome is with a failing target
+// than with a healthy one (a cumulative sum, after Page), so that a target which
+// fails only a part of its flows is found too. Below zero it starts anew.
+var (
+	failureWeight = math.Log(failingShare / healthyShare)
+	successWeight = math.Log((1 - failingShare) / (1 - healthyShare))
+	failingSum    = (failuresInRow - 0.5) * failureWeight
 )
 
 // outcomes judge the target by what it does with its flows.
 type outcomes struct {
-	failed, answered int
-	failing          bool
+	sum      float64
+	answered int
+	failing  bool
 	// retryAt is when the next probe may go to a failing target.
 	retryAt time.Duration
 }
 
+// fail counts a failure and reports whether it is the one that decides.
+func (o *outcomes) fail() bool {
+	o.answered = 0
+	o.sum = min(o.sum+failureWeight, failuresInRow*failureWeight)
+	if o.failing || o.sum < failingSum {
+		return false
+	}
+	o.failing = true
+	return true
+}
+
+// succeed counts an answer and reports whether the target counts as healthy
+// again by it.
+func (o *outcomes) succeed() bool {
+	o.sum = max(0, o.sum+successWeight)
+	if o.answered++; !o.failing || o.answered < successesInRow {
+		return false
+	}
+	o.failing, o.sum = false, 0
+	return true
+}
+
 // failed notes that the target reset a flow instead of answering, or answered
 // unusually soon and short.
 func (m *Machine) failed(now time.Duration, key flow.Key, out *plane.Out) {
 	o := &m.outcomes
-	o.answered = 0
-	if o.failed++; o.failed >= failuresInRow && !o.failing {
-		o.failing = true
-		out.Event(plane.Event{Kind: plane.EventTargetFails, Flow: key, Value: int64(o.failed)})
+	if o.fail() {
+		out.Event(plane.Event{Kind: plane.EventTargetFails, Flow: key, Value: int64(o.sum * 100)})
 	}
 	if o.failing {
 		o.retryAt = now + retryFailing
@@ -44,10 +79,7 @@
 
 // answeredRequest notes that the target answered a request.
 func (m *Machine) answeredRequest(key flow.Key, out *plane.Out) {
-	o := &m.outcomes
-	o.failed = 0
-	if o.answered++; o.failing && o.answered >= successesInRow {
-		o.failing = false
+	if m.outcomes.succeed() {
 		out.Event(plane.Event{Kind: plane.EventTargetAnswers, Flow: key})
 	}
 }
--- /dev/null
+++ b/core/ownership/outcome_test.go
@@ -0,0 +1,74 @@
+package ownership
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// untilFailing plays outcomes with a share of failures until the test decides,
+// and returns how many there were, at most a number of them.
+func untilFailing(random *rand.Rand, share float64, most int) int {
+	var o outcomes
+	for n := range most {
+		if random.Float64() >= share {
+			o.succeed()
+		} else if o.fail() {
+			return n + 1
+		}
+	}
+	return most
+}
+
+// Guards against a target that fails a part of its requests at once while its
+// health check is good: with three failures in a row as the rule, one that
+// failed half of them was found late or not at all, and looked idle meanwhile.
+func TestPartlyFailingTargetIsFound(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 1))
+	const runs = 400
+	for _, c := range []struct {
+		share float64
+		mean  float64
+	}{{1, failuresInRow}, {0.7, 6}, {0.5, 10}, {0.3, 30}, {0.2, 80}, {0.1, 1000}} {
+		sum := 0
+		for range runs {
+			sum += untilFailing(random, c.share, 5000)
+		}
+		assert.Assert(t, float64(sum)/runs <= c.mean, "share %v: found after %v requests on average", c.share, float64(sum)/runs)
+	}
+}
+
+// Guards against healthy targets that are left because of rare errors.
+func TestFewFalseAlarms(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 2))
+	for share, most := range map[float64]int{0.001: 0, 0.01: 20} {
+		alarms := 0
+		for range 100 {
+			if untilFailing(random, share, 10_000) < 10_000 {
+				alarms++
+			}
+		}
+		assert.Assert(t, alarms <= most, "share %v: %d alarms in 100 runs of 10,000 requests", share, alarms)
+	}
+}
+
+// Guards against a target that fails half of its requests and gets new ones
+// again after two that it happened to answer.
+func TestPartlyFailingTargetStaysAway(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 3))
+	back := 0
+	const probes, runs = 10, 1000
+	for range runs {
+		o := outcomes{failing: true}
+		for range probes {
+			if random.Float64() < 0.5 {
+				o.fail()
+			} else if o.succeed() {
+				back++
+				break
+			}
+		}
+	}
+	assert.Assert(t, back < runs/3, "%d of %d targets are back within %d probes", back, runs, probes)
+}
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -410,10 +410,11 @@
 	// Only flows that may be repeated test whether it still fails.
 	f.later(retryFailing)
 	f.beats(1, 2)
-	f.openHere(21)
-	f.target(flow.Packet{Key: fleettest.Key(21), Len: 10, Seq: 5001})
-	f.openHere(22)
-	f.target(flow.Packet{Key: fleettest.Key(22), Len: 10, Seq: 5001})
+	for port := uint16(21); port < 21+successesInRow; port++ {
+		assert.Assert(t, f.Load().Flags&relay.FlagFailing != 0)
+		f.openHere(port)
+		f.target(flow.Packet{Key: fleettest.Key(port), Len: 10, Seq: 5001})
+	}
 	assert.Assert(t, f.Load().Flags&relay.FlagFailing == 0)
 }
 
@@ -552,7 +553,9 @@
 	assert.Assert(t, f.Load().Flags&relay.FlagFailing != 0)
 	f.later(retryFailing)
 	f.beats(1, 2)
-	f.request(40, 40*ms, 1200)
-	f.request(41, 40*ms, 1200)
+	for port := uint16(40); port < 40+successesInRow; port++ {
+		assert.Assert(t, f.Load().Flags&relay.FlagFailing != 0)
+		f.request(port, 40*ms, 1200)
+	}
 	assert.Assert(t, f.Load().Flags&relay.FlagFailing == 0)
 }
