core/ownership: searches go on sooner while agents come back

Change: an agent that cannot speak for its data centre says so, and the next one is asked at once, four in a round. Rounds follow after 80 ms at first; they ask only those who have not denied.

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -64,15 +64,18 @@
 	// directMost is the number of agents of another data centre up to which
 	// each is asked. Of more one is asked to search for all.
 	directMost = 2
+	// maxDeclined is how many agents may say in a round that they cannot answer
+	// for their data centre before the round stays incomplete.
+	maxDeclined = 4
 	// maxSurveys bounds the flows that other data centres search for here.
 	maxSurveys = 4096
 	// searchKeep is how long the result of a search is remembered.
 	searchKeep = 2 * time.Second
 	// searchAgain is the time until a search that is not complete goes on by
-	// itself, twice as long after each time, and maxSearchAgain how often it
-	// does. The caller's own packets come ever later.
-	searchAgain    = 100 * time.Millisecond
-	maxSearchAgain = 4
+	// itself, twice as long after each second time, and maxSearchAgain how
+	// often it does. The caller's own packets come ever later.
+	searchAgain    = 80 * time.Millisecond
+	maxSearchAgain = 8
 	// probeBudget and probeWindow bound the packets of a flow that reach
 	// targets which may not hold it.
 	probeBudget = 2
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -21,10 +21,12 @@
 	// raw is the packet that is looked for, origin the balancer that took it.
 	raw    []byte
 	origin netip.Addr
-	// rounds counts the rounds, repeats those that the agent began by itself.
-	// far says that the other data centres are asked.
-	rounds, repeats int
-	far             bool
+	// repeats counts the rounds that the agent began by itself, surveys the
+	// questions about a data centre, declined those of the round that the
+	// asked agent could not answer. far says that the other data centres are
+	// asked.
+	repeats, surveys, declined int
+	far                        bool
 	// denied are the agents that do not own the flow, and deniedBy the rosters
 	// of the data centres in which nobody does. Neither changes later, so a
 	// further round asks the others only.
@@ -97,8 +99,7 @@
 	if s.denied == nil || s.ack != p.Ack {
 		s.denied, s.deniedBy, s.repeats = map[netip.Addr]bool{}, map[string]uint64{}, 0
 	}
-	s.far, s.found, s.nobody, s.ack = false, false, false, p.Ack
-	s.rounds++
+	s.far, s.found, s.nobody, s.ack, s.declined = false, false, false, p.Ack, 0
 	near, _ := m.searchable(now)
 	for _, a := range near {
 		m.ask(a, p, msg, s, out)
@@ -120,7 +121,7 @@
 }
 
 // beginFar asks the other data centres: each agent where there are few, and one
-// for all where there are many. Another one is asked in the next round.
+// for all where there are many.
 func (m *Machine) beginFar(now time.Duration, key flow.Key, s *search, out *plane.Out) {
 	s.began, s.far = now, true
 	p, err := m.Codec.FromCaller(s.raw)
@@ -136,15 +137,35 @@
 			}
 			continue
 		}
-		roster := m.View.Roster(m.Service, dataCentre)
-		if denied, ok := s.deniedBy[dataCentre]; ok && denied == roster {
-			continue
-		}
-		slices.SortFunc(agents, func(a, b netip.Addr) int { return cmp.Compare(fleet.Score(key.Hash(), b), fleet.Score(key.Hash(), a)) })
-		a := agents[(s.rounds-1)%len(agents)]
-		s.asked[a] = surveyedFor{dataCentre, roster}
-		out.Send(a, relay.Message{Kind: relay.Survey, Hops: 1, Service: m.tag, Origin: s.origin, Home: m.Self, Revision: m.View.Revision(),
-			Roster: roster, Body: p.Raw})
+		m.survey(dataCentre, agents, &p, s, out)
+	}
+}
+
+// survey asks an agent about its data centre, each time another one.
+func (m *Machine) survey(dataCentre string, agents []netip.Addr, p *flow.Packet, s *search, out *plane.Out) {
+	roster := m.View.Roster(m.Service, dataCentre)
+	if denied, ok := s.deniedBy[dataCentre]; ok && denied == roster {
+		return
+	}
+	hash := p.Key.Hash()
+	slices.SortFunc(agents, func(a, b netip.Addr) int { return cmp.Compare(fleet.Score(hash, b), fleet.Score(hash, a)) })
+	a := agents[s.surveys%len(agents)]
+	s.surveys++
+	s.asked[a] = surveyedFor{dataCentre, roster}
+	out.Send(a, relay.Message{Kind: relay.Survey, Hops: 1, Service: m.tag, Origin: s.origin, Home: m.Self, Revision: m.View.Revision(),
+		Roster: roster, Body: p.Raw})
+}
+
+// surveyDeclined asks another agent about a data centre. After a few have
+// declined the round stays incomplete.
+func (m *Machine) surveyDeclined(now time.Duration, from netip.Addr, asked surveyedFor, s *search, out *plane.Out) {
+	p, err := m.Codec.FromCaller(s.raw)
+	if s.declined++; err != nil || s.done || s.declined > maxDeclined {
+		s.asked[from] = asked
+		return
+	}
+	if _, far := m.searchable(now); len(far[asked.dataCentre]) > 0 {
+		m.survey(asked.dataCentre, far[asked.dataCentre], &p, s, out)
 	}
 }
 
@@ -232,11 +253,14 @@
 // data centre. One that comes after the end of a round counts in the next.
 func (m *Machine) searchAnswered(now time.Duration, from netip.Addr, msg *relay.Message, s *search, out *plane.Out) {
 	asked, ok := s.asked[from]
-	if !ok || (msg.Kind == relay.Surveyed) != (asked != surveyedFor{}) {
+	forAll := asked != surveyedFor{}
+	if !ok || forAll && msg.Kind == relay.NotOwner || !forAll && msg.Kind == relay.Surveyed {
 		return
 	}
 	delete(s.asked, from)
 	switch {
+	case forAll && msg.Kind == relay.MaybeOwner:
+		m.surveyDeclined(now, from, asked, s, out)
 	case msg.Kind == relay.NotOwner:
 		s.denied[from] = true
 	case msg.Kind == relay.MaybeOwner:
@@ -310,7 +334,7 @@
 // not answer, or a probe was not returned. After an outage agents and targets
 // come back one by one, and the caller's next packet may come too late.
 func (m *Machine) searchOn(now time.Duration, s *search, out *plane.Out) {
-	if !s.done || s.found || s.nobody || len(s.raw) == 0 || s.repeats >= maxSearchAgain || now-s.began < searchAgain<<s.repeats {
+	if !s.done || s.found || s.nobody || len(s.raw) == 0 || s.repeats >= maxSearchAgain || now-s.began < searchAgain<<(s.repeats/2) {
 		return
 	}
 	p, err := m.Codec.FromCaller(s.raw)
--- a/core/ownership/survey.go
+++ b/core/ownership/survey.go
@@ -24,7 +24,7 @@
 
 // surveyed searches the own data centre for the owner of a flow. The owner
 // answers the asker itself. An agent that may not know all agents which the
-// asker knows cannot answer for the data centre and stays silent.
+// asker knows cannot answer for the data centre, and says so.
 func (m *Machine) surveyed(now time.Duration, from netip.Addr, p *flow.Packet, msg *relay.Message, out *plane.Out) {
 	if f := m.flows[p.Key]; f != nil && f.takes(p) {
 		m.deliver(now, f, p, out)
@@ -35,6 +35,7 @@
 	older := msg.Revision > m.View.Revision() && msg.Roster != m.View.Roster(m.Service, m.DataCentre)
 	if older || len(m.surveys) >= maxSurveys {
 		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, Number: p.Seq, Peer: from, Reason: "survey_not_possible"})
+		out.Send(from, relay.Message{Kind: relay.MaybeOwner, Service: m.tag, Flow: p.Key, Load: m.Load(), Origin: msg.Origin})
 		return
 	}
 	s := &survey{began: now, asker: from, asked: map[netip.Addr]bool{}}
--- a/core/ownership/survey_test.go
+++ b/core/ownership/survey_test.go
@@ -143,3 +143,23 @@
 	assert.Equal(t, s.resets, 0)
 	assert.Equal(t, s.reached[fleettest.Agent(6)], 1)
 }
+
+// Guards against a search that waits because the agent asked first cannot
+// answer for its data centre: right after an outage many have no view yet.
+func TestDeclinedSurveyGoesElsewhere(t *testing.T) {
+	const flows = 20
+	s := newSystem(t, 2, 4)
+	targets := s.agents[fleettest.Agent(0)].View.Targets(fleettest.Service)
+	older, newer := fleettest.View(0, targets[:7]...), fleettest.View(0, targets...)
+	newer.Apply(0, &fleet.Delta{Revision: fleettest.Revision + 1})
+	for a, m := range s.agents {
+		m.View = newer
+		if a == fleettest.Agent(4) {
+			m.View = older
+		}
+	}
+	for port := range uint16(flows) {
+		s.send(0, relay.Packet, flow.Packet{Key: fleettest.Key(port), Seq: 111, Ack: 5001, Len: 10})
+	}
+	assert.Equal(t, s.resets, flows)
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -37,7 +37,8 @@
 	// NotOwner answers a Search.
 	NotOwner
 	// MaybeOwner answers a Search: the sender restarted and its target may
-	// hold the flow.
+	// hold the flow. As an answer to a Survey it says that the sender cannot
+	// speak for its data centre.
 	MaybeOwner
 	// Waiting says that a new flow waits for a slot at the sender's target.
 	Waiting
