--- a/node/agent/exchange.go
+++ b/node/agent/exchange.go
@@ -92,7 +92,22 @@
 	if limit > 0 {
 		out.Header.Set(deadlineHeader, milliseconds(limit))
 	}
-	return rq.exchange(ctx, out, limit, t.transport.RoundTrip)
+	return rq.exchange(ctx, out, limit, t.roundTrip)
+}
+
+// roundTrip fails if the answer has neither a length nor chunks. Its body would
+// end with the connection, and one that broke off would look complete.
+func (t *targetLink) roundTrip(out *http.Request) (*http.Response, error) {
+	response, err := t.transport.RoundTrip(out)
+	if err != nil || isFramed(response) {
+		return response, err
+	}
+	_ = response.Body.Close()
+	return nil, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: reasonFraming}
+}
+
+func isFramed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
 // exchange sends out with roundTrip and classifies a failure: before there was
@@ -133,6 +148,7 @@
 	reasonTimeout = "answer_timeout"
 	reasonBody    = "body_not_replayable"
 	reasonShed    = "shed"
+	reasonFraming = "answer_without_length"
 )
 
 func classify(err error, connected, expired bool) *verdict.Error {
--- /dev/null
+++ b/node/agent/framing_test.go
@@ -0,0 +1,70 @@
+package agent
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilweir.example/core/verdict"
+)
+
+// sends writes raw bytes as the answer and closes the connection.
+func sends(raw string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(conn, raw)
+		_ = conn.Close()
+	}
+}
+
+// Guards against an answer that broke off halfway and looks complete to its
+// caller, however the target ends it.
+func TestAnswerThatEndsEarlyIsNoSuccess(t *testing.T) {
+	for name, raw := range map[string]string{
+		"length":     "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
+		"chunks":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"last chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n",
+		"no framing": "HTTP/1.1 200 OK\r\n\r\nhalf",
+		"old":        "HTTP/1.0 200 OK\r\n\r\nhalf",
+		"header":     "HTTP/1.1 200 OK\r\nContent-Le",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, sends(raw))
+			response, err := c.client().Post(c.url("/hold"), "text/plain", nil)
+			if err != nil {
+				return
+			}
+			defer response.Body.Close()
+			_, err = io.ReadAll(response.Body)
+			assert.Assert(t, err != nil || response.StatusCode >= 500, "%d and a complete body", response.StatusCode)
+			if err == nil {
+				assert.Equal(t, response.Header.Get(verdict.Header), verdict.MayHaveRun.String())
+			}
+		})
+	}
+}
+
+// Guards against the second copy of an answer that is taken for the answer to
+// the next request on its connection.
+func TestSecondCopyOfAnAnswer(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"
+	first := true
+	c := newCluster(t, func(w http.ResponseWriter, r *http.Request) {
+		body := "two"
+		if first {
+			first, body = false, "one"
+		}
+		sends(answer+body+answer+body)(w, r)
+	})
+	for _, want := range []string{"one", "two", "two"} {
+		status, _, body := post(t, c, "/hold", 10)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, body, want)
+	}
+}
