TestPlannedStopHandsTicketsOn: wait until the end of the run is reported

Cause: the repeat came before the report of the first run's end had reached the ticket's home. A repeat in that time gets "busy", which may have run, as other tests require.

Change: the test waits for the report, as its neighbour does.

--- a/node/agent/ticket_test.go
+++ b/node/agent/ticket_test.go
@@ -203,6 +203,8 @@
 		assertRan(t, c.hold(a, used), "run 1")
 	}
 	assertRan(t, c.hold(late, unused), "run 2")
+	// Until the ticket's home has heard of the end, a repeat gets "busy".
+	eventually(t, "a reported end", func() bool { return late.reports.Load() == 0 })
 	assertRan(t, c.hold(c.agents[1], unused), "run 2")
 }
 
