core/ownership: many silent agents are asked for by one question

Change: of more than two agents in doubt the data centre is surveyed again; six rounds in place of eight.

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -75,7 +75,7 @@
 	// itself, twice as long after each second time, and maxSearchAgain how
 	// often it does. The caller's own packets come ever later.
 	searchAgain    = 80 * time.Millisecond
-	maxSearchAgain = 8
+	maxSearchAgain = 6
 	// probeBudget and probeWindow bound the packets of a flow that reach
 	// targets which may not hold it.
 	probeBudget = 2
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -103,9 +103,7 @@
 	}
 	s.far, s.found, s.nobody, s.ack, s.declined = false, false, false, p.Ack, 0
 	near, _ := m.searchable(now)
-	for _, a := range near {
-		m.ask(a, p, msg, s, out)
-	}
+	m.askAll(near, p, msg, s, out)
 	if m.unsure(now) && !s.disowned {
 		s.unsure = append(s.unsure, m.Self)
 	}
@@ -113,6 +111,12 @@
 	m.endSearch(now, p.Key, s, out)
 }
 
+func (m *Machine) askAll(agents []netip.Addr, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
+	for _, a := range agents {
+		m.ask(a, p, msg, s, out)
+	}
+}
+
 // ask asks an agent for itself, unless it has denied before.
 func (m *Machine) ask(a netip.Addr, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
 	if s.denied[a] {
@@ -134,9 +138,7 @@
 	for _, dataCentre := range slices.Sorted(maps.Keys(far)) {
 		agents := far[dataCentre]
 		if len(agents) <= directMost {
-			for _, a := range agents {
-				m.ask(a, &p, &relay.Message{Origin: s.origin}, s, out)
-			}
+			m.askAll(agents, &p, &relay.Message{Origin: s.origin}, s, out)
 			continue
 		}
 		m.survey(dataCentre, agents, &p, s, out)
@@ -147,8 +149,10 @@
 func (m *Machine) survey(dataCentre string, agents []netip.Addr, p *flow.Packet, s *search, out *plane.Out) {
 	roster := m.View.Roster(m.Service, dataCentre)
 	if denied, ok := s.deniedBy[dataCentre]; ok && denied == roster {
-		m.askInDoubt(dataCentre, p, s, out)
-		return
+		if doubt := s.inDoubt(dataCentre); len(doubt) <= directMost {
+			m.askAll(doubt, p, &relay.Message{Origin: s.origin}, s, out)
+			return
+		}
 	}
 	hash := p.Key.Hash()
 	slices.SortFunc(agents, func(a, b netip.Addr) int { return cmp.Compare(fleet.Score(hash, b), fleet.Score(hash, a)) })
@@ -159,13 +163,15 @@
 		Roster: roster, Body: p.Raw})
 }
 
-// askInDoubt asks the agents of a data centre for which nobody could speak.
-func (m *Machine) askInDoubt(dataCentre string, p *flow.Packet, s *search, out *plane.Out) {
+// inDoubt returns the agents of a data centre for which nobody could speak and
+// that have not denied since.
+func (s *search) inDoubt(dataCentre string) (agents []netip.Addr) {
 	for _, a := range slices.SortedFunc(maps.Keys(s.doubt), netip.Addr.Compare) {
-		if s.doubt[a] == dataCentre {
-			m.ask(a, p, &relay.Message{Origin: s.origin}, s, out)
+		if s.doubt[a] == dataCentre && !s.denied[a] {
+			agents = append(agents, a)
 		}
 	}
+	return agents
 }
 
 // surveyDeclined asks another agent about a data centre. After a few have
@@ -287,8 +293,9 @@
 	m.endSearch(now, msg.Flow, s, out)
 }
 
-// surveyEnded takes the answer for a data centre. Agents that were silent there
-// are asked once more, from here.
+// surveyEnded takes the answer for a data centre. If few agents were silent
+// there, they are asked once more, from here; with many the round stays
+// incomplete.
 func (m *Machine) surveyEnded(asked surveyedFor, msg *relay.Message, s *search, out *plane.Out) {
 	s.deniedBy[asked.dataCentre] = asked.roster
 	for _, a := range slices.Concat(msg.Unsure, msg.Silent) {
@@ -299,8 +306,12 @@
 	if err != nil {
 		return
 	}
+	if len(msg.Silent) <= directMost {
+		m.askAll(msg.Silent, &p, &relay.Message{Origin: s.origin}, s, out)
+		return
+	}
 	for _, a := range msg.Silent {
-		m.ask(a, &p, &relay.Message{Origin: s.origin}, s, out)
+		s.asked[a] = surveyedFor{}
 	}
 }
 
