node/fleetsync: a starting process does not wait for a lost call

Processes started from 36.0 to 36.6 s, and 136 of 145 agents and all balancers got their first view after 37.5 s: their first call was taken by the silent platform and never answered, and its time-out is 1.8 s.

Ruled out: a shorter time-out. A slow platform takes 0.24 s an answer and more.

Change: a process without a view makes another call beside one that was not answered for 250 ms, five at most, and takes the first answer. With a view there is one call as before. Calls to the platform stand in a file of their own.

TestStartDoesNotWaitForALostCall failed before.

--- /dev/null
+++ b/node/fleetsync/calls.go
@@ -0,0 +1,100 @@
+package fleetsync
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/node/telemetry"
+)
+
+// call reads or watches the platform once. events says that the answer has any,
+// changed that one of them was new.
+func (s *Sync) call(ctx context.Context, wait time.Duration) (changed, events bool, err error) {
+	var d *fleet.Delta
+	if s.cursor == 0 {
+		if d, err = s.snapshot(ctx); err == nil {
+			s.cursor = d.Listed
+		}
+	} else {
+		d, err = s.watch(ctx, wait)
+	}
+	if err != nil {
+		return false, false, err
+	}
+	return s.apply(d, "platform"), len(d.Changes) > 0 || d.Config != nil, nil
+}
+
+func (s *Sync) watch(ctx context.Context, wait time.Duration) (*fleet.Delta, error) {
+	s.calls.Inc()
+	began := s.Now()
+	d, next, err := s.Source.Watch(ctx, s.cursor, wait)
+	if err != nil {
+		return nil, err
+	}
+	s.cursor = next
+	if wait <= shortWait {
+		// The answer may be as old as the question.
+		d.ConfirmedMS = int64((s.Now() - began) / time.Millisecond)
+	}
+	return d, nil
+}
+
+// listing is the outcome of one reading of the platform.
+type listing struct {
+	delta *fleet.Delta
+	err   error
+}
+
+// snapshot reads the platform. A process without a view does not wait for the
+// time-out of a call that is not answered, but makes others beside it.
+func (s *Sync) snapshot(ctx context.Context) (*fleet.Delta, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	_, _, usable := s.standing()
+	answers := make(chan listing, maxHedges)
+	read := func() {
+		s.calls.Inc()
+		began := s.Now()
+		d, err := s.Source.Snapshot(ctx)
+		if err == nil {
+			d.ConfirmedMS = int64((s.Now() - began) / time.Millisecond)
+		}
+		answers <- listing{d, err}
+	}
+	next := time.NewTicker(hedgeEvery)
+	defer next.Stop()
+	go read()
+	for made, open := 1, 1; ; {
+		select {
+		case a := <-answers:
+			if open--; a.err == nil || open == 0 {
+				return a.delta, a.err
+			}
+		case <-next.C:
+			if !usable && made < maxHedges {
+				made, open = made+1, open+1
+				go read()
+			}
+		}
+	}
+}
+
+// apply adds a delta to the view.
+func (s *Sync) apply(d *fleet.Delta, from string) bool {
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	if from == "platform" {
+		// What the platform has not changed is confirmed.
+		d.Revision = max(d.Revision, s.View.Revision())
+	}
+	before := s.View.Version()
+	targets, config := s.View.Apply(s.Now(), d)
+	if targets || config {
+		s.Log.Info("view changed", zap.String("from", from), zap.Uint64("revision", s.View.Revision()), telemetry.Version(s.View.Version()),
+			zap.Uint64("previous_version", before), zap.Bool("targets", targets), zap.Bool("config", config), zap.Int("changes", len(d.Changes)))
+		s.Changed(targets, config)
+	}
+	return targets || config
+}
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -29,6 +29,11 @@
 	// standbyDelay is that pause of a standby reader, which gets most changes
 	// from the other reader.
 	standbyDelay = 700 * time.Millisecond
+	// hedgeEvery is the time after which a process without a view makes another
+	// call beside one that is not answered, and maxHedges how many there are.
+	// Calls that the platform took before it fell silent are never answered.
+	hedgeEvery = 250 * time.Millisecond
+	maxHedges  = 5
 	// minBackoff and maxBackoff bound the pause after a call failed.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
@@ -206,50 +211,6 @@
 	return s.Place(), s.View.Age(s.Now()), s.View.Usable()
 }
 
-// call reads or watches the platform once. events says that the answer has any,
-// changed that one of them was new.
-func (s *Sync) call(ctx context.Context, wait time.Duration) (changed, events bool, err error) {
-	s.calls.Inc()
-	began := s.Now()
-	var d *fleet.Delta
-	if s.cursor == 0 {
-		if d, err = s.Source.Snapshot(ctx); err == nil {
-			s.cursor = d.Listed
-		}
-	} else {
-		var next uint64
-		if d, next, err = s.Source.Watch(ctx, s.cursor, wait); err == nil {
-			s.cursor = next
-		}
-	}
-	if err != nil {
-		return false, false, err
-	}
-	if wait <= shortWait || d.Full {
-		// The answer may be as old as the question.
-		d.ConfirmedMS = int64((s.Now() - began) / time.Millisecond)
-	}
-	return s.apply(d, "platform"), len(d.Changes) > 0 || d.Config != nil, nil
-}
-
-// apply adds a delta to the view.
-func (s *Sync) apply(d *fleet.Delta, from string) bool {
-	s.Lock.Lock()
-	defer s.Lock.Unlock()
-	if from == "platform" {
-		// What the platform has not changed is confirmed.
-		d.Revision = max(d.Revision, s.View.Revision())
-	}
-	before := s.View.Version()
-	targets, config := s.View.Apply(s.Now(), d)
-	if targets || config {
-		s.Log.Info("view changed", zap.String("from", from), zap.Uint64("revision", s.View.Revision()), telemetry.Version(s.View.Version()),
-			zap.Uint64("previous_version", before), zap.Bool("targets", targets), zap.Bool("config", config), zap.Int("changes", len(d.Changes)))
-		s.Changed(targets, config)
-	}
-	return targets || config
-}
-
 func (s *Sync) callFailed(ctx context.Context, err error, usable bool) time.Duration {
 	if s.Source.Compacted(err) {
 		s.Log.Warn("history of the platform is gone, reading everything", zap.Uint64("after", s.cursor))
--- a/node/fleetsync/fleetsync_test.go
+++ b/node/fleetsync/fleetsync_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -155,3 +156,49 @@
 	}
 	return members
 }
+
+// fallenSilent is a platform that took a call before it fell silent, and
+// answers those that come after it is back.
+type fallenSilent struct {
+	platform
+	calls atomic.Int32
+}
+
+func (p *fallenSilent) Snapshot(ctx context.Context) (*fleet.Delta, error) {
+	if p.calls.Add(1) == 1 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	d := p.delta
+	return &d, nil
+}
+
+// Guards against processes that start while the platform is silent and have no
+// view until the time-out of their first call: after a loss of all VMs that was
+// a second in which nothing was served.
+func TestStartDoesNotWaitForALostCall(t *testing.T) {
+	f := newFixture(4)
+	p := &fallenSilent{platform: f.platform}
+	f.Source = p
+	ctx, cancel := context.WithTimeout(context.Background(), 10*hedgeEvery)
+	defer cancel()
+	f.readOnce(ctx)
+	assert.NilError(t, ctx.Err())
+	assert.Equal(t, f.View.Revision(), uint64(9))
+	assert.Equal(t, p.calls.Load(), int32(2))
+}
+
+// Guards against more calls than one while a process that has a view reads the
+// platform again.
+func TestOneCallWithAView(t *testing.T) {
+	f := newFixture(4)
+	f.platform.delta.Config, f.platform.delta.ConfigRevision = &fleet.Config{Version: 1}, 1
+	f.readOnce(context.Background())
+	f.cursor, f.now = 0, f.Place().TakeoverAge
+	p := &fallenSilent{platform: f.platform}
+	f.Source = p
+	ctx, cancel := context.WithTimeout(context.Background(), 3*hedgeEvery)
+	defer cancel()
+	f.readOnce(ctx)
+	assert.Equal(t, p.calls.Load(), int32(1))
+}
