--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -1,8 +1,6 @@
 package ownership
 
 import (
-	"cmp"
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -59,13 +57,6 @@
 	disowned bool
 }
 
-// surveyedFor is the data centre that an agent was asked about. It is the zero
-// value if the agent was asked for itself.
-type surveyedFor struct {
-	dataCentre string
-	roster     uint64
-}
-
 // unknown takes a packet whose owner is not known here.
 func (m *Machine) unknown(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
 	if p.Reset {
@@ -126,67 +117,6 @@
 	m.pass(a, relay.Search, p, msg, out)
 }
 
-// beginFar asks the other data centres: each agent where there are few, and one
-// for all where there are many.
-func (m *Machine) beginFar(now time.Duration, key flow.Key, s *search, out *plane.Out) {
-	s.began, s.far = now, true
-	p, err := m.Codec.FromCaller(s.raw)
-	if err != nil {
-		return
-	}
-	_, far := m.searchable(now)
-	for _, dataCentre := range slices.Sorted(maps.Keys(far)) {
-		agents := far[dataCentre]
-		if len(agents) <= directMost {
-			m.askAll(agents, &p, &relay.Message{Origin: s.origin}, s, out)
-			continue
-		}
-		m.survey(dataCentre, agents, &p, s, out)
-	}
-}
-
-// survey asks an agent about its data centre, each time another one.
-func (m *Machine) survey(dataCentre string, agents []netip.Addr, p *flow.Packet, s *search, out *plane.Out) {
-	roster := m.View.Roster(m.Service, dataCentre)
-	if denied, ok := s.deniedBy[dataCentre]; ok && denied == roster {
-		if doubt := s.inDoubt(dataCentre); len(doubt) <= directMost {
-			m.askAll(doubt, p, &relay.Message{Origin: s.origin}, s, out)
-			return
-		}
-	}
-	hash := p.Key.Hash()
-	slices.SortFunc(agents, func(a, b netip.Addr) int { return cmp.Compare(fleet.Score(hash, b), fleet.Score(hash, a)) })
-	a := agents[s.surveys%len(agents)]
-	s.surveys++
-	s.asked[a] = surveyedFor{dataCentre, roster}
-	out.Send(a, relay.Message{Kind: relay.Survey, Hops: 1, Service: m.tag, Origin: s.origin, Home: m.Self, Revision: m.View.Revision(),
-		Roster: roster, Body: p.Raw})
-}
-
-// inDoubt returns the agents of a data centre for which nobody could speak and
-// that have not denied since.
-func (s *search) inDoubt(dataCentre string) (agents []netip.Addr) {
-	for _, a := range slices.SortedFunc(maps.Keys(s.doubt), netip.Addr.Compare) {
-		if s.doubt[a] == dataCentre && !s.denied[a] {
-			agents = append(agents, a)
-		}
-	}
-	return agents
-}
-
-// surveyDeclined asks another agent about a data centre. After a few have
-// declined the round stays incomplete.
-func (m *Machine) surveyDeclined(now time.Duration, from netip.Addr, asked surveyedFor, s *search, out *plane.Out) {
-	p, err := m.Codec.FromCaller(s.raw)
-	if s.declined++; err != nil || s.done || s.declined > maxDeclined {
-		s.asked[from] = asked
-		return
-	}
-	if _, far := m.searchable(now); len(far[asked.dataCentre]) > 0 {
-		m.survey(asked.dataCentre, far[asked.dataCentre], &p, s, out)
-	}
-}
-
 // searchable returns the other agents that may hold flows of the service: those
 // in the own data centre, and those of each other one.
 func (m *Machine) searchable(now time.Duration) (near []netip.Addr, far map[string][]netip.Addr) {
@@ -245,105 +175,6 @@
 	return s != nil && s.disowned
 }
 
-// answered takes what another agent says about a flow.
-func (m *Machine) answered(now time.Duration, from netip.Addr, msg *relay.Message, out *plane.Out) {
-	if msg.Service != m.tag {
-		return
-	}
-	p := m.peer(from)
-	p.load, p.heard, p.everHeard = msg.Load, now, true
-	m.surveyAnswered(from, msg, out)
-	s := m.search[msg.Flow]
-	if pl := m.placing[msg.Flow]; pl != nil {
-		m.reports.Observe(now - pl.sent)
-	}
-	switch {
-	case msg.Kind == relay.Waiting, msg.Kind == relay.Refused:
-		m.placedWord(from, msg, p)
-	case msg.Kind == relay.Owner:
-		m.ownerFound(now, from, msg, p, s, out)
-	case s == nil:
-	case s.probing[from] && msg.Kind == relay.NotOwner:
-		s.denied[from] = true
-		m.probeFailed(from, msg.Flow, s, out)
-	default:
-		m.searchAnswered(now, from, msg, s, out)
-	}
-}
-
-// searchAnswered takes an answer to a search, of an agent for itself or for its
-// data centre. One that comes after the end of a round counts in the next.
-func (m *Machine) searchAnswered(now time.Duration, from netip.Addr, msg *relay.Message, s *search, out *plane.Out) {
-	asked, ok := s.asked[from]
-	forAll := asked != surveyedFor{}
-	if !ok || forAll && msg.Kind == relay.NotOwner || !forAll && msg.Kind == relay.Surveyed {
-		return
-	}
-	delete(s.asked, from)
-	switch {
-	case forAll && msg.Kind == relay.MaybeOwner:
-		m.surveyDeclined(now, from, asked, s, out)
-	case msg.Kind == relay.NotOwner:
-		s.denied[from] = true
-	case msg.Kind == relay.MaybeOwner:
-		s.unsure = append(s.unsure, from)
-	default:
-		m.surveyEnded(asked, msg, s, out)
-	}
-	m.endSearch(now, msg.Flow, s, out)
-}
-
-// surveyEnded takes the answer for a data centre. If few agents were silent
-// there, they are asked once more, from here; with many the round stays
-// incomplete.
-func (m *Machine) surveyEnded(asked surveyedFor, msg *relay.Message, s *search, out *plane.Out) {
-	s.deniedBy[asked.dataCentre] = asked.roster
-	for _, a := range slices.Concat(msg.Unsure, msg.Silent) {
-		s.doubt[a] = asked.dataCentre
-	}
-	s.unsure = append(s.unsure, msg.Unsure...)
-	p, err := m.Codec.FromCaller(s.raw)
-	if err != nil {
-		return
-	}
-	if len(msg.Silent) <= directMost {
-		m.askAll(msg.Silent, &p, &relay.Message{Origin: s.origin}, s, out)
-		return
-	}
-	for _, a := range msg.Silent {
-		s.asked[a] = surveyedFor{}
-	}
-}
-
-// placedWord takes word of a flow that this agent placed and that is not open.
-func (m *Machine) placedWord(from netip.Addr, msg *relay.Message, p *peer) {
-	p.suspect = 0
-	m.unplace(msg.Flow)
-	switch r := m.records[msg.Flow]; {
-	case r == nil || r.confirmed:
-	case msg.Kind == relay.Waiting:
-		r.owner, r.waiting = from, true
-	default:
-		delete(m.records, msg.Flow)
-	}
-}
-
-// ownerFound notes the owner of a flow, placed or searched for.
-func (m *Machine) ownerFound(now time.Duration, from netip.Addr, msg *relay.Message, p *peer, s *search, out *plane.Out) {
-	p.suspect = 0
-	m.unplace(msg.Flow)
-	if r := m.records[msg.Flow]; r != nil {
-		r.owner, r.confirmed, r.seen = from, true, now
-	} else if len(m.records) < maxFlows {
-		m.records[msg.Flow] = &record{owner: from, confirmed: true, seen: now}
-	}
-	if s != nil {
-		s.done, s.found = true, true
-		clear(s.probing)
-		out.Event(plane.Event{Kind: plane.EventFound, Flow: msg.Flow, Peer: from})
-	}
-}
-
 func (m *Machine) resetSearched(s *search, out *plane.Out) {
 	s.nobody = true
 	if p, err := m.Codec.FromCaller(s.raw); err == nil {
