Starts during an outage of the platform: readings every half second, openings wait for targets

And balancers that read the platform right at its return found no targets, because the entries had lapsed meanwhile; they refused 200 new flows although all targets were listed again a second later.

Change: a process without a view goes on with a reading each 500 ms, and notes that the platform was away if the first was not answered.

TestStartDoesNotWaitForALostCall (four lost calls) and TestOpeningPacketsWaitForTargets failed before.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -62,7 +62,7 @@
 	waiting bool
 }
 
-// early is a packet that came before the first view.
+// early is a packet that came before the view that it needs.
 type early struct {
 	raw  []byte
 	came time.Duration
@@ -108,15 +108,22 @@
 		return
 	}
 	if !m.view.Usable() {
-		if len(m.early) < maxEarly {
-			m.early = append(m.early, early{slices.Clone(raw), now})
-		}
+		m.hold(now, raw)
 		return
 	}
 	m.take(now, &p, out)
 }
 
-// ViewChanged takes the packets that waited for the first view.
+// hold keeps a packet that nobody can take yet: there is no view, or the targets
+// of the service are not listed again after an outage of the platform.
+func (m *Machine) hold(now time.Duration, raw []byte) {
+	m.early = slices.DeleteFunc(m.early, func(e early) bool { return now-e.came > earlyFor })
+	if len(m.early) < maxEarly {
+		m.early = append(m.early, early{slices.Clone(raw), now})
+	}
+}
+
+// ViewChanged takes the packets that waited for the view.
 func (m *Machine) ViewChanged(now time.Duration, out *plane.Out) {
 	if !m.view.Usable() || len(m.early) == 0 {
 		return
@@ -125,8 +132,14 @@
 	m.early = nil
 	for _, e := range waited {
 		p, err := m.codec.FromCaller(e.raw)
-		if err == nil && now-e.came <= earlyFor {
-			m.take(now, &p, out)
+		if err != nil || now-e.came > earlyFor {
+			continue
+		}
+		held := len(m.early)
+		m.take(now, &p, out)
+		if len(m.early) > held {
+			// It waits on, from its arrival.
+			m.early[held].came = e.came
 		}
 	}
 }
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -143,3 +143,28 @@
 	m.ViewChanged(31*ms, &out)
 	assert.Equal(t, len(out.Sends), 2)
 }
+
+// Guards against new flows that are refused because the targets' entries lapsed
+// while the platform was away: they are listed again within two seconds of its
+// return, and a balancer that started meanwhile knows none of them.
+func TestOpeningPacketsWaitForTargets(t *testing.T) {
+	v := fleettest.View(0)
+	m := New(self, "dc", flowtest.Codec{}, v)
+	var out plane.Out
+	m.FromCaller(0, openPacket(1, 0), &out)
+	assert.Equal(t, len(out.ToCaller), 0)
+	m.ViewChanged(10*ms, &out)
+	assert.Equal(t, len(out.Sends)+len(out.ToCaller), 0)
+	v.Apply(earlyFor, &fleet.Delta{Revision: 300, Changes: []fleet.Change{{ID: "a", Revision: 300, Target: fleettest.Target(0, fleet.Ready)}}})
+	m.ViewChanged(earlyFor, &out)
+	assert.Equal(t, len(out.Sends), 1)
+
+	v.Apply(earlyFor, &fleet.Delta{Revision: 301, Changes: []fleet.Change{{ID: "a", Revision: 301}}})
+	late := fleet.ReturnGrace + ms
+	m.FromCaller(late, openPacket(2, 0), &out)
+	assert.Equal(t, len(out.ToCaller), 1, "a service without targets is refused at once")
+	v.Disturbed(late)
+	v.Apply(late, &fleet.Delta{Revision: 302})
+	m.FromCaller(late+fleet.ReturnGrace+ms, openPacket(3, 0), &out)
+	assert.Equal(t, len(out.ToCaller), 2)
+}
--- a/core/dispatch/opening.go
+++ b/core/dispatch/opening.go
@@ -18,6 +18,10 @@
 	service := r.ServiceOf(p.Key.Hash())
 	homes := m.homes(now, service, p.Key, m.view.Lapsed(now, service))
 	if len(homes) == 0 {
+		if m.view.Awaits(now) {
+			m.hold(now, p.Raw)
+			return
+		}
 		m.reset(p, "no_target", out)
 		return
 	}
--- a/core/fleet/lookup.go
+++ b/core/fleet/lookup.go
@@ -73,12 +73,25 @@
 // drain, and that may come back because the platform was disturbed when they
 // vanished or a short while ago.
 func (v *View) Lapsed(now time.Duration, service string) []*Target {
-	if !v.wasDisturbed || now-v.disturbed > ReturnGrace {
+	if !v.Returning(now) {
 		return nil
 	}
 	return slices.DeleteFunc(v.Former(service), func(t *Target) bool { return t.State != Ready })
 }
 
+// Returning reports whether the platform was disturbed a short while ago, so that
+// targets which are not listed may come back.
+func (v *View) Returning(now time.Duration) bool {
+	return v.wasDisturbed && now-v.disturbed <= ReturnGrace
+}
+
+// Awaits reports whether targets that are not listed may be listed soon: the
+// platform was disturbed a short while ago, or the view is new, so that it is not
+// known whether it was.
+func (v *View) Awaits(now time.Duration) bool {
+	return v.Returning(now) || now-v.began <= ReturnGrace
+}
+
 // AtAgent returns the target that runs on the VM with an address.
 func (v *View) AtAgent(agent netip.Addr) *Target { return v.index.atAgent(agent) }
 
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -52,6 +52,8 @@
 	// confirmed is when the revision was last known to be the newest.
 	confirmed time.Duration
 	everKnown bool
+	// began is when the first routes were known.
+	began time.Duration
 	// disturbed is when a reader last failed to reach the platform, this
 	// process or one that told it.
 	disturbed    time.Duration
@@ -188,7 +190,9 @@
 	for address := range routes {
 		delete(v.retired, address)
 	}
-	if v.config != nil {
+	if v.config == nil {
+		v.began = now
+	} else {
 		v.past = append(v.past, v.config)
 		v.past = v.past[max(0, len(v.past)-keptVersions):]
 	}
--- a/node/fleetsync/calls.go
+++ b/node/fleetsync/calls.go
@@ -48,12 +48,15 @@
 }
 
 // snapshot reads the platform. A process without a view does not wait for the
-// time-out of a call that is not answered, but makes others beside it.
+// time-out of a call that is not answered, but makes others beside it until one
+// is answered or fails.
 func (s *Sync) snapshot(ctx context.Context) (*fleet.Delta, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	_, _, usable := s.standing()
-	answers := make(chan listing, maxHedges)
+	asked := s.Now()
+	// Readings that are still open at the end need no reader of their outcome.
+	answers := make(chan listing)
 	read := func() {
 		s.calls.Inc()
 		began := s.Now()
@@ -61,26 +64,40 @@
 		if err == nil {
 			d.ConfirmedMS = int64((s.Now() - began) / time.Millisecond)
 		}
-		answers <- listing{d, err}
+		select {
+		case answers <- listing{d, err}:
+		case <-ctx.Done():
+		}
 	}
-	next := time.NewTicker(hedgeEvery)
+	next := time.NewTimer(hedgeFirst)
 	defer next.Stop()
 	go read()
-	for made, open := 1, 1; ; {
+	for {
 		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
 		case a := <-answers:
-			if open--; a.err == nil || open == 0 {
-				return a.delta, a.err
-			}
+			s.noteLate(a, asked)
+			return a.delta, a.err
 		case <-next.C:
-			if !usable && made < maxHedges {
-				made, open = made+1, open+1
+			if !usable {
 				go read()
+				next.Reset(hedgeEvery)
 			}
 		}
 	}
 }
 
+// noteLate notes that the platform is just back, if it left a call unanswered.
+func (s *Sync) noteLate(a listing, asked time.Duration) {
+	if a.err != nil || s.Now()-asked < hedgeFirst {
+		return
+	}
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	s.View.Disturbed(s.Now())
+}
+
 // apply adds a delta to the view.
 func (s *Sync) apply(d *fleet.Delta, from string) bool {
 	s.Lock.Lock()
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -29,11 +29,11 @@
 	// standbyDelay is that pause of a standby reader, which gets most changes
 	// from the other reader.
 	standbyDelay = 700 * time.Millisecond
-	// hedgeEvery is the time after which a process without a view makes another
-	// call beside one that is not answered, and maxHedges how many there are.
-	// Calls that the platform took before it fell silent are never answered.
-	hedgeEvery = 250 * time.Millisecond
-	maxHedges  = 5
+	// hedgeFirst is the time after which a process without a view makes another
+	// call beside one that is not answered, hedgeEvery that to each further
+	// one. Calls that a silent platform has taken are never answered.
+	hedgeFirst = 250 * time.Millisecond
+	hedgeEvery = 500 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a call failed.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
--- a/node/fleetsync/fleetsync_test.go
+++ b/node/fleetsync/fleetsync_test.go
@@ -162,10 +162,12 @@
 type fallenSilent struct {
 	platform
 	calls atomic.Int32
+	// lost is the number of calls before it is back.
+	lost int
 }
 
 func (p *fallenSilent) Snapshot(ctx context.Context) (*fleet.Delta, error) {
-	if p.calls.Add(1) == 1 {
+	if int(p.calls.Add(1)) <= p.lost {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -177,15 +179,17 @@
 // view until the time-out of their first call: after a loss of all VMs that was
 // a second in which nothing was served.
 func TestStartDoesNotWaitForALostCall(t *testing.T) {
-	f := newFixture(4)
-	p := &fallenSilent{platform: f.platform}
-	f.Source = p
-	ctx, cancel := context.WithTimeout(context.Background(), 10*hedgeEvery)
-	defer cancel()
-	f.readOnce(ctx)
-	assert.NilError(t, ctx.Err())
-	assert.Equal(t, f.View.Revision(), uint64(9))
-	assert.Equal(t, p.calls.Load(), int32(2))
+	for _, lost := range []int{1, 4} {
+		f := newFixture(4)
+		p := &fallenSilent{platform: f.platform, lost: lost}
+		f.Source = p
+		ctx, cancel := context.WithTimeout(context.Background(), 10*hedgeEvery)
+		defer cancel()
+		f.readOnce(ctx)
+		assert.NilError(t, ctx.Err())
+		assert.Equal(t, f.View.Revision(), uint64(9))
+		assert.Equal(t, int(p.calls.Load()), lost+1)
+	}
 }
 
 // Guards against more calls than one while a process that has a view reads the
@@ -195,7 +199,7 @@
 	f.platform.delta.Config, f.platform.delta.ConfigRevision = &fleet.Config{Version: 1}, 1
 	f.readOnce(context.Background())
 	f.cursor, f.now = 0, f.Place().TakeoverAge
-	p := &fallenSilent{platform: f.platform}
+	p := &fallenSilent{platform: f.platform, lost: 9}
 	f.Source = p
 	ctx, cancel := context.WithTimeout(context.Background(), 3*hedgeEvery)
 	defer cancel()
