--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint demo demo-quic soak faults measure slopes
+.PHONY: build test lint demo demo-quic soak faults fuzz measure slopes
 
 build:
 	go build -o bin/ ./node/cmd/... ./lab/cmd/...
@@ -28,6 +28,11 @@
 faults: build
 	bash scripts/gotest.sh -count=1 -v ./lab/faults
 
+# Every decoder and decision that takes bytes from outside, 30 s each, about 5
+# minutes. The tests play the seeds.
+fuzz:
+	bash scripts/fuzz.sh 30s
+
 # Imbalance and latency with real processes, beside a central queue in model
 # time with the same sizes and loads.
 measure: build
--- /dev/null
+++ b/core/fleet/fuzz_test.go
@@ -0,0 +1,46 @@
+package fleet
+
+import (
+	"encoding/json"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// FuzzDelta guards against an answer of a peer that makes the view panic, or
+// that changes a view although it does not pass the check.
+func FuzzDelta(f *testing.F) {
+	for _, seed := range []string{
+		`{"revision":9,"changes":[{"id":"a","revision":9,"target":{"id":"a","service":"s","address":"10.0.0.1:80","state":"ready","born":2}},{"id":"b","revision":8}]}`,
+		`{"revision":20,"full":true,"changes":[],"config":{"version":3,"routes":[{"name":"r","address":"198.18.0.1:1","split":[{"service":"s","weight":-1}]}]}}`,
+		`{"revision":3,"patch":{"base":1,"version":2,"set":[{"address":"198.18.0.1:1"}],"removed":["198.18.0.1:1","x"]},"disturbed_ms":5}`,
+		`{"changes":[{"id":"a","revision":1,"target":{"address":""}}]}`,
+		`{"confirmed_ms":-1}`, `null`, `[]`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var d Delta
+		if json.Unmarshal(b, &d) != nil || d.Validate() != nil {
+			return
+		}
+		v := New()
+		v.Apply(0, &Delta{Revision: 7, Config: &Config{Version: 1, Routes: []Route{routeTo(1, "s")}}, ConfigRevision: 1, Changes: []Change{
+			{ID: "a", Revision: 6, Target: target("a", 1, Ready, 1)}, {ID: "c", Revision: 7, Target: target("c", 3, Ready, 1)}}})
+		v.Apply(time.Second, &d)
+		v.Expire(2 * FormerFor)
+		for _, service := range append(v.Services(), "booking") {
+			Homes(nil, v.Targets(service), 1, "dc")
+			v.Lapsed(time.Second, service)
+			v.Roster(service, "dc")
+		}
+		v.Place(nil, Member{VM: netip.AddrFrom4([4]byte{10, 0, 0, 9}), DataCentre: "dc"})
+		if r, ok := v.Route(netip.MustParseAddrPort("198.18.0.1:1")); ok {
+			r.ServiceOf(5)
+		}
+		since := v.Since(time.Second, 1, 1)
+		if err := since.Validate(); err != nil {
+			t.Fatalf("a view gives a delta that fails its check: %v", err)
+		}
+	})
+}
--- a/core/fleet/reader_test.go
+++ b/core/fleet/reader_test.go
@@ -94,3 +94,26 @@
 	assert.Equal(t, len(p.Parents), 2)
 	assert.Assert(t, p.TakeoverAge >= takeoverAge)
 }
+
+// Guards against processes whose connections grow with the fleet: those that ask
+// one process for its view.
+func TestFewAskOneProcess(t *testing.T) {
+	const dataCentres = 5
+	const most = 4*fanOut + gateways*dataCentres
+	for _, n := range []int{30, 300, 1500} {
+		agents := agentsIn(n, dataCentres)
+		askers := map[netip.Addr]int{}
+		for i := range n + n/2 {
+			self := Member{netip.AddrFrom4([4]byte{10, 200, byte(i / 250), byte(i % 250)}), fmt.Sprint("dc-", i%dataCentres)}
+			if i < n {
+				self = agents[i]
+			}
+			for _, parent := range PlaceOf(agents, nil, self).Parents {
+				askers[parent]++
+			}
+		}
+		for parent, asked := range askers {
+			assert.Assert(t, asked <= most, "%d agents: %d processes ask %s", n, asked, parent)
+		}
+	}
+}
