lab/packets: targets answer health checks over TCP

An agent that restarts connects to its target's address to learn whether it runs; the lab's targets had a UDP socket only, so each counted as not running (19 log lines target_fresh, not_running).

Ruled out: the platform's servers.

Change: the stand-in answers health checks as the platform's servers do.

--- a/lab/packets/target.go
+++ b/lab/packets/target.go
@@ -2,13 +2,18 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
 )
 
+// healthTimeout bounds a slow client of health checks.
+const healthTimeout = time.Second
+
 // TargetOptions of a Target.
 type TargetOptions struct {
 	Name, Service string
@@ -27,6 +32,8 @@
 type Target struct {
 	TargetOptions
 	conn *net.UDPConn
+	// health answers health checks over TCP at the same address.
+	health *http.Server
 
 	mu       sync.Mutex
 	flows    map[flowKey]*targetFlow
@@ -58,12 +65,27 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Target{TargetOptions: o, conn: conn, flows: map[flowKey]*targetFlow{}, ended: make(chan struct{})}
+	health, err := net.Listen("tcp4", o.Address.String())
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	t := &Target{TargetOptions: o, conn: conn, health: &http.Server{ReadHeaderTimeout: healthTimeout}, flows: map[flowKey]*targetFlow{}, ended: make(chan struct{})}
+	t.health.Handler = http.HandlerFunc(t.answerHealth)
+	go func() { _ = t.health.Serve(health) }()
 	go readDatagrams(conn, t.take)
 	go t.tick()
 	return t, nil
 }
 
+// answerHealth answers 200 until the target drains.
+func (t *Target) answerHealth(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.draining {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // Drain begins a drain: flows are closed after their next answer.
 func (t *Target) Drain() {
 	t.mu.Lock()
@@ -88,6 +110,7 @@
 func (t *Target) Stop() {
 	t.endOnce.Do(func() {
 		close(t.ended)
+		_ = t.health.Close()
 		t.conn.Close()
 		t.Log.targetEnded(t.Name)
 	})
