node/fleetsync: a panic while the platform is read is an error of the call

Cause: since readings run beside each other, each has a goroutine that no supervisor watches, so a panic in it (an answer that nobody expected) would have ended the process. Found when the change was read once more.

Change: the reading recovers, logs the stack, and fails like one that was not answered. TestPanicOfAReading ends the test's process without it.

--- a/node/fleetsync/calls.go
+++ b/node/fleetsync/calls.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"time"
 
+	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/node/telemetry"
@@ -60,7 +63,7 @@
 	read := func() {
 		s.calls.Inc()
 		began := s.Now()
-		d, err := s.Source.Snapshot(ctx)
+		d, err := s.readAll(ctx)
 		if err == nil {
 			d.ConfirmedMS = int64((s.Now() - began) / time.Millisecond)
 		}
@@ -88,6 +91,18 @@
 	}
 }
 
+// readAll reads the platform on a goroutine of its own, which no supervisor
+// watches: a panic there is an error of the call.
+func (s *Sync) readAll(ctx context.Context) (d *fleet.Delta, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.Log.Error("reading of the platform panicked", telemetry.Reason(fmt.Sprint(cause)), zap.String("stack", string(debug.Stack())))
+			err = trace.Errorf("reading panicked: %v", cause)
+		}
+	}()
+	return s.Source.Snapshot(ctx)
+}
+
 // noteLate notes that the platform is just back, if it left a call unanswered.
 func (s *Sync) noteLate(a listing, asked time.Duration) {
 	if a.err != nil || s.Now()-asked < hedgeFirst {
--- a/node/fleetsync/fleetsync_test.go
+++ b/node/fleetsync/fleetsync_test.go
@@ -206,3 +206,17 @@
 	f.readOnce(ctx)
 	assert.Equal(t, p.calls.Load(), int32(1))
 }
+
+// panics is a platform whose answer makes its reader panic.
+type panics struct{ platform }
+
+func (*panics) Snapshot(context.Context) (*fleet.Delta, error) { panic("unexpected answer") }
+
+// Guards against an answer of the platform that ends the process: readings run
+// beside each other, outside of what is supervised.
+func TestPanicOfAReading(t *testing.T) {
+	f := newFixture(4)
+	f.Source = &panics{}
+	_, err := f.snapshot(t.Context())
+	assert.ErrorContains(t, err, "unexpected answer")
+}
