--- a/node/packetplane/status.go
+++ b/node/packetplane/status.go
@@ -133,6 +133,7 @@
 		const ms = 1000
 		return float64(viewAgeMS(p.view, p.now())) / ms
 	}))
+	p.Metrics.NewGauge("trefoilweir_view_revision", locked(func() float64 { return float64(p.view.Revision()) }))
 	p.Metrics.NewGauge("trefoilweir_view_version", locked(func() float64 { return float64(p.view.Version()) }))
 	for name := range p.role.tableSizes() {
 		p.Metrics.NewGauge(`trefoilweir_table_entries{table="`+name+`"}`, locked(func() float64 { return float64(p.role.tableSizes()[name]) }))
