--- a/lab/kvstore/store.go
+++ b/lab/kvstore/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -16,6 +17,10 @@
 // maxWait bounds the duration of a watch call.
 const maxWait = 30 * time.Second
 
+// eraHeader is the header of all responses that counts how often the store came
+// back from a backup.
+const eraHeader = "Store-Era"
+
 // pageSize is the maximum number of entries in one page of a listing.
 const pageSize = 500
 
@@ -59,11 +64,13 @@
 	changed     chan struct{}
 	fault       Fault
 	calls       int
+	// era is 1 plus the number of calls of Restore.
+	era uint64
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{items: map[string]Item{}, changed: make(chan struct{}), revision: 1}
+	return &Store{items: map[string]Item{}, changed: make(chan struct{}), revision: 1, era: 1}
 }
 
 // Put stores an entry and returns its revision.
@@ -98,8 +105,8 @@
 	s.changed = make(chan struct{})
 }
 
-// Compact drops all past events. A watch from before them then fails with
-// status 410.
+// Compact drops all past events. A watch from before them, and one from a
+// revision that the store has not reached, fails with status 410.
 func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,6 +115,38 @@
 	s.changed = make(chan struct{})
 }
 
+// Backup is a copy of the state of a Store.
+type Backup struct {
+	revision, compactedTo uint64
+	items                 map[string]Item
+	history               []Item
+}
+
+// Backup returns a copy of the current state.
+func (s *Store) Backup() *Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Backup{s.revision, s.compactedTo, maps.Clone(s.items), slices.Clone(s.history)}
+}
+
+// Restore returns the store to the state of a backup. All later changes are
+// lost, and their revisions are given out again.
+func (s *Store) Restore(b *Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.compactedTo, s.items, s.history = b.revision, b.compactedTo, maps.Clone(b.items), slices.Clone(b.history)
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Keys returns the keys of all entries, sorted.
+func (s *Store) Keys() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.items))
+}
+
 // SetFault sets the fault of all calls, including watches that are waiting.
 func (s *Store) SetFault(f Fault) {
 	s.mu.Lock()
@@ -129,6 +168,7 @@
 	s.mu.Lock()
 	s.calls++
 	fault := s.fault
+	w.Header().Set(eraHeader, strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	if !s.applyFault(w, r, fault) {
 		return
@@ -206,13 +246,14 @@
 	for {
 		s.mu.Lock()
 		changed, fault := s.changed, s.fault
-		compacted := after < s.compactedTo
+		w.Header().Set(eraHeader, strconv.FormatUint(s.era, 10))
+		unknown := after < s.compactedTo || after > s.revision
 		events, current := s.eventsSince(query.Get("prefix"), after), s.revision
 		s.mu.Unlock()
 		if !s.applyFault(w, r, fault) {
 			return
 		}
-		if compacted {
+		if unknown {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
--- a/lab/kvstore/store_test.go
+++ b/lab/kvstore/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -45,3 +46,25 @@
 	}
 	assert.Equal(t, first, uint64(2))
 }
+
+// Guards against a simulated store whose return from a backup differs from that
+// of the real one: later changes are lost, a watch from one of them is rejected
+// until the revision is given out again, and the header counts the returns.
+func TestRestore(t *testing.T) {
+	s := New()
+	s.Put("op/config", []byte("1"))
+	backup := s.Backup()
+	lost := s.Put("servers/a", []byte("2"))
+	s.Restore(backup)
+	code, _ := get(t, s, "/v1/kv-key?key=servers/a")
+	assert.Equal(t, code, http.StatusNotFound)
+	path := fmt.Sprintf("/v1/kv-watch?prefix=&after=%d&wait-ms=1", lost)
+	code, _ = get(t, s, path)
+	assert.Equal(t, code, http.StatusGone)
+	assert.Equal(t, s.Put("servers/b", []byte("3")), lost)
+	code, _ = get(t, s, path)
+	assert.Equal(t, code, http.StatusOK)
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/kv-range?prefix=", nil))
+	assert.Equal(t, w.Header().Get(eraHeader), "2")
+}
