fleet, fleetsync, platform: revisions order changes within an epoch

Cause: one number, the store's revision, ordered everything: entries, views, fetches between peers and the position of a watch. It was taken to rise for ever. When the store gave revisions out again, the readers kept the higher one, peers saw no newer view at them, and changes with a lower revision were ignored. A watch whose position the store had passed again went on and skipped what lay below.

Change: the store's era is the epoch of a revision. Views, deltas, fetches, heartbeats, surveys and watches carry it; revisions are compared only within an epoch, and a view of a higher epoch is newer. The routes stay ordered by version alone. An entry of the copy does not replace a later known state of its target (drained, or a later incarnation), and entries that it lacks count as lapsed. Heartbeats carry epoch and revision as varints, which are shorter than the 8 bytes before. Processes of the previous release drop them as malformed (and the reverse), which counts; packets of flows are not affected.

--- /dev/null
+++ b/core/fleet/progress_test.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// listing returns the full delta of an epoch with the given targets, whose
+// revisions count from 1.
+func listing(epoch uint64, targets ...*Target) *Delta {
+	d := &Delta{Epoch: epoch, Full: true, ListingRevision: uint64(len(targets)), Revision: uint64(len(targets))}
+	for i, t := range targets {
+		d.Changes = append(d.Changes, Change{ID: t.ID, Revision: uint64(i + 1), Target: t})
+	}
+	return d
+}
+
+// Guards against views that ignore all changes after the platform has returned
+// from an older copy, because the revisions are lower than before.
+func TestLowerRevisionsOfANewEpoch(t *testing.T) {
+	v, peer := New(), New()
+	for _, view := range []*View{v, peer} {
+		view.Apply(0, &Delta{Epoch: 1, Full: true, Revision: 50, Changes: []Change{
+			{ID: "a", Revision: 40, Target: target("a", 1, Ready, 1)}, {ID: "b", Revision: 50, Target: target("b", 2, Ready, 1)}}})
+	}
+	v.Apply(time.Second, listing(2, target("a", 1, Ready, 1)))
+	assert.Assert(t, v.Progress().AheadOf(peer.Progress()))
+	v.Apply(time.Second, &Delta{Epoch: 2, Revision: 2, Changes: []Change{{ID: "a", Revision: 2, Target: target("a", 1, Draining, 1)}}})
+	assert.Equal(t, v.Targets("booking")[0].State, Draining)
+	d := v.Since(time.Second, peer.Progress(), 0)
+	peer.Apply(time.Second, &d)
+	assert.Equal(t, peer.Progress(), v.Progress())
+	assert.Equal(t, peer.Targets("booking")[0].State, Draining)
+	// The target that the older copy lacks may write again.
+	assert.Equal(t, ids(peer.LapsedTargets(time.Second+ReturnGrace, "booking")), "b")
+	assert.Equal(t, len(peer.LapsedTargets(2*time.Second+ReturnGrace, "booking")), 0)
+	// A late delta of the earlier epoch has no effect, except a newer version.
+	peer.Apply(2*time.Second, &Delta{Epoch: 1, Full: true, Revision: 60, Config: &Config{Version: 7}})
+	assert.Equal(t, peer.Progress(), v.Progress())
+	assert.Equal(t, ids(peer.Targets("booking")), "a")
+	assert.Equal(t, peer.Version(), uint64(7))
+}
+
+// Guards against a target that is used again because an older copy of the
+// platform's state lists it as it was before it drained, left or restarted.
+func TestOlderCopyDoesNotUndoAState(t *testing.T) {
+	known := map[string]struct {
+		state  *Target
+		left   bool
+		copied *Target
+		want   TargetState
+	}{
+		"draining":                  {target("a", 1, Draining, 5), false, target("a", 1, Ready, 5), Draining},
+		"left":                      {target("a", 1, Draining, 5), true, target("a", 1, Ready, 5), ""},
+		"restarted":                 {target("a", 1, Draining, 5), false, target("a", 1, Ready, 4), Draining},
+		"restarted after the copy":  {target("a", 1, Ready, 5), false, target("a", 1, Draining, 4), Ready},
+		"restarted before the copy": {target("a", 1, Draining, 5), true, target("a", 1, Ready, 6), Ready},
+		"lapsed":                    {target("a", 1, Ready, 5), true, target("a", 1, Ready, 5), Ready},
+		"draining in the copy":      {target("a", 1, Ready, 5), false, target("a", 1, Draining, 5), Draining},
+	}
+	stateOf := func(v *View) TargetState {
+		for _, t := range v.Targets("booking") {
+			return t.State
+		}
+		return ""
+	}
+	for name, k := range known {
+		v := New()
+		v.Apply(0, &Delta{Epoch: 1, Full: true, Revision: 50, Changes: []Change{{ID: "a", Revision: 50, Target: k.state}}})
+		if k.left {
+			v.Apply(0, &Delta{Epoch: 1, Revision: 51, Changes: []Change{{ID: "a", Revision: 51}}})
+		}
+		v.Apply(time.Second, listing(2, k.copied))
+		assert.Equal(t, stateOf(v), k.want, name)
+		// What the target writes in the new epoch counts.
+		v.Apply(time.Second, &Delta{Epoch: 2, Revision: 2, Changes: []Change{{ID: "a", Revision: 2, Target: target("a", 1, Ready, 5)}}})
+		assert.Equal(t, stateOf(v), Ready, name)
+	}
+}
+
+// Guards against a view that counts as up to date because a peer of an earlier
+// epoch has a higher revision.
+func TestConfirmOfAnEarlierEpoch(t *testing.T) {
+	v := New()
+	v.Apply(0, listing(2, target("a", 1, Ready, 1)))
+	v.Confirm(time.Second, 0, Progress{Epoch: 1, Revision: 90})
+	assert.Equal(t, v.Age(time.Second), time.Second)
+}
+
+// Guards against two views that list different targets although they have the
+// same progress, whatever the order of changes, returns from older copies and
+// exchanges between them.
+func TestViewsAgreeAcrossEpochs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		views := []*View{New(), New(), New()}
+		platform := New()
+		var backup Delta
+		epoch, revision := uint64(1), uint64(0)
+		for n := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				backup = platform.Since(0, Progress{}, 0)
+			case 1:
+				epoch++
+				platform = New()
+				backup.Epoch, backup.Full, revision = epoch, true, backup.Revision
+				platform.Apply(0, &backup)
+			case 2, 3:
+				revision++
+				id := fmt.Sprint(rapid.IntRange(1, 4).Draw(t, "id"))
+				c := Change{ID: id, Revision: revision}
+				if rapid.Bool().Draw(t, "there") {
+					c.Target = target(id, id[0], Ready, int64(n))
+				}
+				platform.Apply(0, &Delta{Epoch: epoch, Full: platform.Progress() == Progress{}, Revision: revision, Changes: []Change{c}})
+			default:
+				from := rapid.SampledFrom(append(views, platform)).Draw(t, "from")
+				to := rapid.SampledFrom(views).Draw(t, "to")
+				d := from.Since(0, to.Progress(), 0)
+				to.Apply(0, &d)
+			}
+		}
+		for _, to := range views {
+			d := platform.Since(0, to.Progress(), 0)
+			to.Apply(0, &d)
+			assert.Equal(t, to.Progress(), platform.Progress())
+			assert.Equal(t, ids(to.Targets("booking")), ids(platform.Targets("booking")))
+		}
+	})
+}
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -7,8 +7,9 @@
 //   - An entry is the record of one target, under its ID. An entry is listed
 //     until it is removed. A removed entry counts as lapsed if its target was
 //     ready and the platform was disturbed recently: it may be listed again.
-//   - The revision orders all changes. The version numbers only the contents of
-//     the routes.
+//   - The revision orders all changes of one epoch. A new epoch begins when the
+//     platform returns from an older copy of its state: its revisions go back and
+//     are given out again. The version numbers only the contents of the routes.
 //   - The homes of a flow are the agents of its service in the order in which
 //     they are preferred for the flow.
 //   - A reader is an agent that watches the platform. A gateway is a process
@@ -20,7 +21,10 @@
 // Invariants:
 //   - A view applies a change of a target only if its revision is above the
 //     one that the view has for the target. A removal counts as a change.
-//   - The version of the routes never decreases.
+//   - The epoch and the version of the routes never decrease. Revisions of
+//     different epochs are not compared.
+//   - A new epoch replaces a known state of a target only by a later one, or by
+//     its removal.
 //   - Deltas made from one view lead another view to the same content, in any
 //     order and with repetitions.
 package fleet
@@ -112,6 +116,8 @@
 
 // Delta holds the changes since a revision.
 type Delta struct {
+	// Epoch is the epoch of all revisions in the delta.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// Revision is the revision up to which the sender knows all changes.
 	Revision uint64 `json:"revision"`
 	// Full says that targets not named in Changes are removed.
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -10,7 +10,8 @@
 
 // entry holds the newest known state of one ID.
 type entry struct {
-	id       string
+	id string
+	// revision is 0 if the state is of an earlier epoch.
 	revision uint64
 	// target is the newest readable state, nil if there never was one. If
 	// removed is set, it is the last state before the removal.
@@ -32,7 +33,8 @@
 // View is one process's copy of the fleet's state. It is not safe for
 // concurrent use.
 type View struct {
-	revision uint64
+	// epoch is the epoch of all revisions in the view.
+	epoch, revision uint64
 	// floor is the lowest revision from which a delta is complete.
 	floor   uint64
 	entries map[string]*entry
@@ -77,11 +79,18 @@
 // Apply applies a delta and reports whether it changed the targets and the
 // routes. A change that is not newer than the view's state is ignored. A listing
 // at the platform is no snapshot, so a delta may name changes above the revision
-// up to which it is complete.
+// up to which it is complete. Of a delta of another epoch, only the routes are
+// applied, unless it is a full delta of a newer one.
 func (v *View) Apply(now time.Duration, d *Delta) (targets, config bool) {
 	if d.DisturbedMS != nil {
 		v.RecordDisturbance(now - time.Duration(*d.DisturbedMS)*time.Millisecond)
 	}
+	if d.Full && d.Epoch > v.epoch {
+		v.startEpoch(now, d.Epoch)
+	}
+	if d.Epoch != v.epoch {
+		return false, v.applyConfig(now, d)
+	}
 	behind := d.Revision < v.revision
 	for i := range d.Changes {
 		c := &d.Changes[i]
@@ -100,11 +109,7 @@
 		}
 		v.floor = max(v.floor, at)
 	}
-	c := v.configOf(d)
-	if c != nil && c.Version > v.Version() {
-		v.setConfig(now, c, d.ConfigRevision)
-		config = true
-	}
+	config = v.applyConfig(now, d)
 	if d.Patch != nil && d.Patch.Version > v.Version() {
 		// The patch does not apply to the view's version. The revision stays,
 		// so that the routes are fetched again.
@@ -112,11 +117,22 @@
 	}
 	v.revision = max(v.revision, complete)
 	if !behind {
-		v.Confirm(now, time.Duration(d.ConfirmedMS)*time.Millisecond, v.revision)
+		v.Confirm(now, time.Duration(d.ConfirmedMS)*time.Millisecond, v.Progress())
 	}
 	return targets, config
 }
 
+// applyConfig applies the version of the routes that a delta leads to, if it is
+// newer than that of the view.
+func (v *View) applyConfig(now time.Duration, d *Delta) bool {
+	c := v.configOf(d)
+	if c == nil || c.Version <= v.Version() {
+		return false
+	}
+	v.setConfig(now, c, d.ConfigRevision)
+	return true
+}
+
 // configOf returns the version of the routes that a delta leads to, or nil.
 func (v *View) configOf(d *Delta) *Config {
 	if d.Patch != nil {
@@ -137,7 +153,11 @@
 	if c.Target == nil {
 		return v.remove(now, e, c.Revision)
 	}
+	ofEarlierEpoch := e.revision == 0
 	v.setRevision(e, c.Revision)
+	if ofEarlierEpoch && e.target != nil && c.Target.precedes(e.target) {
+		return false
+	}
 	v.index.remove(e)
 	e.target, e.removed = v.index.intern(c.Target, e.id), false
 	v.index.add(e)
@@ -201,10 +221,10 @@
 	v.config, v.configRevision, v.routes = c, max(revision, v.configRevision), routes
 }
 
-// Confirm records that revision was the newest one at the time now-age. The
-// call has no effect if the view has a newer revision.
-func (v *View) Confirm(now, age time.Duration, revision uint64) {
-	if revision < v.revision {
+// Confirm records that there was no change after the progress p at the time
+// now-age. The call has no effect if the view is ahead of it.
+func (v *View) Confirm(now, age time.Duration, p Progress) {
+	if v.Progress().AheadOf(p) {
 		return
 	}
 	if at := now - age; !v.everConfirmed || at > v.confirmedAt {
@@ -233,10 +253,13 @@
 	}
 }
 
-// Since returns the changes after a revision, for a peer that has a version of
-// the routes. If after is 0 or too old, it returns a full delta.
-func (v *View) Since(now time.Duration, after, version uint64) Delta {
-	d := Delta{Revision: v.revision, Full: after == 0 || after < v.floor, ConfirmedMS: int64(min(v.Age(now), time.Hour) / time.Millisecond)}
+// Since returns the changes after the progress of a peer that has a version of the
+// routes. If the peer has no view, one of another epoch or one that is too old, it
+// returns a full delta.
+func (v *View) Since(now time.Duration, p Progress, version uint64) Delta {
+	after := p.Revision
+	full := after == 0 || after < v.floor || p.Epoch != v.epoch
+	d := Delta{Epoch: v.epoch, Revision: v.revision, Full: full, ConfirmedMS: int64(min(v.Age(now), time.Hour) / time.Millisecond)}
 	if v.wasDisturbed {
 		ms := int64((now - v.disturbedAt) / time.Millisecond)
 		d.DisturbedMS = &ms
@@ -244,7 +267,7 @@
 	if entries, complete := v.recentChanges.since(after); complete && !d.Full {
 		d.add(entries)
 	} else {
-		d.add(slices.DeleteFunc(slices.Collect(maps.Values(v.entries)), func(e *entry) bool { return e.revision <= after && !d.Full }))
+		d.add(slices.DeleteFunc(slices.Collect(maps.Values(v.entries)), func(e *entry) bool { return e.revision == 0 || e.revision <= after && !d.Full }))
 	}
 	slices.SortFunc(d.Changes, func(a, b Change) int { return cmp.Compare(a.ID, b.ID) })
 	if v.config != nil && version < v.config.Version {
--- a/core/ownership/searchremote.go
+++ b/core/ownership/searchremote.go
@@ -54,7 +54,7 @@
 	a := agents[s.surveysSent%len(agents)]
 	s.surveysSent++
 	s.asked[a] = searchScope{dataCentre, roster}
-	out.Send(a, relay.Message{Kind: relay.Survey, Hops: 1, Service: m.serviceTag, Origin: s.origin, Home: m.Self, Revision: m.View.Revision(),
+	out.Send(a, relay.Message{Kind: relay.Survey, Hops: 1, Service: m.serviceTag, Origin: s.origin, Home: m.Self, Progress: m.View.Progress(),
 		Roster: roster, Body: p.Raw})
 }
 
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -1,5 +1,6 @@
 // Package relay encodes the datagrams that the processes of the packet plane
-// exchange. Integers are big-endian. The kind of a datagram determines its
+// exchange. Integers are big-endian, except those of a view's progress, which are
+// varints. The kind of a datagram determines its
 // header. In some kinds a packet of a caller follows the header.
 package relay
 
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/flow"
 )
 
@@ -43,7 +45,7 @@
 	MaybeOwner
 	// Waiting reports that a new flow waits for a slot at the sender's target.
 	Waiting
-	// Heartbeat reports the sender's load and the revision of its view.
+	// Heartbeat reports the sender's load and the progress of its view.
 	Heartbeat
 	// Refused reports that the sender has refused a new flow to its caller.
 	Refused
@@ -119,9 +121,9 @@
 	Flow flow.Key
 	// Load is the sender's load.
 	Load Load
-	// Revision is the revision of the sender's view. Age is how long ago the
-	// sender knew that revision to be the newest.
-	Revision uint64
+	// Progress is the progress of the sender's view. Age is how long ago the
+	// sender knew that there was no later change.
+	Progress fleet.Progress
 	Age      time.Duration
 	// Roster is the sender's digest of the agents that a Survey covers.
 	Roster uint64
@@ -136,11 +138,11 @@
 const (
 	commonSize = 4 + 8
 	packetSize = commonSize + 3*addrSize
-	surveySize = packetSize + 2*8
 	answerSize = commonSize + flow.KeySize + loadSize + 4
-	beatSize   = commonSize + loadSize + 8 + 2
 	loadSize   = 1 + 2*4
 	addrSize   = 4
+	rosterSize = 8
+	ageSize    = 2
 	// MaxHeader is the largest header.
 	MaxHeader = answerSize
 )
@@ -170,7 +172,7 @@
 		return append(b, m.Body...)
 	case Survey:
 		b = appendAddr(appendAddr(appendAddr(b, m.Origin), m.Home), m.RefusedBy)
-		b = binary.BigEndian.AppendUint64(b, m.Revision)
+		b = appendProgress(b, m.Progress)
 		return append(binary.BigEndian.AppendUint64(b, m.Roster), m.Body...)
 	case Owner, NotOwner, MaybeOwner, Waiting, Refused:
 		b = m.Load.append(m.Flow.Append(b))
@@ -181,7 +183,7 @@
 		return appendAddrs(appendAddrs(b, m.MaybeOwners), m.Unanswered)
 	case Heartbeat:
 		b = m.Load.append(b)
-		b = binary.BigEndian.AppendUint64(b, m.Revision)
+		b = appendProgress(b, m.Progress)
 		return binary.BigEndian.AppendUint16(b, uint16(min(m.Age, maxAge)/time.Millisecond))
 	}
 	return b
@@ -195,6 +197,22 @@
 	return b
 }
 
+func appendProgress(b []byte, p fleet.Progress) []byte {
+	return binary.AppendUvarint(binary.AppendUvarint(b, p.Epoch), p.Revision)
+}
+
+// parseProgress returns a progress and the bytes after it.
+func parseProgress(b []byte) (p fleet.Progress, rest []byte, ok bool) {
+	for _, field := range [...]*uint64{&p.Epoch, &p.Revision} {
+		n := 0
+		if *field, n = binary.Uvarint(b); n <= 0 {
+			return p, nil, false
+		}
+		b = b[n:]
+	}
+	return p, b, true
+}
+
 // appendAddrs appends the length of a list and its addresses, at most
 // MaxListedAgents.
 func appendAddrs(b []byte, list []netip.Addr) []byte {
@@ -239,11 +257,15 @@
 		}
 		m.Origin, m.Home, m.RefusedBy, m.Body = parseAddr(rest), parseAddr(rest[4:]), parseAddr(rest[8:]), rest[12:]
 	case Survey:
-		if len(b) <= surveySize {
+		if len(b) <= packetSize {
 			return m, ErrMalformed
 		}
 		m.Origin, m.Home, m.RefusedBy = parseAddr(rest), parseAddr(rest[4:]), parseAddr(rest[8:])
-		m.Revision, m.Roster, m.Body = binary.BigEndian.Uint64(rest[12:]), binary.BigEndian.Uint64(rest[20:]), rest[28:]
+		var ok bool
+		if m.Progress, rest, ok = parseProgress(rest[3*addrSize:]); !ok || len(rest) <= rosterSize {
+			return m, ErrMalformed
+		}
+		m.Roster, m.Body = binary.BigEndian.Uint64(rest), rest[rosterSize:]
 	case Owner, NotOwner, MaybeOwner, Waiting, Refused:
 		if len(b) != answerSize {
 			return m, ErrMalformed
@@ -263,11 +285,15 @@
 			return m, ErrMalformed
 		}
 	case Heartbeat:
-		if len(b) != beatSize {
+		if len(rest) < loadSize {
+			return m, ErrMalformed
+		}
+		m.Load = parseLoad(rest)
+		var ok bool
+		if m.Progress, rest, ok = parseProgress(rest[loadSize:]); !ok || len(rest) != ageSize {
 			return m, ErrMalformed
 		}
-		m.Load, m.Revision = parseLoad(rest), binary.BigEndian.Uint64(rest[loadSize:])
-		m.Age = time.Duration(binary.BigEndian.Uint16(rest[loadSize+8:])) * time.Millisecond
+		m.Age = time.Duration(binary.BigEndian.Uint16(rest)) * time.Millisecond
 	default:
 		return m, ErrMalformed
 	}
--- a/lab/kvstore/restore_test.go
+++ b/lab/kvstore/restore_test.go
@@ -121,12 +121,12 @@
 	for ctx.Err() == nil {
 		for _, from := range d.all() {
 			from.mu.Lock()
-			revision, age := from.view.Revision(), from.view.Age(from.now())
+			progress, age := from.view.Progress(), from.view.Age(from.now())
 			from.mu.Unlock()
 			for _, to := range d.all() {
 				if to != from {
 					to.mu.Lock()
-					to.sync.HandleHeartbeat(from.ip, revision, age)
+					to.sync.HandleHeartbeat(from.ip, progress, age)
 					to.mu.Unlock()
 				}
 			}
--- a/node/fleetsync/calls.go
+++ b/node/fleetsync/calls.go
@@ -17,9 +17,9 @@
 // events whether the response has any change.
 func (s *Sync) call(ctx context.Context, wait time.Duration) (changed, events bool, err error) {
 	var d *fleet.Delta
-	if s.cursor == 0 {
+	if s.cursor == (fleet.Progress{}) {
 		if d, err = s.snapshot(ctx); err == nil {
-			s.cursor = d.ListingRevision
+			s.cursor = fleet.Progress{Epoch: d.Epoch, Revision: d.ListingRevision}
 		}
 	} else {
 		d, err = s.watch(ctx, wait)
@@ -120,16 +120,26 @@
 func (s *Sync) apply(d *fleet.Delta, from string) bool {
 	s.Lock.Lock()
 	defer s.Lock.Unlock()
-	if from == "platform" {
+	before, progress := s.View.Version(), s.View.Progress()
+	if from == "platform" && d.Epoch == progress.Epoch {
 		// An answer without newer changes confirms the view's revision.
-		d.Revision = max(d.Revision, s.View.Revision())
+		d.Revision = max(d.Revision, progress.Revision)
 	}
-	before := s.View.Version()
 	targets, config := s.View.Apply(s.Now(), d)
+	s.logEpoch(from, progress)
 	if targets || config {
-		s.Log.Info("view changed", zap.String("from", from), zap.Uint64("revision", s.View.Revision()), telemetry.Version(s.View.Version()),
+		s.Log.Info("view changed", zap.String("from", from), zap.Uint64("epoch", s.View.Progress().Epoch), zap.Uint64("revision", s.View.Revision()), telemetry.Version(s.View.Version()),
 			zap.Uint64("previous_version", before), zap.Bool("targets", targets), zap.Bool("config", config), zap.Int("changes", len(d.Changes)))
 		s.OnChange(targets, config)
 	}
 	return targets || config
 }
+
+// logEpoch logs that the platform returned from an older copy of its state, if the
+// view's epoch changed.
+func (s *Sync) logEpoch(from string, before fleet.Progress) {
+	if after := s.View.Progress(); after.Epoch != before.Epoch && before.Revision > 0 {
+		s.Log.Warn("platform returned from an older copy", zap.String("from", from), zap.Uint64("previous_epoch", before.Epoch),
+			zap.Uint64("previous_revision", before.Revision), zap.Uint64("epoch", after.Epoch), zap.Uint64("revision", after.Revision))
+	}
+}
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -61,12 +61,12 @@
 type Source interface {
 	// Snapshot returns the complete state.
 	Snapshot(ctx context.Context) (*fleet.Delta, error)
-	// Watch returns the changes after a revision, and the revision from which
+	// Watch returns the changes after a position, and the position from which
 	// the next Watch continues. It waits for a change for a limited time.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (*fleet.Delta, uint64, error)
-	// IsCompacted reports whether err means that the platform no longer has the
+	Watch(ctx context.Context, after fleet.Progress, wait time.Duration) (*fleet.Delta, fleet.Progress, error)
+	// IsHistoryLost reports whether err means that the platform does not have the
 	// history for a Watch, so that a Snapshot is needed.
-	IsCompacted(err error) bool
+	IsHistoryLost(err error) bool
 }
 
 // Options are the options of a Sync.
@@ -92,9 +92,10 @@
 	Metrics  *metrics.Set
 }
 
+// hint says that a peer has a newer view.
 type hint struct {
 	from     netip.AddrPort
-	revision uint64
+	progress fleet.Progress
 }
 
 // Sync keeps a view of the fleet up to date.
@@ -102,7 +103,9 @@
 	Options
 	client *http.Client
 	hints  chan hint
-	cursor uint64
+	// cursor is the position from which the next Watch continues, zero if a
+	// Snapshot is needed.
+	cursor fleet.Progress
 	// reachable reports whether the last call to the platform succeeded.
 	reachable, everCalled bool
 	failures              int
@@ -122,18 +125,18 @@
 	}
 }
 
-// HandleHeartbeat processes the revision and the age of a peer's view. The
+// HandleHeartbeat processes the progress and the age of a peer's view. The
 // caller holds Lock.
-func (s *Sync) HandleHeartbeat(from netip.Addr, revision uint64, age time.Duration) {
-	if revision <= s.View.Revision() {
-		s.View.Confirm(s.Now(), age, revision)
+func (s *Sync) HandleHeartbeat(from netip.Addr, progress fleet.Progress, age time.Duration) {
+	if !progress.AheadOf(s.View.Progress()) {
+		s.View.Confirm(s.Now(), age, progress)
 		return
 	}
 	if !s.mayFetchFrom(from) {
 		return
 	}
 	select {
-	case s.hints <- hint{netip.AddrPortFrom(from, s.PeerPort), revision}:
+	case s.hints <- hint{netip.AddrPortFrom(from, s.PeerPort), progress}:
 	default:
 		// A fetch is pending. The next heartbeat repeats the hint.
 	}
@@ -219,9 +222,9 @@
 }
 
 func (s *Sync) callFailed(ctx context.Context, err error, usable bool) time.Duration {
-	if s.Source.IsCompacted(err) {
-		s.Log.Warn("platform has compacted its history; reading a snapshot", zap.Uint64("after", s.cursor))
-		s.cursor = 0
+	if s.Source.IsHistoryLost(err) {
+		s.Log.Warn("platform does not have the history; reading a snapshot", zap.Uint64("epoch", s.cursor.Epoch), zap.Uint64("after", s.cursor.Revision), telemetry.Error(err))
+		s.cursor = fleet.Progress{}
 		return 0
 	}
 	if ctx.Err() != nil {
@@ -229,7 +232,7 @@
 	}
 	s.failed.Inc()
 	if s.reachable || !s.everCalled {
-		s.Log.Warn("platform lost", telemetry.Error(err), zap.Uint64("after", s.cursor))
+		s.Log.Warn("platform lost", telemetry.Error(err), zap.Uint64("after", s.cursor.Revision))
 	}
 	s.reachable, s.everCalled = false, true
 	s.Lock.Lock()
@@ -245,7 +248,7 @@
 
 func (s *Sync) callSucceeded() {
 	if !s.reachable {
-		s.Log.Info("platform reached", zap.Uint64("cursor", s.cursor))
+		s.Log.Info("platform reached", zap.Uint64("cursor", s.cursor.Revision))
 		if s.everCalled {
 			s.Lock.Lock()
 			s.View.RecordDisturbance(s.Now())
--- a/node/fleetsync/fleetsync_test.go
+++ b/node/fleetsync/fleetsync_test.go
@@ -24,7 +24,7 @@
 	err              error
 }
 
-var errCompacted = errors.New("compacted")
+var errHistoryLost = errors.New("history lost")
 
 func (p *fakePlatform) Snapshot(context.Context) (*fleet.Delta, error) {
 	p.snapshots = append(p.snapshots, 0)
@@ -32,12 +32,12 @@
 	return &d, p.err
 }
 
-func (p *fakePlatform) Watch(_ context.Context, after uint64, wait time.Duration) (*fleet.Delta, uint64, error) {
+func (p *fakePlatform) Watch(_ context.Context, after fleet.Progress, wait time.Duration) (*fleet.Delta, fleet.Progress, error) {
 	p.waits = append(p.waits, wait)
-	return &fleet.Delta{Revision: after}, after, p.err
+	return &fleet.Delta{Epoch: after.Epoch, Revision: after.Revision}, after, p.err
 }
 
-func (p *fakePlatform) IsCompacted(err error) bool { return errors.Is(err, errCompacted) }
+func (p *fakePlatform) IsHistoryLost(err error) bool { return errors.Is(err, errHistoryLost) }
 
 // fixture is a process that is not a reader once targets are listed.
 type fixture struct {
@@ -90,7 +90,7 @@
 func TestCompactedHistoryIsReadAgain(t *testing.T) {
 	f := newFixture(0)
 	f.readOnce(context.Background())
-	f.platform.err = errCompacted
+	f.platform.err = errHistoryLost
 	f.readOnce(context.Background())
 	f.platform.err = nil
 	f.readOnce(context.Background())
@@ -111,7 +111,7 @@
 	}
 	f.View.Apply(0, d)
 	hinted := func(from netip.Addr) bool {
-		f.HandleHeartbeat(from, agents+1, 0)
+		f.HandleHeartbeat(from, fleet.Progress{Revision: agents + 1}, 0)
 		select {
 		case <-f.hints:
 			return true
@@ -144,7 +144,7 @@
 		}
 		f.platform.delta.Revision, f.platform.delta.ListingRevision = 10, 10
 		f.platform.delta.Changes[0].Revision = 10
-		f.cursor = 0
+		f.cursor = fleet.Progress{}
 		pause := f.readOnce(context.Background())
 		assert.Equal(t, pause, map[bool]time.Duration{false: batchDelay, true: standbyDelay}[standby])
 	}
@@ -198,7 +198,7 @@
 	f := newFixture(4)
 	f.platform.delta.Config, f.platform.delta.ConfigRevision = &fleet.Config{Version: 1}, 1
 	f.readOnce(context.Background())
-	f.cursor, f.now = 0, f.Position().TakeoverAge
+	f.cursor, f.now = fleet.Progress{}, f.Position().TakeoverAge
 	p := &silentPlatform{fakePlatform: f.platform, unanswered: 9}
 	f.Source = p
 	ctx, cancel := context.WithTimeout(context.Background(), 3*hedgeInterval)
--- a/node/fleetsync/pull.go
+++ b/node/fleetsync/pull.go
@@ -37,15 +37,15 @@
 	return len(s.Seeds) > 0
 }
 
-// localVersions returns the revision after which changes are needed, 0 if there
+// localProgress returns the progress after which changes are needed, zero if there
 // is no usable view, and the version of the routes.
-func (s *Sync) localVersions() (after, version uint64) {
+func (s *Sync) localProgress() (after fleet.Progress, version uint64) {
 	s.Lock.Lock()
 	defer s.Lock.Unlock()
 	if !s.View.Usable() {
-		return 0, s.View.Version()
+		return fleet.Progress{}, s.View.Version()
 	}
-	return s.View.Revision(), s.View.Version()
+	return s.View.Progress(), s.View.Version()
 }
 
 // FetchFromPeers fetches changes from peers with a newer view until ctx ends.
@@ -55,7 +55,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case h := <-s.hints:
-			if s.isUpToDate(h.revision) {
+			if s.isUpToDate(h.progress) {
 				continue
 			}
 			if err := s.pull(ctx, h.from); err != nil && ctx.Err() == nil {
@@ -65,16 +65,18 @@
 	}
 }
 
-func (s *Sync) isUpToDate(revision uint64) bool {
+func (s *Sync) isUpToDate(progress fleet.Progress) bool {
 	s.Lock.Lock()
 	defer s.Lock.Unlock()
-	return revision <= s.View.Revision()
+	return !progress.AheadOf(s.View.Progress())
 }
 
 func (s *Sync) pull(ctx context.Context, from netip.AddrPort) error {
 	s.pulls.Inc()
-	after, version := s.localVersions()
-	query := url.Values{"after": {strconv.FormatUint(after, 10)}, "version": {strconv.FormatUint(version, 10)}}
+	after, version := s.localProgress()
+	query := url.Values{
+		queryEpoch: {strconv.FormatUint(after.Epoch, 10)}, queryAfter: {strconv.FormatUint(after.Revision, 10)}, queryVersion: {strconv.FormatUint(version, 10)},
+	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+PathFleet+"?"+query.Encode(), nil)
 	if err != nil {
 		return trace.Wrap(err)
@@ -98,25 +100,32 @@
 	return nil
 }
 
-// deltaSince returns the changes after a revision, and whether the view is
+// deltaSince returns the changes after a progress, and whether the view is
 // usable.
-func (s *Sync) deltaSince(after, version uint64) (d fleet.Delta, usable bool) {
+func (s *Sync) deltaSince(after fleet.Progress, version uint64) (d fleet.Delta, usable bool) {
 	s.Lock.Lock()
 	defer s.Lock.Unlock()
 	return s.View.Since(s.Now(), after, version), s.View.Usable()
 }
 
-// ServeHTTP serves the changes after the revision that a peer requests.
+// Parameters of a request for changes: the epoch and the revision after which the
+// peer needs them, and the version of its routes.
+const (
+	queryEpoch   = "epoch"
+	queryAfter   = "after"
+	queryVersion = "version"
+)
+
+// ServeHTTP serves the changes after the progress that a peer requests.
 func (s *Sync) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	if err != nil {
-		http.Error(w, "after is not a revision", http.StatusBadRequest)
-		return
-	}
-	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
-	if err != nil {
-		http.Error(w, "version is not a number", http.StatusBadRequest)
-		return
+	var after fleet.Progress
+	var version uint64
+	for name, field := range map[string]*uint64{queryEpoch: &after.Epoch, queryAfter: &after.Revision, queryVersion: &version} {
+		var err error
+		if *field, err = strconv.ParseUint(r.URL.Query().Get(name), 10, 64); err != nil {
+			http.Error(w, name+" is not a number", http.StatusBadRequest)
+			return
+		}
 	}
 	d, usable := s.deltaSince(after, version)
 	if !usable {
--- a/node/packetplane/heartbeats.go
+++ b/node/packetplane/heartbeats.go
@@ -6,7 +6,7 @@
 	"trefoilweir.example/core/relay"
 )
 
-// viewChanged applies a change of the view and sends the new revision to active
+// viewChanged applies a change of the view and sends the new progress to active
 // children. The caller holds the lock.
 func (p *Process) viewChanged(targets, config bool) {
 	defer p.recoverStep("view")
@@ -23,7 +23,7 @@
 func (p *Process) heartbeat(now time.Duration, flags uint8) relay.Message {
 	load := p.role.load()
 	load.Flags |= flags
-	return relay.Message{Kind: relay.Heartbeat, Service: p.serviceTag, Load: load, Revision: p.view.Revision(), Age: p.view.Age(now)}
+	return relay.Message{Kind: relay.Heartbeat, Service: p.serviceTag, Load: load, Progress: p.view.Progress(), Age: p.view.Age(now)}
 }
 
 // sendParentRequest requests the age of a parent's view, from each parent in
@@ -42,7 +42,7 @@
 	p.sendTo(position.Parents[p.parentIndex%len(position.Parents)], &request)
 }
 
-// notifySilentChildren sends the revision to children that have stopped sending
+// notifySilentChildren sends the progress to children that have stopped sending
 // requests.
 func (p *Process) notifySilentChildren(now time.Duration) {
 	if !p.view.Usable() {
--- a/node/packetplane/sockets.go
+++ b/node/packetplane/sockets.go
@@ -99,7 +99,7 @@
 	}
 	peer := from.Addr().Unmap()
 	if m.Kind == relay.Heartbeat {
-		p.sync.HandleHeartbeat(peer, m.Revision, m.Age)
+		p.sync.HandleHeartbeat(peer, m.Progress, m.Age)
 		if m.Load.Flags&relay.FlagReplyRequested != 0 {
 			p.children.recordRequest(now, peer)
 			reply := p.heartbeat(now, 0)
--- a/node/packetplane/status.go
+++ b/node/packetplane/status.go
@@ -25,8 +25,10 @@
 	Service    string `json:"service,omitempty"`
 	Stopping   bool   `json:"stopping"`
 	UptimeMS   int64  `json:"uptime_ms"`
-	// Version, Revision and ViewAgeMS describe the view that decisions use.
+	// Version, Epoch, Revision and ViewAgeMS describe the view that decisions
+	// use.
 	Version   uint64 `json:"version"`
+	Epoch     uint64 `json:"epoch"`
 	Revision  uint64 `json:"revision"`
 	ViewAgeMS int64  `json:"view_age_ms"`
 	Reader    bool   `json:"reader"`
@@ -94,7 +96,7 @@
 	now := p.now()
 	s := Status{
 		Name: p.Settings.Name, Role: p.roleName, DataCentre: p.Settings.DataCentre, Service: p.Settings.Service, Stopping: p.stopping,
-		UptimeMS: now.Milliseconds(), Version: p.view.Version(), Revision: p.view.Revision(), ViewAgeMS: viewAgeMS(p.view, now),
+		UptimeMS: now.Milliseconds(), Version: p.view.Version(), Epoch: p.view.Progress().Epoch, Revision: p.view.Revision(), ViewAgeMS: viewAgeMS(p.view, now),
 		Reader: p.sync.Position().Reader, Sizes: p.role.tableSizes(), Targets: map[string]int{}, Peers: peerStatuses(p.role.peers(now)),
 	}
 	for _, service := range p.view.Services() {
@@ -133,6 +135,7 @@
 		const ms = 1000
 		return float64(viewAgeMS(p.view, p.now())) / ms
 	}))
+	p.Metrics.NewGauge("trefoilweir_view_epoch", locked(func() float64 { return float64(p.view.Progress().Epoch) }))
 	p.Metrics.NewGauge("trefoilweir_view_revision", locked(func() float64 { return float64(p.view.Revision()) }))
 	p.Metrics.NewGauge("trefoilweir_view_version", locked(func() float64 { return float64(p.view.Version()) }))
 	for name := range p.role.tableSizes() {
