fleet, fleetsync: views tell the version of their routes

What callers would see: a process that starts after the store came back from an older copy takes the older version of the routes from it and keeps it until the next version, although its peers have a newer one. Requests there are handled by the older version (CONFIG).

Cause: processes compare revisions only. The revision says up to where the platform's changes are known, and a version that the platform has lost is above none of them, so both views count as equally new.

Change: the progress of a view has the version of its routes beside epoch and revision. Heartbeats and fetches carry it; a process fetches from any peer whose version is higher than its own. A peer with a lower version still confirms the age of the view.

TestLostVersionComesFromAnyPeer covers peers in other data centres.

--- a/core/fleet/bench_test.go
+++ b/core/fleet/bench_test.go
@@ -41,7 +41,7 @@
 		v.Apply(0, &d)
 		v.Targets("service-0")
 		if b.N == 1 {
-			data, _ := json.Marshal(v.Since(0, Progress{Revision: revision - 1}, 1))
+			data, _ := json.Marshal(v.Since(0, Progress{Revision: revision - 1, Version: 1}))
 			b.ReportMetric(float64(len(data)), "B/change")
 		}
 	}
@@ -75,7 +75,7 @@
 		revision++
 		t := *v.entries["i-00000005"].target
 		v.Apply(0, &Delta{Revision: revision, Changes: []Change{{ID: t.ID, Revision: revision, Target: &t}}})
-		if d := v.Since(0, Progress{Revision: revision - 1}, 1); len(d.Changes) != 1 {
+		if d := v.Since(0, Progress{Revision: revision - 1, Version: 1}); len(d.Changes) != 1 {
 			b.Fatal(len(d.Changes))
 		}
 		v.Expire(0)
--- a/core/fleet/changelog_test.go
+++ b/core/fleet/changelog_test.go
@@ -32,7 +32,7 @@
 		}
 		for _, back := range []uint64{0, 1, 40, keptChanges, 2*keptChanges + 10} {
 			if after := revision - min(back, revision-1); after >= v.floor {
-				assert.DeepEqual(t, describeChanges(v.Since(0, Progress{Revision: after}, 0).Changes), scanChanges(v, after))
+				assert.DeepEqual(t, describeChanges(v.Since(0, Progress{Revision: after}).Changes), scanChanges(v, after))
 			}
 		}
 	}
@@ -107,7 +107,7 @@
 	reader, peer := New(), New()
 	reader.Apply(0, &Delta{Revision: 3, Changes: []Change{{ID: "a", Revision: 3, Target: target("a", 1, Ready, 1)}}})
 	follow := func(now time.Duration) {
-		d := reader.Since(now, peer.Progress(), 0)
+		d := reader.Since(now, peer.Progress())
 		peer.Apply(now, &d)
 	}
 	follow(0)
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -76,7 +76,7 @@
 	peer := New()
 	peer.Apply(0, &Delta{Revision: 9, Changes: []Change{{ID: "a", Revision: 3, Target: target("a", 1, Ready, 1)}, {ID: "b", Revision: 4, Target: target("b", 2, Ready, 1)}}})
 	v.Expire(time.Second + RemovedEntryRetention + time.Second)
-	d := v.Since(0, peer.Progress(), 0)
+	d := v.Since(0, peer.Progress())
 	assert.Assert(t, d.Full)
 	peer.Apply(0, &d)
 	assert.Equal(t, ids(peer.Targets("booking")), "b")
@@ -121,14 +121,14 @@
 			}
 			after := source.Revision()
 			source.Apply(0, &Delta{Revision: uint64(n + 1), Changes: []Change{c}})
-			deltas = append(deltas, source.Since(0, Progress{Revision: rapid.Uint64Range(0, after).Draw(t, "after")}, 0))
+			deltas = append(deltas, source.Since(0, Progress{Revision: rapid.Uint64Range(0, after).Draw(t, "after")}))
 		}
 		other := New()
 		for range len(deltas) {
 			d := rapid.SampledFrom(deltas).Draw(t, "delta")
 			other.Apply(0, &d)
 		}
-		last := source.Since(0, Progress{}, 0)
+		last := source.Since(0, Progress{})
 		other.Apply(0, &last)
 		for i := range deltas {
 			other.Apply(0, &deltas[i])
@@ -176,7 +176,7 @@
 			}
 			source.Apply(0, &Delta{Revision: version, Config: c, ConfigRevision: version})
 			if rapid.Bool().Draw(t, "follow") {
-				d := source.Since(0, peer.Progress(), peer.Version())
+				d := source.Since(0, peer.Progress())
 				peer.Apply(0, &d)
 				assert.Equal(t, peer.Version(), version)
 				assert.Assert(t, reflect.DeepEqual(peer.routes, source.routes))
@@ -198,7 +198,7 @@
 	v.Apply(0, &Delta{Config: c, ConfigRevision: 1})
 	next := &Config{Version: 2, Routes: append([]Route{testRoute(7, "b")}, c.Routes[8:]...)}
 	v.Apply(0, &Delta{Config: next, ConfigRevision: 2})
-	d := v.Since(0, Progress{Revision: 1}, 1)
+	d := v.Since(0, Progress{Revision: 1, Version: 1})
 	assert.Assert(t, d.Config == nil)
 	assert.Equal(t, len(d.Patch.Set), 1)
 	assert.Equal(t, len(d.Patch.Removed), 7)
@@ -216,7 +216,7 @@
 	assert.Equal(t, ids(v.Targets("booking")), "ab")
 	peer := New()
 	peer.Apply(0, &Delta{Revision: 12, ConfigRevision: 11, Config: &Config{Version: 2}})
-	d := peer.Since(0, v.Progress(), v.Version())
+	d := peer.Since(0, v.Progress())
 	v.Apply(0, &d)
 	assert.Equal(t, v.Version(), uint64(2))
 }
@@ -244,7 +244,7 @@
 			}
 			v.Apply(0, &Delta{Revision: uint64(n + 1), Changes: []Change{c}})
 			fresh := New()
-			whole := v.Since(0, Progress{}, 0)
+			whole := v.Since(0, Progress{})
 			fresh.Apply(0, &whole)
 			for _, service := range []string{"booking", "gallery"} {
 				assert.Equal(t, ids(v.Targets(service)), ids(fresh.Targets(service)))
--- a/core/fleet/fuzz_test.go
+++ b/core/fleet/fuzz_test.go
@@ -38,7 +38,7 @@
 		if r, ok := v.Route(netip.MustParseAddrPort("198.18.0.1:1")); ok {
 			r.ServiceOf(5)
 		}
-		since := v.Since(time.Second, Progress{Revision: 1}, 1)
+		since := v.Since(time.Second, Progress{Revision: 1, Version: 1})
 		if err := since.Validate(); err != nil {
 			t.Fatalf("a delta of a view fails the check: %v", err)
 		}
--- a/core/fleet/progress_test.go
+++ b/core/fleet/progress_test.go
@@ -31,7 +31,7 @@
 	assert.Assert(t, v.Progress().AheadOf(peer.Progress()))
 	v.Apply(time.Second, &Delta{Epoch: 2, Revision: 2, Changes: []Change{{ID: "a", Revision: 2, Target: target("a", 1, Draining, 1)}}})
 	assert.Equal(t, v.Targets("booking")[0].State, Draining)
-	d := v.Since(time.Second, peer.Progress(), 0)
+	d := v.Since(time.Second, peer.Progress())
 	peer.Apply(time.Second, &d)
 	assert.Equal(t, peer.Progress(), v.Progress())
 	assert.Equal(t, peer.Targets("booking")[0].State, Draining)
@@ -40,9 +40,8 @@
 	assert.Equal(t, len(peer.LapsedTargets(2*time.Second+ReturnGrace, "booking")), 0)
 	// A late delta of the earlier epoch has no effect, except a newer version.
 	peer.Apply(2*time.Second, &Delta{Epoch: 1, Full: true, Revision: 60, Config: &Config{Version: 7}})
-	assert.Equal(t, peer.Progress(), v.Progress())
+	assert.Equal(t, peer.Progress(), Progress{Epoch: 2, Revision: 2, Version: 7})
 	assert.Equal(t, ids(peer.Targets("booking")), "a")
-	assert.Equal(t, peer.Version(), uint64(7))
 }
 
 // Guards against a target that is used again because an older copy of the
@@ -103,7 +102,7 @@
 		for n := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0:
-				backup = platform.Since(0, Progress{}, 0)
+				backup = platform.Since(0, Progress{})
 			case 1:
 				epoch++
 				platform = New()
@@ -120,12 +119,12 @@
 			default:
 				from := rapid.SampledFrom(append(views, platform)).Draw(t, "from")
 				to := rapid.SampledFrom(views).Draw(t, "to")
-				d := from.Since(0, to.Progress(), 0)
+				d := from.Since(0, to.Progress())
 				to.Apply(0, &d)
 			}
 		}
 		for _, to := range views {
-			d := platform.Since(0, to.Progress(), 0)
+			d := platform.Since(0, to.Progress())
 			to.Apply(0, &d)
 			assert.Equal(t, to.Progress(), platform.Progress())
 			assert.Equal(t, ids(to.Targets("booking")), ids(platform.Targets("booking")))
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -222,9 +222,9 @@
 }
 
 // Confirm records that there was no change after the progress p at the time
-// now-age. The call has no effect if the view is ahead of it.
+// now-age. The call has no effect if the view is later than p.
 func (v *View) Confirm(now, age time.Duration, p Progress) {
-	if v.Progress().AheadOf(p) {
+	if v.Progress().LaterThan(p) {
 		return
 	}
 	if at := now - age; !v.everConfirmed || at > v.confirmedAt {
@@ -253,10 +253,9 @@
 	}
 }
 
-// Since returns the changes after the progress of a peer that has a version of the
-// routes. If the peer has no view, one of another epoch or one that is too old, it
-// returns a full delta.
-func (v *View) Since(now time.Duration, p Progress, version uint64) Delta {
+// Since returns the changes after the progress of a peer. If the peer has no view,
+// one of another epoch or one that is too old, it returns a full delta.
+func (v *View) Since(now time.Duration, p Progress) Delta {
 	after := p.Revision
 	full := after == 0 || after < v.floor || p.Epoch != v.epoch
 	d := Delta{Epoch: v.epoch, Revision: v.revision, Full: full, ConfirmedMS: int64(min(v.Age(now), time.Hour) / time.Millisecond)}
@@ -270,9 +269,9 @@
 		d.add(slices.DeleteFunc(slices.Collect(maps.Values(v.entries)), func(e *entry) bool { return e.revision == 0 || e.revision <= after && !d.Full }))
 	}
 	slices.SortFunc(d.Changes, func(a, b Change) int { return cmp.Compare(a.ID, b.ID) })
-	if v.config != nil && version < v.config.Version {
+	if v.config != nil && p.Version < v.config.Version {
 		d.ConfigRevision = v.configRevision
-		if d.Patch = v.patchFrom(version); d.Patch == nil {
+		if d.Patch = v.patchFrom(p.Version); d.Patch == nil {
 			d.Config = v.config
 		}
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -198,12 +198,12 @@
 }
 
 func appendProgress(b []byte, p fleet.Progress) []byte {
-	return binary.AppendUvarint(binary.AppendUvarint(b, p.Epoch), p.Revision)
+	return binary.AppendUvarint(binary.AppendUvarint(binary.AppendUvarint(b, p.Epoch), p.Revision), p.Version)
 }
 
 // parseProgress returns a progress and the bytes after it.
 func parseProgress(b []byte) (p fleet.Progress, rest []byte, ok bool) {
-	for _, field := range [...]*uint64{&p.Epoch, &p.Revision} {
+	for _, field := range [...]*uint64{&p.Epoch, &p.Revision, &p.Version} {
 		n := 0
 		if *field, n = binary.Uvarint(b); n <= 0 {
 			return p, nil, false
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -132,7 +132,7 @@
 		s.View.Confirm(s.Now(), age, progress)
 		return
 	}
-	if !s.mayFetchFrom(from) {
+	if !s.mayFetchFrom(from, progress) {
 		return
 	}
 	select {
@@ -144,8 +144,13 @@
 
 // mayFetchFrom reports whether to fetch a newer view from a peer. Peers in the
 // same data centre and parents are always allowed. Other peers are allowed if
-// there is no usable view, or if the view has nearly reached its takeover age.
-func (s *Sync) mayFetchFrom(from netip.Addr) bool {
+// there is no usable view, if the view has nearly reached its takeover age, or if
+// only the version of the routes is newer: the platform has lost it, so no other
+// change announces it.
+func (s *Sync) mayFetchFrom(from netip.Addr, progress fleet.Progress) bool {
+	if !progress.LaterThan(s.View.Progress()) {
+		return true
+	}
 	position := s.Position()
 	return s.isLocal(from) || slices.Contains(position.Parents, from) || !s.View.Usable() || s.View.Age(s.Now()) > position.TakeoverAge-anyPeerMargin
 }
--- a/node/fleetsync/fleetsync_test.go
+++ b/node/fleetsync/fleetsync_test.go
@@ -130,6 +130,27 @@
 	assert.Assert(t, hinted(remote))
 }
 
+// Guards against a process that keeps an older version of the routes although a
+// peer has a newer one, because the platform has lost the newer one and both views
+// have the same revision.
+func TestLostVersionComesFromAnyPeer(t *testing.T) {
+	f := newFixture(4)
+	f.platform.delta.Config, f.platform.delta.ConfigRevision = &fleet.Config{Version: 1}, 1
+	f.readOnce(context.Background())
+	progress, remote := f.View.Progress(), netip.MustParseAddr("10.9.0.1")
+	f.HandleHeartbeat(remote, progress, 0)
+	assert.Equal(t, len(f.hints), 0)
+	progress.Version++
+	f.HandleHeartbeat(remote, progress, 0)
+	assert.Equal(t, (<-f.hints).progress, progress)
+	assert.Assert(t, !f.isUpToDate(progress))
+	// A peer with an older version still confirms the revision.
+	f.now += time.Second
+	progress.Version = 0
+	f.HandleHeartbeat(remote, progress, 0)
+	assert.Equal(t, f.View.Age(f.now), time.Duration(0))
+}
+
 // Guards against two readers that both request every change. During a release of
 // targets, each of them made seven calls a second.
 func TestStandbyReaderPauses(t *testing.T) {
--- a/node/fleetsync/pull.go
+++ b/node/fleetsync/pull.go
@@ -38,14 +38,14 @@
 }
 
 // localProgress returns the progress after which changes are needed, zero if there
-// is no usable view, and the version of the routes.
-func (s *Sync) localProgress() (after fleet.Progress, version uint64) {
+// is no usable view.
+func (s *Sync) localProgress() fleet.Progress {
 	s.Lock.Lock()
 	defer s.Lock.Unlock()
 	if !s.View.Usable() {
-		return fleet.Progress{}, s.View.Version()
+		return fleet.Progress{}
 	}
-	return s.View.Progress(), s.View.Version()
+	return s.View.Progress()
 }
 
 // FetchFromPeers fetches changes from peers with a newer view until ctx ends.
@@ -73,9 +73,9 @@
 
 func (s *Sync) pull(ctx context.Context, from netip.AddrPort) error {
 	s.pulls.Inc()
-	after, version := s.localProgress()
+	after := s.localProgress()
 	query := url.Values{
-		queryEpoch: {strconv.FormatUint(after.Epoch, 10)}, queryAfter: {strconv.FormatUint(after.Revision, 10)}, queryVersion: {strconv.FormatUint(version, 10)},
+		queryEpoch: {strconv.FormatUint(after.Epoch, 10)}, queryAfter: {strconv.FormatUint(after.Revision, 10)}, queryVersion: {strconv.FormatUint(after.Version, 10)},
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+PathFleet+"?"+query.Encode(), nil)
 	if err != nil {
@@ -102,10 +102,10 @@
 
 // deltaSince returns the changes after a progress, and whether the view is
 // usable.
-func (s *Sync) deltaSince(after fleet.Progress, version uint64) (d fleet.Delta, usable bool) {
+func (s *Sync) deltaSince(after fleet.Progress) (d fleet.Delta, usable bool) {
 	s.Lock.Lock()
 	defer s.Lock.Unlock()
-	return s.View.Since(s.Now(), after, version), s.View.Usable()
+	return s.View.Since(s.Now(), after), s.View.Usable()
 }
 
 // Parameters of a request for changes: the epoch and the revision after which the
@@ -119,15 +119,14 @@
 // ServeHTTP serves the changes after the progress that a peer requests.
 func (s *Sync) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var after fleet.Progress
-	var version uint64
-	for name, field := range map[string]*uint64{queryEpoch: &after.Epoch, queryAfter: &after.Revision, queryVersion: &version} {
+	for name, field := range map[string]*uint64{queryEpoch: &after.Epoch, queryAfter: &after.Revision, queryVersion: &after.Version} {
 		var err error
 		if *field, err = strconv.ParseUint(r.URL.Query().Get(name), 10, 64); err != nil {
 			http.Error(w, name+" is not a number", http.StatusBadRequest)
 			return
 		}
 	}
-	d, usable := s.deltaSince(after, version)
+	d, usable := s.deltaSince(after)
 	if !usable {
 		http.Error(w, "no view yet", http.StatusServiceUnavailable)
 		return
