lab/rig, lab/soak: the store returns from a backup

Why the soak missed the incident: its store could be away, slow or without history, but never lost what it had acknowledged, and the soak did not check that changes of the routes are in force after its faults.

--- a/lab/kvstore/store.go
+++ b/lab/kvstore/store.go
@@ -140,11 +140,15 @@
 	s.changed = make(chan struct{})
 }
 
-// Keys returns the keys of all entries, sorted.
-func (s *Store) Keys() []string {
+// Values returns the values of all entries by key.
+func (s *Store) Values() map[string][]byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Sorted(maps.Keys(s.items))
+	values := make(map[string][]byte, len(s.items))
+	for key, it := range s.items {
+		values[key] = it.Value
+	}
+	return values
 }
 
 // SetFault sets the fault of all calls, including watches that are waiting.
--- a/lab/rig/router.go
+++ b/lab/rig/router.go
@@ -107,6 +107,9 @@
 	}
 }
 
+// configKey is the key of the routes in the store.
+const configKey = "op/config"
+
 // PublishRoutes writes the routes to the store under a new version.
 func (s *System) PublishRoutes() {
 	s.mu.Lock()
@@ -134,7 +137,8 @@
 		s.failures = append(s.failures, err.Error())
 		return
 	}
-	s.Store.Put("op/config", data)
+	s.published = data
+	s.Store.Put(configKey, data)
 }
 
 // SetRoute adds a route, or removes it if service is empty, and publishes the
--- a/lab/rig/system.go
+++ b/lab/rig/system.go
@@ -57,6 +57,8 @@
 	entries      map[string]*entry
 	routes       map[netip.AddrPort]string
 	routeVersion uint64
+	// published is the last version of the routes, as written to the store.
+	published    []byte
 	missedProbes map[*VM]int // probes missed in a row; no entry before the first success
 	lastVMNumber map[int]int
 	failures     []string
--- a/lab/rig/targets.go
+++ b/lab/rig/targets.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -45,13 +46,19 @@
 	s.putEntry(id, e)
 }
 
+// entryPrefix begins the keys of the targets' entries in the store.
+const entryPrefix = "servers/"
+
 func (s *System) putEntry(id string, e *entry) {
 	data, err := json.Marshal(e)
 	if err != nil {
 		s.failures = append(s.failures, err.Error())
 		return
 	}
-	s.Store.Put("servers/"+id, data)
+	if bytes.Equal(s.Store.Values()[entryPrefix+id], data) {
+		return
+	}
+	s.Store.Put(entryPrefix+id, data)
 }
 
 func (s *System) entryOf(m *VM) (string, *entry) {
@@ -85,7 +92,7 @@
 		s.agents = slices.DeleteFunc(s.agents, func(a *VM) bool { return a == m })
 		s.removedVMs = append(s.removedVMs, m)
 		s.mu.Unlock()
-		s.Store.Remove("servers/" + id)
+		s.Store.Remove(entryPrefix + id)
 		m.Target.Stop()
 		s.StopProcess(m)
 	}()
@@ -99,7 +106,7 @@
 	delete(s.entries, id)
 	s.mu.Unlock()
 	m.Target.Stop()
-	time.AfterFunc(3*heartbeatMS*time.Millisecond, func() { s.Store.Remove("servers/" + id) })
+	time.AfterFunc(3*heartbeatMS*time.Millisecond, func() { s.Store.Remove(entryPrefix + id) })
 	time.AfterFunc(down, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -42,8 +42,15 @@
 	minFinishedShare = 0.9
 	// recoveryWindow is the time during which recovery is measured.
 	recoveryWindow = 2 * time.Second
+	// maxStoreOutage is the upper limit of the time for which the store is away
+	// before it returns from a backup.
+	maxStoreOutage = time.Second
 )
 
+// addedRoute and removedRoute are the routes that are changed after the last return
+// of the store from a backup.
+var addedRoute, removedRoute = netip.MustParseAddrPort("198.18.0.8:443"), netip.MustParseAddrPort("198.18.0.7:443")
+
 // run is a run in progress.
 type run struct {
 	*rig.System
@@ -95,12 +102,17 @@
 		done <- report
 	}()
 	r.begin = time.Now()
+	r.SetRoute(removedRoute, r.Services[0].Name)
 	time.Sleep(settleTime)
+	r.scheduleRestore()
 	r.injectFaults()
 	time.Sleep(maxFaultDuration + settleTime)
 	before := r.Snapshot()
 	time.Sleep(recoveryWindow)
 	afterFaults := r.Snapshot().CountsSince(before)
+	if err := r.checkRoutesAfterRestore(); err != nil {
+		return nil, err
+	}
 	cancel()
 	result := &Result{Report: <-done, Faults: r.faultLog, AfterFaults: afterFaults}
 	select {
@@ -128,6 +140,36 @@
 	}
 }
 
+// scheduleRestore makes the store return from a backup once, while other faults are
+// injected. It has a random source of its own, so that the other faults of a seed
+// do not depend on it.
+func (r *run) scheduleRestore() {
+	random := rand.New(rand.NewPCG(r.Seed, 8))
+	backupAt := time.Duration(random.Int64N(int64(r.FaultDuration/2) + 1))
+	lost := time.Duration(random.Int64N(int64(maxFaultDuration)))
+	outage := time.Duration(random.Int64N(int64(maxStoreOutage)))
+	time.AfterFunc(backupAt, func() {
+		backup := r.Store.Backup()
+		time.AfterFunc(lost, func() { r.RestoreStore(backup, outage) })
+	})
+	at := time.Since(r.begin) + backupAt + lost
+	r.faultLog = append(r.faultLog, fmt.Sprintf("%6.2f s the store is away for %s and returns from a backup that is %s old", at.Seconds(), outage, lost))
+}
+
+// checkRoutesAfterRestore checks that all balancers apply changes after the store
+// has lost more changes than it has got since.
+func (r *run) checkRoutesAfterRestore() error {
+	const lostVersions, outage, settleAfter = 6, 300 * time.Millisecond, 2 * time.Second
+	backup := r.Store.Backup()
+	for range lostVersions {
+		r.PublishRoutes()
+	}
+	time.Sleep(outage)
+	r.RestoreStore(backup, outage)
+	time.Sleep(outage + settleAfter)
+	return r.CheckRoutes(addedRoute, removedRoute, r.Services[0].Name)
+}
+
 func (r *run) randomDuration() time.Duration {
 	return time.Duration(r.random.Int64N(int64(maxFaultDuration)))
 }
