confsync: a failing test for the list of VMs after a restore

The same cause in the QUIC plane: processes that are not readers order lists of VMs by the platform's revision. Configurations are ordered by version and hash and do not have the fault.

--- a/node/confsync/confsync_test.go
+++ b/node/confsync/confsync_test.go
@@ -163,13 +163,28 @@
 	f.awaitVersion(t, 1, 10*time.Second)
 	f.vms[4].State = config.VMLeaving
 	f.platform.publishVMs(append(f.vms[:9:9], config.VM{Name: "new", DataCentre: "dc-0", State: config.VMLive}))
-	deadline := time.Now().Add(5 * time.Second)
-	for _, n := range f.nodes {
-		for vms := n.VMs(); len(vms) != 10 || vms[9].Name != "new" || vms[4].State != config.VMLeaving; vms = n.VMs() {
-			assert.Assert(t, time.Now().Before(deadline), "%s has %v", n.name, vms)
-			time.Sleep(10 * time.Millisecond)
-		}
-	}
+	f.awaitVMs(t, func(vms []config.VM) bool {
+		return len(vms) == 10 && vms[9].Name == "new" && vms[4].State == config.VMLeaving
+	})
+}
+
+// TestVMListSpreadsAfterRestore checks that a change of the list of VMs reaches
+// every process after the platform returned from an older copy, so that the list
+// has a lower revision than before. Processes that are not readers kept the old
+// list for a minute or more.
+func TestVMListSpreadsAfterRestore(t *testing.T) {
+	const processes, older = 10, 3
+	f := newFleet(t, processes, 1)
+	f.platform.publishConfig(exampleConfig(1, 2))
+	f.start(t, 0, processes)
+	f.awaitVersion(t, 1, 10*time.Second)
+	f.vms[4].State = config.VMLeaving
+	f.platform.publishVMs(f.vms)
+	f.awaitVMs(t, func(vms []config.VM) bool { return vms[4].State == config.VMLeaving })
+	f.platform.restore(older)
+	f.vms[5].State = config.VMLeaving
+	f.platform.publishVMs(f.vms)
+	f.awaitVMs(t, func(vms []config.VM) bool { return vms[5].State == config.VMLeaving })
 }
 
 // TestDeadParents checks that a change reaches the other processes after two of
--- a/node/confsync/fleet_test.go
+++ b/node/confsync/fleet_test.go
@@ -27,8 +27,10 @@
 type fakePlatform struct {
 	mu       sync.Mutex
 	revision uint64
-	values   map[string]platform.Value
-	changed  chan struct{}
+	// era counts how often the platform returned from an older copy.
+	era     uint64
+	values  map[string]platform.Value
+	changed chan struct{}
 	// unreachableFrom names the processes that cannot reach the platform. The
 	// empty name stands for all.
 	unreachableFrom map[string]bool
@@ -52,20 +54,20 @@
 	for {
 		p.mu.Lock()
 		v, ok := p.values[key]
-		changed, down := p.changed, p.unreachableFrom[caller] || p.unreachableFrom[""]
+		era, changed, down := p.era, p.changed, p.unreachableFrom[caller] || p.unreachableFrom[""]
 		p.mu.Unlock()
 		switch {
 		case down:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		case ok && v.Revision > after || wait == 0:
-			reply(w, v, ok)
+			reply(w, era, v, ok)
 			return
 		}
 		select {
 		case <-changed:
 		case <-deadline:
-			reply(w, v, ok)
+			reply(w, era, v, ok)
 			return
 		case <-r.Context().Done():
 			return
@@ -73,12 +75,22 @@
 	}
 }
 
-func reply(w http.ResponseWriter, v platform.Value, ok bool) {
+func reply(w http.ResponseWriter, era uint64, v platform.Value, ok bool) {
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	_ = json.NewEncoder(w).Encode(v)
+	_ = json.NewEncoder(w).Encode(map[string]any{"revision": v.Revision, "value": v.Data, "era": era})
+}
+
+// restore makes the platform give out revisions again, as after its return from an
+// older copy, and cuts the polls that wait.
+func (p *fakePlatform) restore(revision uint64) {
+	p.mu.Lock()
+	p.revision = revision
+	p.era++
+	p.mu.Unlock()
+	p.server.CloseClientConnections()
 }
 
 func (p *fakePlatform) put(values map[string][]byte) {
@@ -235,3 +247,15 @@
 		}
 	}
 }
+
+// awaitVMs waits until a condition holds for the list of VMs of every process.
+func (f *testFleet) awaitVMs(t testing.TB, holds func([]config.VM) bool) {
+	t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for _, n := range f.nodes {
+		for vms := n.VMs(); !holds(vms); vms = n.VMs() {
+			assert.Assert(t, time.Now().Before(deadline), "%s has %v", n.name, vms)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
