confsync: lists of VMs are ordered within an era of the platform

What operators would see: after the platform returned from an older copy, the processes of the QUIC plane that are not readers kept the old list of VMs until they read the platform themselves, a minute or more later, and gave new work to leaving targets (bound: 5 s).

Cause: as in the packet plane, the platform's revision was taken to rise for ever. Readers take any list that they read, but the others ignore one with a lower revision.

Change: the platform's responses may carry an era, which rises at each return from an older copy. A list's revision is its era and number; heads, queries and lists between peers carry both. A list of an earlier era is ignored, also if a reader reads it. A platform that sends no era is treated as before; it cannot be told from one that is stale, and stale lists must not spread. Peers of the previous release ignore the new fields and send none, which counts as era 0.

The test's platform now answers a watch from a revision that it has not given out after 200 ms, as the lab's platform does; without that the readers themselves waited for 10 s.

--- a/node/confsync/fetch.go
+++ b/node/confsync/fetch.go
@@ -119,7 +119,7 @@
 	if err := cbor.Unmarshal(data, &response); err != nil {
 		return config.Head{}, trace.BadParameter("head of peer %s cannot be decoded: %v", peer, err)
 	}
-	if response.VMRevision > r.state.Load().vms.revision {
+	if r.state.Load().vms.revision.less(response.vmRevision()) {
 		r.fetchVMs(ctx, peer)
 	}
 	return response.head(), nil
--- a/node/confsync/fleet_test.go
+++ b/node/confsync/fleet_test.go
@@ -50,6 +50,14 @@
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
 	caller, key, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/v1/values/")
+	// As the platform does, answer a poll after a revision that has not been given
+	// out soon.
+	const staleWait = 200 * time.Millisecond
+	p.mu.Lock()
+	if v, ok := p.values[key]; ok && v.Revision < after {
+		wait = min(wait, staleWait)
+	}
+	p.mu.Unlock()
 	deadline := time.After(wait)
 	for {
 		p.mu.Lock()
--- a/node/confsync/handler.go
+++ b/node/confsync/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -23,7 +22,7 @@
 	timer := time.NewTimer(q.wait)
 	defer timer.Stop()
 	st := s.state.Load()
-	for q.wait > 0 && !config.HeadLess(q.have, st.head) && st.vms.revision <= q.vmRevision {
+	for q.wait > 0 && !config.HeadLess(q.have, st.head) && !q.vmRevision.less(st.vms.revision) {
 		select {
 		case <-st.changed:
 			st = s.state.Load()
@@ -34,7 +33,7 @@
 		}
 		break
 	}
-	s.writeCBOR(w, headResponse{Version: st.head.Version, Hash: st.head.Hash, VMRevision: st.vms.revision})
+	s.writeCBOR(w, headResponse{Version: st.head.Version, Hash: st.head.Hash, VMRevision: st.vms.revision.number, VMEra: st.vms.revision.era})
 }
 
 // reportHigherHead tells the machine that a peer has a higher head than this
@@ -84,9 +83,9 @@
 		http.Error(w, "no list of VMs yet", http.StatusNotFound)
 		return
 	}
-	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+	since, err := parseVMRevision(r.URL.Query().Get("era"), r.URL.Query().Get("since"))
 	if err != nil {
-		http.Error(w, "since: "+err.Error(), http.StatusBadRequest)
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	data, err := list.updateSince(since).encode()
--- a/node/confsync/messages.go
+++ b/node/confsync/messages.go
@@ -21,19 +21,22 @@
 type headResponse struct {
 	Version uint64      `cbor:"1,keyasint"`
 	Hash    config.Hash `cbor:"2,keyasint"`
-	// VMRevision is the revision of the list of VMs.
+	// VMRevision is the revision of the list of VMs, VMEra its era.
 	VMRevision uint64 `cbor:"3,keyasint"`
+	VMEra      uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 func (a headResponse) head() config.Head { return config.Head{Version: a.Version, Hash: a.Hash} }
 
+func (a headResponse) vmRevision() vmRevision { return vmRevision{a.VMEra, a.VMRevision} }
+
 // headQuery holds the query parameters of a request for a peer's head.
 type headQuery struct {
 	// from is the name of the VM that sends the query, and have its own head. A
 	// peer with a lower head thereby learns of the higher one.
 	from       string
 	have       config.Head
-	vmRevision uint64
+	vmRevision vmRevision
 	// wait is how long the peer may delay its response until it has a head
 	// above have or a revision above vmRevision. Zero requests a response at
 	// once.
@@ -45,7 +48,8 @@
 		"from":    {q.from},
 		"version": {strconv.FormatUint(q.have.Version, 10)},
 		"hash":    {q.have.Hash.String()},
-		"vms":     {strconv.FormatUint(q.vmRevision, 10)},
+		"vms":     {strconv.FormatUint(q.vmRevision.number, 10)},
+		"vm_era":  {strconv.FormatUint(q.vmRevision.era, 10)},
 		"wait":    {q.wait.String()},
 	}
 	return headPath + "?" + values.Encode()
@@ -59,8 +63,8 @@
 	if err = q.have.Hash.UnmarshalText([]byte(values.Get("hash"))); err != nil {
 		return q, err
 	}
-	if q.vmRevision, err = strconv.ParseUint(values.Get("vms"), 10, 64); err != nil {
-		return q, fmt.Errorf("vms: %w", err)
+	if q.vmRevision, err = parseVMRevision(values.Get("vm_era"), values.Get("vms")); err != nil {
+		return q, err
 	}
 	if q.wait, err = time.ParseDuration(values.Get("wait")); err != nil {
 		return q, fmt.Errorf("wait: %w", err)
@@ -68,3 +72,17 @@
 	q.wait = min(max(q.wait, 0), peerWait)
 	return q, nil
 }
+
+// parseVMRevision parses the query parameters of a revision. Peers of an earlier
+// release send no era.
+func parseVMRevision(era, number string) (r vmRevision, err error) {
+	if r.number, err = strconv.ParseUint(number, 10, 64); err != nil {
+		return r, fmt.Errorf("revision of the list of VMs: %w", err)
+	}
+	if era != "" {
+		if r.era, err = strconv.ParseUint(era, 10, 64); err != nil {
+			return r, fmt.Errorf("era of the list of VMs: %w", err)
+		}
+	}
+	return r, nil
+}
--- a/node/confsync/vms.go
+++ b/node/confsync/vms.go
@@ -33,15 +33,22 @@
 	minVMWatchPause = 100 * time.Millisecond
 )
 
+// vmRevision orders lists of VMs. The platform counts revisions up within an era.
+type vmRevision struct{ era, number uint64 }
+
+func (r vmRevision) less(o vmRevision) bool {
+	return r.era < o.era || r.era == o.era && r.number < o.number
+}
+
 // vmList is a list of VMs with its revision on the platform. It is immutable.
 type vmList struct {
-	revision uint64
+	revision vmRevision
 	vms      []config.VM
 	// loaded reports whether a list has been received. It may be empty.
 	loaded bool
 	// authoritative marks a list that this process read from the platform. It
-	// replaces a list of any other revision, also of a higher one, because
-	// revisions start again when the platform does.
+	// replaces a list of any other revision of its era, also of a higher one,
+	// because a platform that does not count eras may start again.
 	authoritative bool
 	// deltas are the latest changes that led to this list, oldest first.
 	deltas []vmDelta
@@ -49,7 +56,7 @@
 
 // vmDelta is the change between two successive revisions that this process had.
 type vmDelta struct {
-	from, to uint64
+	from, to vmRevision
 	changed  []config.VM
 	removed  []string
 }
@@ -61,6 +68,7 @@
 	Revision uint64      `cbor:"2,keyasint"`
 	VMs      []config.VM `cbor:"3,keyasint"`
 	Removed  []string    `cbor:"4,keyasint"`
+	Era      uint64      `cbor:"5,keyasint,omitempty"`
 }
 
 // address returns the peer address of a VM.
@@ -76,7 +84,7 @@
 // withDeltasSince returns l with the deltas of an earlier list and the change
 // from that list to l.
 func (l vmList) withDeltasSince(before vmList) vmList {
-	if !before.loaded || l.revision <= before.revision {
+	if !before.loaded || !before.revision.less(l.revision) {
 		return l
 	}
 	d := vmDelta{from: before.revision, to: l.revision}
@@ -100,16 +108,16 @@
 
 // updateSince returns the update for a peer that has the list of the given
 // revision. It is a full list if the deltas do not reach back to that revision.
-func (l vmList) updateSince(revision uint64) vmUpdate {
+func (l vmList) updateSince(revision vmRevision) vmUpdate {
 	for i, d := range l.deltas {
 		if d.from == revision {
 			return mergeDeltas(l.revision, l.deltas[i:])
 		}
 	}
-	return vmUpdate{Full: true, Revision: l.revision, VMs: l.vms}
+	return vmUpdate{Full: true, Era: l.revision.era, Revision: l.revision.number, VMs: l.vms}
 }
 
-func mergeDeltas(revision uint64, deltas []vmDelta) vmUpdate {
+func mergeDeltas(revision vmRevision, deltas []vmDelta) vmUpdate {
 	last := map[string]*config.VM{}
 	for _, d := range deltas {
 		for i := range d.changed {
@@ -119,7 +127,7 @@
 			last[name] = nil
 		}
 	}
-	u := vmUpdate{Revision: revision}
+	u := vmUpdate{Era: revision.era, Revision: revision.number}
 	for name, vm := range last {
 		if vm == nil {
 			u.Removed = append(u.Removed, name)
@@ -133,7 +141,7 @@
 // apply returns the list that results from an update of l.
 func (l vmList) apply(u vmUpdate) vmList {
 	if u.Full {
-		return vmList{revision: u.Revision, vms: u.VMs, loaded: true}
+		return vmList{revision: u.revision(), vms: u.VMs, loaded: true}
 	}
 	changed := make(map[string]config.VM, len(u.VMs))
 	for _, vm := range u.VMs {
@@ -158,9 +166,11 @@
 			out = append(out, vm)
 		}
 	}
-	return vmList{revision: u.Revision, vms: out, loaded: true}
+	return vmList{revision: u.revision(), vms: out, loaded: true}
 }
 
+func (u vmUpdate) revision() vmRevision { return vmRevision{u.Era, u.Revision} }
+
 func (u vmUpdate) encode() ([]byte, error) {
 	data, err := cbor.Marshal(u)
 	if err != nil {
@@ -181,11 +191,12 @@
 }
 
 // adoptVMs makes next the current list and reports whether it did. It ignores a
-// list of the current revision, and one of a lower revision unless the list is
-// authoritative.
+// list of the current revision, one of an earlier era, and one of a lower revision
+// unless the list is authoritative.
 func (r *run) adoptVMs(next vmList) bool {
 	old := r.state.Load()
-	if old.vms.loaded && (next.revision == old.vms.revision || !next.authoritative && next.revision < old.vms.revision) {
+	earlier := next.revision.less(old.vms.revision) && (!next.authoritative || next.revision.era < old.vms.revision.era)
+	if old.vms.loaded && (next.revision == old.vms.revision || earlier) {
 		return false
 	}
 	st := *old
@@ -193,7 +204,7 @@
 	r.state.Store(&st)
 	close(old.changed)
 	r.nextVMListRefresh = time.Now().Add(max(vmListRefresh, time.Duration(len(next.vms))*vmListRefreshPerVM))
-	r.log.Debug("list of VMs changed", zap.Int("vms", len(next.vms)), zap.Uint64("revision", next.revision))
+	r.log.Debug("list of VMs changed", zap.Int("vms", len(next.vms)), zap.Uint64("era", next.revision.era), zap.Uint64("revision", next.revision.number))
 	return true
 }
 
@@ -241,7 +252,7 @@
 // postPlatformVMs posts a list that the platform returned. If the platform has
 // no list, it posts an empty one.
 func (r *run) postPlatformVMs(ctx context.Context, v platform.Value, err error) {
-	list := vmList{revision: v.Revision, loaded: true, authoritative: true}
+	list := vmList{revision: vmRevision{v.Era, v.Revision}, loaded: true, authoritative: true}
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 	case err != nil:
@@ -258,7 +269,7 @@
 // fetchVMs fetches a newer list from a peer and posts it.
 func (r *run) fetchVMs(ctx context.Context, peer distribution.Source) {
 	have := r.state.Load().vms
-	data, err := r.callPeer(ctx, peer, fmt.Sprintf("%s?since=%d", vmsPath, have.revision))
+	data, err := r.callPeer(ctx, peer, fmt.Sprintf("%s?since=%d&era=%d", vmsPath, have.revision.number, have.revision.era))
 	if err == nil {
 		var u vmUpdate
 		if u, err = decodeVMUpdate(data); err == nil {
--- a/node/confsync/vms_measure_test.go
+++ b/node/confsync/vms_measure_test.go
@@ -58,19 +58,19 @@
 			b.ReportMetric(float64(len(whole))/float64(n), "JSON-B/VM")
 			runtime.KeepAlive(list)
 		})
-		before := vmList{revision: 1, vms: vms, loaded: true}
-		replaced := vmList{revision: 2, vms: slices.Clone(vms), loaded: true}
+		before := vmList{revision: vmRevision{number: 1}, vms: vms, loaded: true}
+		replaced := vmList{revision: vmRevision{number: 2}, vms: slices.Clone(vms), loaded: true}
 		replaced.vms[n/2].Name = "vm-new"
 		next := replaced.withDeltasSince(before)
 		b.Run(fmt.Sprintf("delta/vms=%d", n), func(b *testing.B) {
 			var data []byte
 			for b.Loop() {
-				data, _ = next.updateSince(1).encode()
+				data, _ = next.updateSince(before.revision).encode()
 			}
 			b.ReportMetric(float64(len(data)), "B/delta")
 		})
 		b.Run(fmt.Sprintf("apply/vms=%d", n), func(b *testing.B) {
-			u := next.updateSince(1)
+			u := next.updateSince(before.revision)
 			for b.Loop() {
 				_ = before.apply(u).withDeltasSince(before)
 			}
