--- /dev/null
+++ b/core/fleet/delta.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Since returns the changes after the progress of a peer. If the peer has no view,
+// one of another epoch or one that is too old, it returns a full delta.
+func (v *View) Since(now time.Duration, p Progress) Delta {
+	after := p.Revision
+	full := after == 0 || after < v.floor || p.Epoch != v.epoch
+	if full {
+		after = 0
+	}
+	d := Delta{Epoch: v.epoch, Revision: v.revision, Full: full, ConfirmedMS: int64(min(v.Age(now), time.Hour) / time.Millisecond)}
+	if v.wasDisturbed {
+		ms := int64((now - v.disturbedAt) / time.Millisecond)
+		d.DisturbedMS = &ms
+	}
+	entries, complete := v.recentChanges.since(after)
+	if full || !complete {
+		entries = v.entriesAfter(after)
+	}
+	d.add(entries)
+	slices.SortFunc(d.Changes, func(a, b Change) int { return cmp.Compare(a.ID, b.ID) })
+	if v.config != nil && p.Version < v.config.Version {
+		d.ConfigRevision = v.configRevision
+		if d.Patch = v.patchFrom(p.Version); d.Patch == nil {
+			d.Config = v.config
+		}
+	}
+	return d
+}
+
+// entriesAfter returns the entries whose revision is above after. After 0, these
+// are all entries of the epoch.
+func (v *View) entriesAfter(after uint64) []*entry {
+	var entries []*entry
+	for _, e := range v.entries {
+		if e.revision > after {
+			entries = append(entries, e)
+		}
+	}
+	return entries
+}
+
+func (d *Delta) add(entries []*entry) {
+	d.Changes = make([]Change, 0, len(entries))
+	for _, e := range entries {
+		d.Changes = append(d.Changes, Change{ID: e.id, Revision: e.revision, Target: e.listed()})
+	}
+}
+
+func (v *View) patchFrom(version uint64) *ConfigPatch {
+	for _, c := range v.pastConfigs {
+		if c.Version == version {
+			return Diff(c, v.config)
+		}
+	}
+	return nil
+}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"maps"
 	"net/netip"
-	"slices"
 	"time"
 )
 
@@ -253,47 +251,6 @@
 	}
 }
 
-// Since returns the changes after the progress of a peer. If the peer has no view,
-// one of another epoch or one that is too old, it returns a full delta.
-func (v *View) Since(now time.Duration, p Progress) Delta {
-	after := p.Revision
-	full := after == 0 || after < v.floor || p.Epoch != v.epoch
-	d := Delta{Epoch: v.epoch, Revision: v.revision, Full: full, ConfirmedMS: int64(min(v.Age(now), time.Hour) / time.Millisecond)}
-	if v.wasDisturbed {
-		ms := int64((now - v.disturbedAt) / time.Millisecond)
-		d.DisturbedMS = &ms
-	}
-	if entries, complete := v.recentChanges.since(after); complete && !d.Full {
-		d.add(entries)
-	} else {
-		d.add(slices.DeleteFunc(slices.Collect(maps.Values(v.entries)), func(e *entry) bool { return e.revision == 0 || e.revision <= after && !d.Full }))
-	}
-	slices.SortFunc(d.Changes, func(a, b Change) int { return cmp.Compare(a.ID, b.ID) })
-	if v.config != nil && p.Version < v.config.Version {
-		d.ConfigRevision = v.configRevision
-		if d.Patch = v.patchFrom(p.Version); d.Patch == nil {
-			d.Config = v.config
-		}
-	}
-	return d
-}
-
-func (d *Delta) add(entries []*entry) {
-	d.Changes = make([]Change, 0, len(entries))
-	for _, e := range entries {
-		d.Changes = append(d.Changes, Change{ID: e.id, Revision: e.revision, Target: e.listed()})
-	}
-}
-
-func (v *View) patchFrom(version uint64) *ConfigPatch {
-	for _, c := range v.pastConfigs {
-		if c.Version == version {
-			return Diff(c, v.config)
-		}
-	}
-	return nil
-}
-
 // Expire discards removed entries and retired routes whose retention time has
 // passed.
 func (v *View) Expire(now time.Duration) {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -80,8 +80,7 @@
 	FlagSilent
 	// FlagDraining says that the target takes no new flows.
 	FlagDraining
-	// FlagReader says that the sender watches the platform.
-	FlagReader
+	_ // reserved
 	// FlagReplyRequested asks for a Heartbeat in return.
 	FlagReplyRequested
 	// FlagFailing says that the target accepts flows and fails them.
@@ -143,8 +142,6 @@
 	addrSize   = 4
 	rosterSize = 8
 	ageSize    = 2
-	// MaxHeader is the largest header.
-	MaxHeader = answerSize
 )
 
 // MaxListedAgents is the greatest length of a list in a SurveyResult.
@@ -197,52 +194,6 @@
 	return b
 }
 
-func appendProgress(b []byte, p fleet.Progress) []byte {
-	return binary.AppendUvarint(binary.AppendUvarint(binary.AppendUvarint(b, p.Epoch), p.Revision), p.Version)
-}
-
-// parseProgress returns a progress and the bytes after it.
-func parseProgress(b []byte) (p fleet.Progress, rest []byte, ok bool) {
-	for _, field := range [...]*uint64{&p.Epoch, &p.Revision, &p.Version} {
-		n := 0
-		if *field, n = binary.Uvarint(b); n <= 0 {
-			return p, nil, false
-		}
-		b = b[n:]
-	}
-	return p, b, true
-}
-
-// appendAddrs appends the length of a list and its addresses, at most
-// MaxListedAgents.
-func appendAddrs(b []byte, list []netip.Addr) []byte {
-	list = list[:min(len(list), MaxListedAgents)]
-	b = append(b, byte(len(list)))
-	for _, a := range list {
-		b = appendAddr(b, a)
-	}
-	return b
-}
-
-func parseAddrs(b []byte) (list []netip.Addr, rest []byte, ok bool) {
-	if len(b) == 0 || b[0] > MaxListedAgents || len(b) < 1+int(b[0])*addrSize {
-		return nil, nil, false
-	}
-	n, rest := int(b[0]), b[1:]
-	for range n {
-		list, rest = append(list, parseAddr(rest)), rest[addrSize:]
-	}
-	return list, rest, true
-}
-
-func appendAddr(b []byte, a netip.Addr) []byte {
-	if !a.Is4() {
-		return append(b, 0, 0, 0, 0)
-	}
-	ip := a.As4()
-	return append(b, ip[:]...)
-}
-
 // Decode decodes a datagram. The Body of the message refers to b.
 func Decode(b []byte) (m Message, err error) {
 	if len(b) < commonSize || b[0] != Version {
@@ -312,11 +263,3 @@
 		Slots: binary.BigEndian.Uint16(b[5:]), ServiceTime: binary.BigEndian.Uint16(b[7:]),
 	}
 }
-
-func parseAddr(b []byte) netip.Addr {
-	ip := [4]byte(b)
-	if ip == [4]byte{} {
-		return netip.Addr{}
-	}
-	return netip.AddrFrom4(ip)
-}
