fleetsync: log a platform of an earlier epoch than the view

A platform that was set up anew counts its returns from the start again. Processes that remember a higher epoch then ignore its targets, which the logs did not show. The users' pages say that the count only rises, so nothing is decided differently.

--- a/node/fleetsync/calls.go
+++ b/node/fleetsync/calls.go
@@ -126,7 +126,7 @@
 		d.Revision = max(d.Revision, progress.Revision)
 	}
 	targets, config := s.View.Apply(s.Now(), d)
-	s.logEpoch(from, progress)
+	s.logEpoch(from, d.Epoch, progress)
 	if targets || config {
 		s.Log.Info("view changed", zap.String("from", from), zap.Uint64("epoch", s.View.Progress().Epoch), zap.Uint64("revision", s.View.Revision()), telemetry.Version(s.View.Version()),
 			zap.Uint64("previous_version", before), zap.Bool("targets", targets), zap.Bool("config", config), zap.Int("changes", len(d.Changes)))
@@ -136,10 +136,20 @@
 }
 
 // logEpoch logs that the platform returned from an older copy of its state, if the
-// view's epoch changed.
-func (s *Sync) logEpoch(from string, before fleet.Progress) {
-	if after := s.View.Progress(); after.Epoch != before.Epoch && before.Revision > 0 {
+// view's epoch changed, and that it is of an earlier epoch than the view. epoch is
+// that of the applied delta.
+func (s *Sync) logEpoch(from string, epoch uint64, before fleet.Progress) {
+	after := s.View.Progress()
+	if after.Epoch != before.Epoch && before.Revision > 0 {
 		s.Log.Warn("platform returned from an older copy", zap.String("from", from), zap.Uint64("previous_epoch", before.Epoch),
 			zap.Uint64("previous_revision", before.Revision), zap.Uint64("epoch", after.Epoch), zap.Uint64("revision", after.Revision))
 	}
+	if from != "platform" {
+		return
+	}
+	earlier := epoch < after.Epoch
+	if earlier && !s.platformEarlier {
+		s.Log.Warn("platform is of an earlier epoch than the view; its targets are ignored", zap.Uint64("platform_epoch", epoch), zap.Uint64("epoch", after.Epoch))
+	}
+	s.platformEarlier = earlier
 }
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -109,7 +109,11 @@
 	// reachable reports whether the last call to the platform succeeded.
 	reachable, everCalled bool
 	failures              int
-	calls, failed, pulls  *metrics.Counter
+	// platformEarlier reports whether the last response of the platform was of an
+	// earlier epoch than the view.
+	platformEarlier bool
+
+	calls, failed, pulls *metrics.Counter
 }
 
 // New returns a Sync.
