relay: reject progress fields that are not in the shortest encoding

FuzzDecode found that a varint with a trailing zero byte decodes to the same progress as a shorter one, so a datagram had several encodings.

--- a/core/relay/fields.go
+++ b/core/relay/fields.go
@@ -14,11 +14,12 @@
 	return b
 }
 
-// parseProgress returns a progress and the bytes after it.
+// parseProgress returns a progress and the bytes after it. It accepts only the
+// shortest encoding, so that each message has one encoding.
 func parseProgress(b []byte) (p fleet.Progress, rest []byte, ok bool) {
 	for _, field := range [...]*uint64{&p.Epoch, &p.Revision, &p.Version} {
 		n := 0
-		if *field, n = binary.Uvarint(b); n <= 0 {
+		if *field, n = binary.Uvarint(b); n <= 0 || n > 1 && b[n-1] == 0 {
 			return p, nil, false
 		}
 		b = b[n:]
