--- a/core/ownership/survey_test.go
+++ b/core/ownership/survey_test.go
@@ -140,6 +140,28 @@
 	assert.Equal(t, s.resets, 1)
 }
 
+// Guards against a flow that is reset because agents that do not know of the
+// platform's return from an older copy answer for their data centre: their
+// revision is higher than the asker's, but a target that has joined since is not
+// in their view.
+func TestSurveyByAgentsOfAnEarlierEpoch(t *testing.T) {
+	s := newCluster(t, 2, 4)
+	joined := fleettest.Target(9, fleet.Ready)
+	joined.DataCentre = "dc-1"
+	listing := fleet.Delta{Epoch: 1, Full: true, Revision: fleettest.Revision / 2}
+	targets := slices.Clone(s.agents[fleettest.Agent(0)].View.Targets(fleettest.Service))
+	newer := fleettest.View(0, targets...)
+	for i, target := range append(targets, joined) {
+		listing.Changes = append(listing.Changes, fleet.Change{ID: target.ID, Revision: uint64(i + 1), Target: target})
+	}
+	newer.Apply(0, &listing)
+	for n := range byte(4) {
+		s.agents[fleettest.Agent(n)].View = newer
+	}
+	s.send(0, relay.Packet, flow.Packet{Key: fleettest.Key(1), Seq: 111, Ack: 5001, Len: 10})
+	assert.Equal(t, s.resets, 0)
+}
+
 // Guards against a survey result that omits a restarted agent, so that the flow
 // of its target is reset.
 func TestSurveyListsMaybeOwners(t *testing.T) {
