--- a/lab/kvstore/restore_test.go
+++ b/lab/kvstore/restore_test.go
@@ -32,6 +32,9 @@
 	heartbeatInterval = 20 * time.Millisecond
 )
 
+// The tests of this file run the product's views against the simulated store that
+// returns from a backup.
+
 // process is an agent that keeps its view in step with the store and its peers.
 type process struct {
 	mu   sync.Mutex
