confsync: one word for the count of the platform's returns

The packet plane calls it the epoch, the QUIC plane's field and names said era. The optional field of the platform's response is "epoch" now; it has not been released under another name.

--- a/node/confsync/fleet_test.go
+++ b/node/confsync/fleet_test.go
@@ -27,8 +27,8 @@
 type fakePlatform struct {
 	mu       sync.Mutex
 	revision uint64
-	// era counts how often the platform returned from an older copy.
-	era     uint64
+	// epoch counts how often the platform returned from an older copy.
+	epoch   uint64
 	values  map[string]platform.Value
 	changed chan struct{}
 	// unreachableFrom names the processes that cannot reach the platform. The
@@ -62,20 +62,20 @@
 	for {
 		p.mu.Lock()
 		v, ok := p.values[key]
-		era, changed, down := p.era, p.changed, p.unreachableFrom[caller] || p.unreachableFrom[""]
+		epoch, changed, down := p.epoch, p.changed, p.unreachableFrom[caller] || p.unreachableFrom[""]
 		p.mu.Unlock()
 		switch {
 		case down:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		case ok && v.Revision > after || wait == 0:
-			reply(w, era, v, ok)
+			reply(w, epoch, v, ok)
 			return
 		}
 		select {
 		case <-changed:
 		case <-deadline:
-			reply(w, era, v, ok)
+			reply(w, epoch, v, ok)
 			return
 		case <-r.Context().Done():
 			return
@@ -83,12 +83,12 @@
 	}
 }
 
-func reply(w http.ResponseWriter, era uint64, v platform.Value, ok bool) {
+func reply(w http.ResponseWriter, epoch uint64, v platform.Value, ok bool) {
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"revision": v.Revision, "value": v.Data, "era": era})
+	_ = json.NewEncoder(w).Encode(map[string]any{"revision": v.Revision, "value": v.Data, "epoch": epoch})
 }
 
 // restore makes the platform give out revisions again, as after its return from an
@@ -96,7 +96,7 @@
 func (p *fakePlatform) restore(revision uint64) {
 	p.mu.Lock()
 	p.revision = revision
-	p.era++
+	p.epoch++
 	p.mu.Unlock()
 	p.server.CloseClientConnections()
 }
--- a/node/confsync/handler.go
+++ b/node/confsync/handler.go
@@ -33,7 +33,7 @@
 		}
 		break
 	}
-	s.writeCBOR(w, headResponse{Version: st.head.Version, Hash: st.head.Hash, VMRevision: st.vms.revision.number, VMEra: st.vms.revision.era})
+	s.writeCBOR(w, headResponse{Version: st.head.Version, Hash: st.head.Hash, VMRevision: st.vms.revision.number, VMEpoch: st.vms.revision.epoch})
 }
 
 // reportHigherHead tells the machine that a peer has a higher head than this
@@ -83,7 +83,7 @@
 		http.Error(w, "no list of VMs yet", http.StatusNotFound)
 		return
 	}
-	since, err := parseVMRevision(r.URL.Query().Get("era"), r.URL.Query().Get("since"))
+	since, err := parseVMRevision(r.URL.Query().Get("epoch"), r.URL.Query().Get("since"))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/node/confsync/messages.go
+++ b/node/confsync/messages.go
@@ -21,14 +21,14 @@
 type headResponse struct {
 	Version uint64      `cbor:"1,keyasint"`
 	Hash    config.Hash `cbor:"2,keyasint"`
-	// VMRevision is the revision of the list of VMs, VMEra its era.
+	// VMRevision is the revision of the list of VMs, VMEpoch its epoch.
 	VMRevision uint64 `cbor:"3,keyasint"`
-	VMEra      uint64 `cbor:"4,keyasint,omitempty"`
+	VMEpoch    uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 func (a headResponse) head() config.Head { return config.Head{Version: a.Version, Hash: a.Hash} }
 
-func (a headResponse) vmRevision() vmRevision { return vmRevision{a.VMEra, a.VMRevision} }
+func (a headResponse) vmRevision() vmRevision { return vmRevision{a.VMEpoch, a.VMRevision} }
 
 // headQuery holds the query parameters of a request for a peer's head.
 type headQuery struct {
@@ -45,12 +45,12 @@
 
 func (q headQuery) path() string {
 	values := url.Values{
-		"from":    {q.from},
-		"version": {strconv.FormatUint(q.have.Version, 10)},
-		"hash":    {q.have.Hash.String()},
-		"vms":     {strconv.FormatUint(q.vmRevision.number, 10)},
-		"vm_era":  {strconv.FormatUint(q.vmRevision.era, 10)},
-		"wait":    {q.wait.String()},
+		"from":     {q.from},
+		"version":  {strconv.FormatUint(q.have.Version, 10)},
+		"hash":     {q.have.Hash.String()},
+		"vms":      {strconv.FormatUint(q.vmRevision.number, 10)},
+		"vm_epoch": {strconv.FormatUint(q.vmRevision.epoch, 10)},
+		"wait":     {q.wait.String()},
 	}
 	return headPath + "?" + values.Encode()
 }
@@ -63,7 +63,7 @@
 	if err = q.have.Hash.UnmarshalText([]byte(values.Get("hash"))); err != nil {
 		return q, err
 	}
-	if q.vmRevision, err = parseVMRevision(values.Get("vm_era"), values.Get("vms")); err != nil {
+	if q.vmRevision, err = parseVMRevision(values.Get("vm_epoch"), values.Get("vms")); err != nil {
 		return q, err
 	}
 	if q.wait, err = time.ParseDuration(values.Get("wait")); err != nil {
@@ -74,14 +74,14 @@
 }
 
 // parseVMRevision parses the query parameters of a revision. Peers of an earlier
-// release send no era.
-func parseVMRevision(era, number string) (r vmRevision, err error) {
+// release send no epoch.
+func parseVMRevision(epoch, number string) (r vmRevision, err error) {
 	if r.number, err = strconv.ParseUint(number, 10, 64); err != nil {
 		return r, fmt.Errorf("revision of the list of VMs: %w", err)
 	}
-	if era != "" {
-		if r.era, err = strconv.ParseUint(era, 10, 64); err != nil {
-			return r, fmt.Errorf("era of the list of VMs: %w", err)
+	if epoch != "" {
+		if r.epoch, err = strconv.ParseUint(epoch, 10, 64); err != nil {
+			return r, fmt.Errorf("epoch of the list of VMs: %w", err)
 		}
 	}
 	return r, nil
--- a/node/confsync/vms.go
+++ b/node/confsync/vms.go
@@ -33,11 +33,11 @@
 	minVMWatchPause = 100 * time.Millisecond
 )
 
-// vmRevision orders lists of VMs. The platform counts revisions up within an era.
-type vmRevision struct{ era, number uint64 }
+// vmRevision orders lists of VMs. The platform counts revisions up within an epoch.
+type vmRevision struct{ epoch, number uint64 }
 
 func (r vmRevision) less(o vmRevision) bool {
-	return r.era < o.era || r.era == o.era && r.number < o.number
+	return r.epoch < o.epoch || r.epoch == o.epoch && r.number < o.number
 }
 
 // vmList is a list of VMs with its revision on the platform. It is immutable.
@@ -47,8 +47,8 @@
 	// loaded reports whether a list has been received. It may be empty.
 	loaded bool
 	// authoritative marks a list that this process read from the platform. It
-	// replaces a list of any other revision of its era, also of a higher one,
-	// because a platform that does not count eras may start again.
+	// replaces a list of any other revision of its epoch, also of a higher one,
+	// because a platform that does not count epochs may start again.
 	authoritative bool
 	// deltas are the latest changes that led to this list, oldest first.
 	deltas []vmDelta
@@ -68,7 +68,7 @@
 	Revision uint64      `cbor:"2,keyasint"`
 	VMs      []config.VM `cbor:"3,keyasint"`
 	Removed  []string    `cbor:"4,keyasint"`
-	Era      uint64      `cbor:"5,keyasint,omitempty"`
+	Epoch    uint64      `cbor:"5,keyasint,omitempty"`
 }
 
 // address returns the peer address of a VM.
@@ -114,7 +114,7 @@
 			return mergeDeltas(l.revision, l.deltas[i:])
 		}
 	}
-	return vmUpdate{Full: true, Era: l.revision.era, Revision: l.revision.number, VMs: l.vms}
+	return vmUpdate{Full: true, Epoch: l.revision.epoch, Revision: l.revision.number, VMs: l.vms}
 }
 
 func mergeDeltas(revision vmRevision, deltas []vmDelta) vmUpdate {
@@ -127,7 +127,7 @@
 			last[name] = nil
 		}
 	}
-	u := vmUpdate{Era: revision.era, Revision: revision.number}
+	u := vmUpdate{Epoch: revision.epoch, Revision: revision.number}
 	for name, vm := range last {
 		if vm == nil {
 			u.Removed = append(u.Removed, name)
@@ -169,7 +169,7 @@
 	return vmList{revision: u.revision(), vms: out, loaded: true}
 }
 
-func (u vmUpdate) revision() vmRevision { return vmRevision{u.Era, u.Revision} }
+func (u vmUpdate) revision() vmRevision { return vmRevision{u.Epoch, u.Revision} }
 
 func (u vmUpdate) encode() ([]byte, error) {
 	data, err := cbor.Marshal(u)
@@ -191,11 +191,11 @@
 }
 
 // adoptVMs makes next the current list and reports whether it did. It ignores a
-// list of the current revision, one of an earlier era, and one of a lower revision
+// list of the current revision, one of an earlier epoch, and one of a lower revision
 // unless the list is authoritative.
 func (r *run) adoptVMs(next vmList) bool {
 	old := r.state.Load()
-	earlier := next.revision.less(old.vms.revision) && (!next.authoritative || next.revision.era < old.vms.revision.era)
+	earlier := next.revision.less(old.vms.revision) && (!next.authoritative || next.revision.epoch < old.vms.revision.epoch)
 	if old.vms.loaded && (next.revision == old.vms.revision || earlier) {
 		return false
 	}
@@ -204,7 +204,7 @@
 	r.state.Store(&st)
 	close(old.changed)
 	r.nextVMListRefresh = time.Now().Add(max(vmListRefresh, time.Duration(len(next.vms))*vmListRefreshPerVM))
-	r.log.Debug("list of VMs changed", zap.Int("vms", len(next.vms)), zap.Uint64("era", next.revision.era), zap.Uint64("revision", next.revision.number))
+	r.log.Debug("list of VMs changed", zap.Int("vms", len(next.vms)), zap.Uint64("epoch", next.revision.epoch), zap.Uint64("revision", next.revision.number))
 	return true
 }
 
@@ -252,7 +252,7 @@
 // postPlatformVMs posts a list that the platform returned. If the platform has
 // no list, it posts an empty one.
 func (r *run) postPlatformVMs(ctx context.Context, v platform.Value, err error) {
-	list := vmList{revision: vmRevision{v.Era, v.Revision}, loaded: true, authoritative: true}
+	list := vmList{revision: vmRevision{v.Epoch, v.Revision}, loaded: true, authoritative: true}
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 	case err != nil:
@@ -269,7 +269,7 @@
 // fetchVMs fetches a newer list from a peer and posts it.
 func (r *run) fetchVMs(ctx context.Context, peer distribution.Source) {
 	have := r.state.Load().vms
-	data, err := r.callPeer(ctx, peer, fmt.Sprintf("%s?since=%d&era=%d", vmsPath, have.revision.number, have.revision.era))
+	data, err := r.callPeer(ctx, peer, fmt.Sprintf("%s?since=%d&epoch=%d", vmsPath, have.revision.number, have.revision.epoch))
 	if err == nil {
 		var u vmUpdate
 		if u, err = decodeVMUpdate(data); err == nil {
--- a/node/platform/platform.go
+++ b/node/platform/platform.go
@@ -54,10 +54,10 @@
 type Value struct {
 	// Revision rises whenever the value changes.
 	Revision uint64 `json:"revision"`
-	// Era counts how often the platform returned from an older copy of its state,
+	// Epoch counts how often the platform returned from an older copy of its state,
 	// after which it gives out revisions again. It is 0 if the platform does not
 	// tell.
-	Era uint64 `json:"era,omitempty"`
+	Epoch uint64 `json:"epoch,omitempty"`
 	// Data is the value as JSON.
 	Data json.RawMessage `json:"value"`
 }
