ownership, packetplane: log what a search knew when it reset a flow

Cause: a line "reset" with "no_target_holds_flow" did not tell which service was searched, how many agents were listed and had denied the flow, whether agents of removed targets were left out, or how long the agent had run. So the hypotheses about resets of sound flows could not be told apart.

Change: the event carries the basis of the search, and the line has the fields service, listed, denied, not_asked and since_start_ms. "process started" names the service. No decision changes.

--- a/core/ownership/answers.go
+++ b/core/ownership/answers.go
@@ -28,7 +28,7 @@
 	case s == nil:
 	case s.probing[from] && msg.Kind == relay.NotOwner:
 		s.denied[from] = true
-		m.handleProbeDenied(from, msg.Flow, s, out)
+		m.handleProbeDenied(now, from, msg.Flow, s, out)
 	default:
 		m.handleSearchAnswer(now, from, msg, s, out)
 	}
--- a/core/ownership/probe.go
+++ b/core/ownership/probe.go
@@ -55,7 +55,7 @@
 		case s.onlySelfAsked:
 			m.searchOthers(now, s, out)
 		case s.prober.IsValid():
-			m.answerNotHeld(key, s, out)
+			m.answerNotHeld(now, key, s, out)
 		}
 	}
 }
@@ -109,7 +109,7 @@
 	}
 	s.prober, s.origin = from, msg.Origin
 	if s.selfDenied || !m.mayHoldUnknownFlows(now) {
-		m.answerNotHeld(p.Key, s, out)
+		m.answerNotHeld(now, p.Key, s, out)
 		return
 	}
 	m.probeTarget(now, p, out)
@@ -118,11 +118,11 @@
 // handleProbeDenied records that the target of a probed agent does not hold the
 // flow. After the last probe no target holds it, provided that all agents have
 // answered.
-func (m *Machine) handleProbeDenied(from netip.Addr, key flow.Key, s *search, out *plane.Out) {
+func (m *Machine) handleProbeDenied(now time.Duration, from netip.Addr, key flow.Key, s *search, out *plane.Out) {
 	delete(s.probing, from)
 	s.maybeOwners = slices.DeleteFunc(s.maybeOwners, func(a netip.Addr) bool { return a == from })
 	if len(s.probing)+len(s.maybeOwners)+len(s.asked) == 0 {
-		m.resetUnowned(s, out)
+		m.resetUnowned(now, s, out)
 	}
 }
 
@@ -139,7 +139,7 @@
 		m.searchOthers(now, s, out)
 		return
 	}
-	m.answerNotHeld(p.Key, s, out)
+	m.answerNotHeld(now, p.Key, s, out)
 }
 
 // searchOthers continues a search with the other agents after the local target
@@ -153,10 +153,10 @@
 
 // answerNotHeld reports to the agent that probed for a flow that the target does
 // not hold it.
-func (m *Machine) answerNotHeld(key flow.Key, s *search, out *plane.Out) {
+func (m *Machine) answerNotHeld(now time.Duration, key flow.Key, s *search, out *plane.Out) {
 	switch {
 	case s.prober == m.Self && s.probing[m.Self]:
-		m.handleProbeDenied(m.Self, key, s, out)
+		m.handleProbeDenied(now, m.Self, key, s, out)
 	case s.prober.IsValid() && s.prober != m.Self:
 		out.Send(s.prober, relay.Message{Kind: relay.NotOwner, Service: m.serviceTag, Flow: key, Load: m.Load(), Origin: s.origin})
 	}
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -71,7 +71,7 @@
 		return
 	}
 	if s != nil && s.noOwner && s.ack == p.Ack {
-		m.reset(p, "no_target_holds_flow", out)
+		m.resetSearched(now, p, s, out)
 		return
 	}
 	if s == nil {
@@ -178,13 +178,47 @@
 	return s != nil && s.selfDenied
 }
 
-func (m *Machine) resetUnowned(s *search, out *plane.Out) {
+func (m *Machine) resetUnowned(now time.Duration, s *search, out *plane.Out) {
 	s.noOwner = true
 	if p, err := m.Codec.FromCaller(s.raw); err == nil {
-		m.reset(&p, "no_target_holds_flow", out)
+		m.resetSearched(now, &p, s, out)
 	}
 }
 
+// resetSearched resets a flow for which a search found no owner.
+func (m *Machine) resetSearched(now time.Duration, p *flow.Packet, s *search, out *plane.Out) {
+	m.reset(p, "no_target_holds_flow", out)
+	out.Events[len(out.Events)-1].Search = m.searchBasis(now, s)
+}
+
+// searchBasis returns what the agent knows at the end of a search, for the log.
+func (m *Machine) searchBasis(now time.Duration, s *search) *plane.SearchBasis {
+	b := &plane.SearchBasis{Service: m.Service, SinceStart: now - m.startedAt}
+	known := map[netip.Addr]bool{m.Self: true}
+	for _, t := range m.View.Targets(m.Service) {
+		known[t.Agent()] = true
+		if s.hasDenied(t) {
+			b.Denied++
+		}
+	}
+	b.Listed = len(known) - 1
+	for _, t := range m.View.RemovedTargets(m.Service) {
+		if !known[t.Agent()] && !s.hasDenied(t) {
+			b.NotAsked++
+		}
+		known[t.Agent()] = true
+	}
+	return b
+}
+
+// hasDenied reports whether the agent of a target has denied the flow, by itself
+// or through a survey of its data centre.
+func (s *search) hasDenied(t *fleet.Target) bool {
+	_, surveyed := s.deniedRosters[t.DataCentre]
+	_, unresolved := s.unresolved[t.Agent()]
+	return s.denied[t.Agent()] || surveyed && !unresolved
+}
+
 // advanceSearch continues with the other data centres once all agents of the
 // local one have answered. Once the others have answered too, it acts on the
 // result.
@@ -204,7 +238,7 @@
 		m.probeMaybeOwners(now, key, s, len(s.maybeOwners), out)
 		return
 	}
-	m.resetUnowned(s, out)
+	m.resetUnowned(now, s, out)
 }
 
 // retrySearch begins another round of an incomplete search, in which an agent
--- a/core/plane/out.go
+++ b/core/plane/out.go
@@ -124,6 +124,22 @@
 	// Value is a number that the decision was based on, such as an age in
 	// milliseconds or a load in hundredths of a slot.
 	Value int64
+	// Search is the basis of a decision that ends a search, nil for others.
+	Search *SearchBasis
+}
+
+// SearchBasis is what an agent knew when a search ended without an owner. It
+// tells whether an agent whose target may hold the flow was left out.
+type SearchBasis struct {
+	// Service is the service whose agents were asked.
+	Service string
+	// Listed counts the agents of the listed targets, and Denied those that have
+	// denied the flow, by themselves or through a survey of their data centre.
+	Listed, Denied int
+	// NotAsked counts the agents of removed targets that were not asked.
+	NotAsked int
+	// SinceStart is the time since the agent started.
+	SinceStart time.Duration
 }
 
 // Clear empties the output and keeps the allocated memory.
--- a/node/packetplane/events.go
+++ b/node/packetplane/events.go
@@ -19,6 +19,8 @@
 	// failureLinesPerSecond bounds the log lines for a kind that ends a request.
 	// It is higher, so that failed requests are logged even in a burst.
 	failureLinesPerSecond = 250
+	// maxEventFields is the greatest number of fields of a line.
+	maxEventFields = 14
 )
 
 // lineLimit returns the maximum number of log lines per second for a kind.
@@ -131,7 +133,7 @@
 }
 
 func (l *eventLog) write(now time.Duration, e *plane.Event, omitted int, view *fleet.View) {
-	fields := make([]zap.Field, 0, 9)
+	fields := make([]zap.Field, 0, maxEventFields)
 	if e.Flow != (flow.Key{}) {
 		fields = append(fields, zap.String(telemetry.KeyFlow, e.Flow.String()), zap.Uint32("number", e.PacketSeq))
 	}
@@ -140,6 +142,10 @@
 	if e.Peer.IsValid() {
 		fields = append(fields, telemetry.Peer(e.Peer.String()))
 	}
+	if b := e.Search; b != nil {
+		fields = append(fields, zap.String("service", b.Service), zap.Int("listed", b.Listed), zap.Int("denied", b.Denied), zap.Int("not_asked", b.NotAsked),
+			zap.Int64("since_start_ms", b.SinceStart.Milliseconds()))
+	}
 	if omitted > 0 {
 		fields = append(fields, zap.Int("left_out", omitted))
 	}
--- a/node/packetplane/events_test.go
+++ b/node/packetplane/events_test.go
@@ -45,3 +45,17 @@
 	}
 	assert.Equal(t, len(set.ListMetricNames()), 5+1)
 }
+
+// Guards against a log that does not tell whether a search that reset a flow had
+// asked every agent whose target may hold the flow.
+func TestResetLogsTheBasisOfTheSearch(t *testing.T) {
+	core, lines := observer.New(zapcore.InfoLevel)
+	l := newEventLog(zap.New(core), metrics.NewSet())
+	basis := &plane.SearchBasis{Service: "booking", Listed: 3, Denied: 2, NotAsked: 1, SinceStart: 40 * time.Millisecond}
+	l.add(0, []plane.Event{{Kind: plane.EventReset, Reason: "no_target_holds_flow", Search: basis}}, fleet.New())
+	line := lines.FilterMessage("reset").All()[0].ContextMap()
+	assert.Equal(t, line["service"], "booking")
+	for field, want := range map[string]int64{"listed": 3, "denied": 2, "not_asked": 1, "since_start_ms": 40} {
+		assert.Equal(t, line[field], want, field)
+	}
+}
--- a/node/packetplane/plane.go
+++ b/node/packetplane/plane.go
@@ -228,7 +228,7 @@
 		supervisor.Add(part)
 	}
 	ended := supervisor.ServeBackground(ctx)
-	p.Log.Info("process started", zap.String("data_centre", p.Settings.DataCentre), zap.Bool("first_start", p.Settings.FirstStart))
+	p.Log.Info("process started", zap.String("data_centre", p.Settings.DataCentre), zap.String("service", p.Settings.Service), zap.Bool("first_start", p.Settings.FirstStart))
 	stopCheck := time.NewTicker(idleTickInterval)
 	defer stopCheck.Stop()
 	// The settings file may change without a signal.
