fleet, fleetsync: an agent that starts learns which entries were removed

Cause: a target may run while its entry is missing at the platform: it has lapsed in an outage, or the target cannot reach the platform. A process that starts then reads a listing that does not name it, and deltas of peers named removed entries by their ID only. So the process did not know the agent of such a target, and could not ask it for the owner of a flow.

Change: deltas carry the last state of a removed entry and the time since its removal. An agent that starts asks up to three agents of its data centre for the removed entries (parameter "removals"), until one of them knows those of the whole retention time. A view says from when on it knows them. Peers of earlier releases ignore the new fields and the parameter.

Result: TestStartedProcessLearnsRemovedTargets, TestPeerThatHasJustStartedKnowsLittle, TestProcessWithoutPeersSettles. They use new functions, so they do not build on the code before. Nothing uses the knowledge yet except RemovedTargets.

--- a/core/fleet/delta.go
+++ b/core/fleet/delta.go
@@ -23,7 +23,10 @@
 	if full || !complete {
 		entries = v.entriesAfter(after)
 	}
-	d.add(entries)
+	d.add(now, entries)
+	if full {
+		d.RemovalsKnownMS = v.removalHistory.knownMS(now)
+	}
 	slices.SortFunc(d.Changes, func(a, b Change) int { return cmp.Compare(a.ID, b.ID) })
 	if v.config != nil && p.Version < v.config.Version {
 		d.ConfigRevision = v.configRevision
@@ -46,11 +49,20 @@
 	return entries
 }
 
-func (d *Delta) add(entries []*entry) {
+func (d *Delta) add(now time.Duration, entries []*entry) {
 	d.Changes = make([]Change, 0, len(entries))
 	for _, e := range entries {
-		d.Changes = append(d.Changes, Change{ID: e.id, Revision: e.revision, Target: e.listed()})
+		d.Changes = append(d.Changes, e.change(now))
+	}
+}
+
+// change returns the newest state of an entry.
+func (e *entry) change(now time.Duration) Change {
+	c := Change{ID: e.id, Revision: e.revision, Target: e.listed()}
+	if e.removed {
+		c.Last, c.RemovedMS = e.target, max(0, int64((now-e.removedAt)/time.Millisecond))
 	}
+	return c
 }
 
 func (v *View) patchFrom(version uint64) *ConfigPatch {
--- a/core/fleet/fleettest/fleettest.go
+++ b/core/fleet/fleettest/fleettest.go
@@ -44,10 +44,11 @@
 	return targets
 }
 
-// View returns a view that was confirmed at the time now. It has the targets and
-// one route to the service.
+// View returns a view that was confirmed at the time now, before which no entry
+// was removed. It has the targets and one route to the service.
 func View(now time.Duration, targets ...*fleet.Target) *fleet.View {
 	v := fleet.New()
+	v.NothingRemovedBefore(now)
 	d := &fleet.Delta{
 		Revision: Revision, ConfigRevision: 2,
 		Config: &fleet.Config{Version: Version, Routes: []fleet.Route{{Name: "r", Address: Address, Service: Service}}},
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -71,6 +71,11 @@
 	ID       string  `json:"id"`
 	Revision uint64  `json:"revision"`
 	Target   *Target `json:"target,omitempty"`
+	// Last is the state of a removed entry before its removal, and RemovedMS is
+	// the time since then, in milliseconds. The target may still run and hold
+	// flows. Last is nil if the sender does not know it.
+	Last      *Target `json:"last,omitempty"`
+	RemovedMS int64   `json:"removed_ms,omitempty"`
 }
 
 // RouteKind says whether the requests of a route may be repeated.
@@ -138,6 +143,9 @@
 	// DisturbedMS is the time since the platform was last found disturbed, in
 	// milliseconds, or nil if it never was.
 	DisturbedMS *int64 `json:"disturbed_ms,omitempty"`
+	// RemovalsKnownMS is set if the delta names all entries that were removed in
+	// the time before it of this length, in milliseconds.
+	RemovalsKnownMS *int64 `json:"removals_known_ms,omitempty"`
 }
 
 // Retention times and grace periods of a view.
--- a/core/fleet/validate.go
+++ b/core/fleet/validate.go
@@ -20,6 +20,9 @@
 	if d.DisturbedMS != nil && *d.DisturbedMS < 0 {
 		return fmt.Errorf("disturbed_ms: %d is negative", *d.DisturbedMS)
 	}
+	if d.RemovalsKnownMS != nil && *d.RemovalsKnownMS < 0 {
+		return fmt.Errorf("removals_known_ms: %d is negative", *d.RemovalsKnownMS)
+	}
 	for i := range d.Changes {
 		if err := d.Changes[i].validate(); err != nil {
 			return fmt.Errorf("changes[%d].%w", i, err)
@@ -42,12 +45,27 @@
 	switch {
 	case c.ID == "":
 		return fmt.Errorf("id: %w", errEmpty)
-	case c.Target == nil:
+	case c.RemovedMS < 0:
+		return fmt.Errorf("removed_ms: %d is negative", c.RemovedMS)
+	}
+	if err := c.Target.validate(); err != nil {
+		return fmt.Errorf("target.%w", err)
+	}
+	if err := c.Last.validate(); err != nil {
+		return fmt.Errorf("last.%w", err)
+	}
+	return nil
+}
+
+// validate checks the state of a target, which may be nil.
+func (t *Target) validate() error {
+	switch {
+	case t == nil:
 		return nil
-	case !isIPv4(c.Target.Address):
-		return fmt.Errorf("target.address: %w", errNotIPv4)
-	case c.Target.State != Ready && c.Target.State != Draining:
-		return fmt.Errorf("target.state: %q is not known", c.Target.State)
+	case !isIPv4(t.Address):
+		return fmt.Errorf("address: %w", errNotIPv4)
+	case t.State != Ready && t.State != Draining:
+		return fmt.Errorf("state: %q is not known", t.State)
 	}
 	return nil
 }
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -57,6 +57,8 @@
 	// reader is this process or another one whose delta reported it.
 	disturbedAt  time.Duration
 	wasDisturbed bool
+	// removalHistory says from when on the view knows the entries that were removed.
+	removalHistory removalHistory
 
 	index index
 }
@@ -89,10 +91,11 @@
 	if d.Epoch != v.epoch {
 		return false, v.applyConfig(now, d)
 	}
+	v.removalHistory.begin(now, d)
 	behind := d.Revision < v.revision
 	for i := range d.Changes {
 		c := &d.Changes[i]
-		if behind && c.Revision <= v.revision && v.entries[c.ID] == nil {
+		if behind && c.Revision <= v.revision && v.entries[c.ID] == nil && c.Last == nil {
 			// The view is complete up to its revision, so the entry was removed
 			// and has expired.
 			continue
@@ -145,6 +148,10 @@
 		e = &entry{id: c.ID}
 		v.entries[c.ID] = e
 	}
+	if c.Target == nil && c.Last != nil && e.target == nil {
+		v.learnRemoved(now, e, c)
+		return false
+	}
 	if c.Revision <= e.revision {
 		return false
 	}
--- a/node/fleetsync/calls.go
+++ b/node/fleetsync/calls.go
@@ -127,6 +127,9 @@
 	}
 	targets, config := s.View.Apply(s.Now(), d)
 	s.logEpoch(from, d.Epoch, progress)
+	if s.View.Usable() {
+		s.firstViewOnce.Do(func() { close(s.firstView) })
+	}
 	if targets || config {
 		s.Log.Info("view changed", zap.String("from", from), zap.Uint64("epoch", s.View.Progress().Epoch), zap.Uint64("revision", s.View.Revision()), telemetry.Version(s.View.Version()),
 			zap.Uint64("previous_version", before), zap.Bool("targets", targets), zap.Bool("config", config), zap.Int("changes", len(d.Changes)))
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -103,6 +103,9 @@
 	Options
 	client *http.Client
 	hints  chan hint
+	// firstView is closed when the view is usable for the first time.
+	firstView     chan struct{}
+	firstViewOnce sync.Once
 	// cursor is the position from which the next Watch continues, zero if a
 	// Snapshot is needed.
 	cursor fleet.Progress
@@ -118,8 +121,11 @@
 
 // New returns a Sync.
 func New(o Options) *Sync {
+	if o.FirstStart {
+		o.View.NothingRemovedBefore(o.Now())
+	}
 	return &Sync{
-		Options: o, hints: make(chan hint, 1),
+		Options: o, hints: make(chan hint, 1), firstView: make(chan struct{}),
 		client: &http.Client{Timeout: pullTimeout, Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: pullTimeout}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second,
 		}},
--- a/node/fleetsync/pull.go
+++ b/node/fleetsync/pull.go
@@ -72,32 +72,51 @@
 }
 
 func (s *Sync) pull(ctx context.Context, from netip.AddrPort) error {
+	d, err := s.get(ctx, from, progressParameters(s.localProgress()))
+	if err != nil {
+		return err
+	}
+	s.apply(d, from.String())
+	return nil
+}
+
+// progressParameters returns the parameters of a request for the changes after a
+// progress.
+func progressParameters(after fleet.Progress) map[string]string {
+	return map[string]string{
+		queryEpoch:   strconv.FormatUint(after.Epoch, 10),
+		queryAfter:   strconv.FormatUint(after.Revision, 10),
+		queryVersion: strconv.FormatUint(after.Version, 10),
+	}
+}
+
+// get makes a request to a peer and returns the delta in its response.
+func (s *Sync) get(ctx context.Context, from netip.AddrPort, parameters map[string]string) (*fleet.Delta, error) {
 	s.pulls.Inc()
-	after := s.localProgress()
-	query := url.Values{
-		queryEpoch: {strconv.FormatUint(after.Epoch, 10)}, queryAfter: {strconv.FormatUint(after.Revision, 10)}, queryVersion: {strconv.FormatUint(after.Version, 10)},
+	query := url.Values{}
+	for name, value := range parameters {
+		query.Set(name, value)
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+PathFleet+"?"+query.Encode(), nil)
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	response, err := s.client.Do(request)
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return trace.Errorf("peer returned status %d", response.StatusCode)
+		return nil, trace.Errorf("peer returned status %d", response.StatusCode)
 	}
 	var d fleet.Delta
 	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxDeltaSize)).Decode(&d); err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	if err := d.Validate(); err != nil {
-		return trace.Wrap(err, "peer returned an invalid delta")
+		return nil, trace.Wrap(err, "peer returned an invalid delta")
 	}
-	s.apply(&d, from.String())
-	return nil
+	return &d, nil
 }
 
 // deltaSince returns the changes after a progress, and whether the view is
@@ -116,8 +135,13 @@
 	queryVersion = "version"
 )
 
-// ServeHTTP serves the changes after the progress that a peer requests.
+// ServeHTTP serves the changes after the progress that a peer requests, or the
+// entries that were removed lately.
 func (s *Sync) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Has(queryRemovals) {
+		s.writeDelta(w, s.removals())
+		return
+	}
 	var after fleet.Progress
 	for name, field := range map[string]*uint64{queryEpoch: &after.Epoch, queryAfter: &after.Revision, queryVersion: &after.Version} {
 		var err error
@@ -131,6 +155,10 @@
 		http.Error(w, "no view yet", http.StatusServiceUnavailable)
 		return
 	}
+	s.writeDelta(w, d)
+}
+
+func (s *Sync) writeDelta(w http.ResponseWriter, d fleet.Delta) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(d); err != nil {
 		s.Log.Debug("cannot send changes to a peer", telemetry.Error(err))
--- /dev/null
+++ b/node/fleetsync/removals_test.go
@@ -0,0 +1,80 @@
+package fleetsync
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/fleet/fleettest"
+)
+
+// startedProcess returns a process that has just read the platform, where the
+// entry of target 1 is not listed.
+func startedProcess(t *testing.T) *fixture {
+	f := newFixture(1)
+	f.View = fleet.New()
+	f.platform.delta.Config, f.platform.delta.ConfigRevision = &fleet.Config{Version: 1}, 1
+	_, _, err := f.call(context.Background(), 0)
+	assert.NilError(t, err)
+	return f
+}
+
+// longRunningPeer returns a process whose view has held targets 0 and 1 for
+// a retention time, before the entry of target 1 was removed.
+func longRunningPeer(removedAgo time.Duration) *fixture {
+	f := newFixture(0)
+	f.View = fleettest.View(0, fleettest.Ready(2)...)
+	f.now = fleet.RemovedEntryRetention
+	id := fleettest.Ready(2)[1].ID
+	f.View.Apply(f.now, &fleet.Delta{Revision: fleettest.Revision + 1, Changes: []fleet.Change{{ID: id, Revision: fleettest.Revision + 1}}})
+	f.now += removedAgo
+	return f
+}
+
+// Guards against a process that starts while the entry of a running target is
+// missing at the platform, and never learns that the target may hold flows.
+func TestStartedProcessLearnsRemovedTargets(t *testing.T) {
+	f := startedProcess(t)
+	assert.Assert(t, !f.removalsKnown())
+	peer := longRunningPeer(20 * time.Second)
+	server := httptest.NewServer(peer)
+	defer server.Close()
+	assert.NilError(t, f.pullRemovals(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))))
+	assert.Assert(t, f.removalsKnown())
+	removed := f.View.RemovedTargets(fleettest.Service)
+	assert.Equal(t, len(removed), 1)
+	assert.Equal(t, removed[0].Agent(), fleettest.Agent(1))
+	assert.Equal(t, len(f.View.Targets(fleettest.Service)), 1)
+	// The retention time began at the removal, not at the start of the process.
+	f.View.Expire(f.now + fleet.RemovedEntryRetention - 19*time.Second)
+	assert.Equal(t, len(f.View.RemovedTargets(fleettest.Service)), 0)
+}
+
+// Guards against a process that takes a peer's ignorance for knowledge: the peer
+// started a second ago and does not know what was removed before.
+func TestPeerThatHasJustStartedKnowsLittle(t *testing.T) {
+	f, peer := startedProcess(t), startedProcess(t)
+	peer.now = time.Second
+	server := httptest.NewServer(peer)
+	defer server.Close()
+	assert.NilError(t, f.pullRemovals(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))))
+	assert.Assert(t, !f.removalsKnown())
+	f.now = fleet.RemovedEntryRetention - time.Second
+	assert.Assert(t, f.removalsKnown())
+}
+
+// Guards against a process that never resets a lost flow, because it is the only
+// agent of the fleet.
+func TestProcessWithoutPeersSettles(t *testing.T) {
+	f := startedProcess(t)
+	f.Self = fleettest.Agent(0)
+	assert.Assert(t, !f.askForRemovals(context.Background()), "targets may be listed soon")
+	f.now = fleet.ReturnGrace + time.Millisecond
+	assert.Assert(t, f.askForRemovals(context.Background()))
+	assert.Assert(t, f.removalsKnown())
+}
--- a/node/packetplane/agent.go
+++ b/node/packetplane/agent.go
@@ -58,7 +58,9 @@
 		return err
 	}
 	p.role, p.callerConn = a, fromTarget
-	return p.run(ctx, []part{{"from_target", p.receiveLoop(fromTarget, a.fromTarget)}, {"target_check", a.targetCheckLoop}})
+	return p.run(ctx, []part{
+		{"from_target", p.receiveLoop(fromTarget, a.fromTarget)}, {"target_check", a.targetCheckLoop}, {"removals", p.sync.LearnRemovals},
+	})
 }
 
 func (a *agent) fromTarget(now time.Duration, _ netip.AddrPort, raw []byte) {
