ownership: a search resets a flow only if the view lists all its holders

What callers saw: open flows were reset while their targets served on.

Cause: a search ended with "no target holds the flow" when all agents that it had asked had denied the flow, whatever list it had asked by. An agent that has just restarted has no view for 4 to 22 ms, and for up to 655 ms while the platform is away. A balancer that has restarted, or that gets the flow after a change of the rotation, sends such an agent packets of open flows as their home. The agent asked nobody, its own target returned the packet, and it sent a reset.

Change: before the reset the agent checks that it has a view, confirmed at most 4 s ago, that it knows which entries were removed, and that no peer has told of a later view. Otherwise the search goes on by itself, with the new event "unresolved". An agent for which this does not hold declines to answer for its data centre. This works because a target gets flows only from agents that list it: whoever has a current view, and the removals before it, lists every holder.

--- a/core/ownership/incomplete_test.go
+++ b/core/ownership/incomplete_test.go
@@ -51,3 +51,42 @@
 	f.peerAnswers(2, relay.Owner, 1)
 	assert.Equal(t, f.records[unknownPacket.Key].owner, fleettest.Agent(2))
 }
+
+// Guards against the reset of an open flow at a target that started while this
+// agent did not hear of changes.
+func TestAgentWithOldViewResetsNothing(t *testing.T) {
+	f := newFixture(t, true)
+	f.now = maxSearchViewAge + ms
+	f.balancerSends(relay.Packet, unknownPacket)
+	f.peerAnswers(1, relay.NotOwner, 1)
+	f.peerAnswers(2, relay.NotOwner, 1)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+	assert.Equal(t, f.out.Events[len(f.out.Events)-1].Reason, "old_view")
+	// Once the view is confirmed, the search goes on by itself.
+	f.View.Confirm(f.now, 0, f.View.Progress())
+	f.advance(searchRetryDelay)
+	assert.Equal(t, len(f.out.ToCaller), 1)
+}
+
+// Guards against the reset of an open flow at a target that a peer knows and
+// this agent does not know yet.
+func TestAgentBehindItsPeersResetsNothing(t *testing.T) {
+	f := newFixture(t, true)
+	later := f.View.Progress()
+	later.Revision++
+	f.FromPeer(f.now, fleettest.Agent(1), &relay.Message{Kind: relay.Heartbeat, Service: tag, Load: relay.Load{Flags: relay.FlagAgent}, Progress: later}, &f.out)
+	f.balancerSends(relay.Packet, unknownPacket)
+	f.peerAnswers(1, relay.NotOwner, 1)
+	f.peerAnswers(2, relay.NotOwner, 1)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+	assert.Equal(t, f.out.Events[len(f.out.Events)-1].Reason, "peer_ahead")
+}
+
+// Guards against an agent that answers for its data centre although it may not
+// know all agents there.
+func TestAgentWithoutRemovalsDeclinesSurvey(t *testing.T) {
+	f := restartedFixture(t)
+	f.out.Clear()
+	f.FromPeer(f.now, fleettest.Agent(9), &relay.Message{Kind: relay.Survey, Service: tag, Origin: balancer, Body: flowtest.Encode(unknownPacket)}, &f.out)
+	assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.MaybeOwner})
+}
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -51,6 +51,9 @@
 	// suspectDuration is how long a home avoids an agent that did not report in
 	// time.
 	suspectDuration = time.Second
+	// maxSearchViewAge is the age of the view up to which it lists every target
+	// that may hold a flow. An older view may lack targets that got flows since.
+	maxSearchViewAge = 4 * time.Second
 	// heartbeatTimeout is the time without a message after which a peer gets no
 	// new flows.
 	heartbeatTimeout = 700 * time.Millisecond
@@ -188,9 +191,11 @@
 
 // peer is another agent of the service.
 type peer struct {
-	load         relay.Load
-	lastHeard    time.Duration
-	everHeard    bool
+	load      relay.Load
+	lastHeard time.Duration
+	everHeard bool
+	// progress is the progress of the peer's view in its last heartbeat.
+	progress     fleet.Progress
 	suspectUntil time.Duration
 	// unreported counts the flows that this agent placed there and that the
 	// peer has not reported yet.
@@ -280,6 +285,7 @@
 	}
 	p := m.peer(from)
 	p.load, p.lastHeard, p.everHeard = msg.Load, now, true
+	p.progress = msg.Progress
 }
 
 func (m *Machine) peer(a netip.Addr) *peer {
--- a/core/ownership/probe.go
+++ b/core/ownership/probe.go
@@ -122,7 +122,7 @@
 	delete(s.probing, from)
 	s.maybeOwners = slices.DeleteFunc(s.maybeOwners, func(a netip.Addr) bool { return a == from })
 	if len(s.probing)+len(s.maybeOwners)+len(s.asked) == 0 {
-		m.resetUnowned(now, s, out)
+		m.conclude(now, key, s, out)
 	}
 }
 
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -233,12 +233,16 @@
 		}
 	}
 	s.done = true
-	if len(s.maybeOwners) > 0 {
-		// All other agents have denied the flow, so only these can own it.
-		m.probeMaybeOwners(now, key, s, len(s.maybeOwners), out)
+	if len(s.maybeOwners) == 0 {
+		m.conclude(now, key, s, out)
 		return
 	}
-	m.resetUnowned(now, s, out)
+	limit := probeBudget
+	if m.incompleteReason(now) == "" {
+		// All other agents have denied the flow, so only these can own it.
+		limit = len(s.maybeOwners)
+	}
+	m.probeMaybeOwners(now, key, s, limit, out)
 }
 
 // retrySearch begins another round of an incomplete search, in which an agent
--- a/core/ownership/survey.go
+++ b/core/ownership/survey.go
@@ -34,7 +34,7 @@
 		return
 	}
 	outdated := msg.Progress.LaterThan(m.View.Progress()) && msg.Roster != m.View.Roster(m.Service, m.DataCentre)
-	if outdated || len(m.surveys) >= maxSurveys {
+	if outdated || m.incompleteReason(now) != "" || len(m.surveys) >= maxSurveys {
 		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Peer: from, Reason: "survey_not_possible"})
 		out.Send(from, relay.Message{Kind: relay.MaybeOwner, Service: m.serviceTag, Flow: p.Key, Load: m.Load(), Origin: msg.Origin})
 		return
--- a/core/plane/out.go
+++ b/core/plane/out.go
@@ -84,14 +84,17 @@
 
 // The decisions.
 const (
-	EventPlaced         EventKind = "placed"
-	EventQueued         EventKind = "queued"
-	EventAdmitted       EventKind = "admitted"
-	EventHandedOver     EventKind = "handed_over"
-	EventRefused        EventKind = "refused"
-	EventReset          EventKind = "reset"
-	EventSearched       EventKind = "searched"
-	EventFound          EventKind = "found"
+	EventPlaced     EventKind = "placed"
+	EventQueued     EventKind = "queued"
+	EventAdmitted   EventKind = "admitted"
+	EventHandedOver EventKind = "handed_over"
+	EventRefused    EventKind = "refused"
+	EventReset      EventKind = "reset"
+	EventSearched   EventKind = "searched"
+	EventFound      EventKind = "found"
+	// EventUnresolved says that no agent that was asked holds the flow, and that
+	// others may hold it.
+	EventUnresolved     EventKind = "unresolved"
 	EventProbed         EventKind = "probed"
 	EventReturned       EventKind = "returned"
 	EventSuspected      EventKind = "suspected"
