ownership: a search asks the agents of removed targets, heard or not

What callers saw: open flows were reset while their targets served on, after their entries had been removed at the platform.

Cause: a search asked the agent of a removed target only if a heartbeat of it had come in the last 700 ms. Heartbeats go to listed targets, to at most 24 agents of a data centre and to a sample beyond, and none has come yet at an agent that has just started. So when entries lapsed in an outage or were withdrawn, the owner of a flow was not asked.

Change: the agents of all targets removed within the retention time are asked. One that is not listed and has not answered for 3 s counts as gone with its VM; it is asked once a second, and no search waits for it. A survey goes to an agent of a listed target if there is one. If the view has lost all agents of a data centre since a survey, the round stays incomplete.

--- a/core/ownership/answers.go
+++ b/core/ownership/answers.go
@@ -14,7 +14,7 @@
 		return
 	}
 	p := m.peer(from)
-	p.load, p.lastHeard, p.everHeard = msg.Load, now, true
+	p.heard(now, msg.Load)
 	m.recordSurveyAnswer(from, msg, out)
 	s := m.searches[msg.Flow]
 	if pl := m.placements[msg.Flow]; pl != nil {
@@ -52,7 +52,7 @@
 	case msg.Kind == relay.MaybeOwner:
 		s.maybeOwners = append(s.maybeOwners, from)
 	default:
-		m.handleSurveyResult(asked, msg, s, out)
+		m.handleSurveyResult(now, asked, msg, s, out)
 	}
 	m.advanceSearch(now, msg.Flow, s, out)
 }
--- a/core/ownership/holders.go
+++ b/core/ownership/holders.go
@@ -1,12 +1,53 @@
 package ownership
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
+	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/plane"
 )
 
+// searchable returns the other agents whose targets may hold flows of the
+// service: those in the local data centre, and the others by data centre, those
+// of listed targets first. A removed target may still run: its entry lapses or
+// is withdrawn if it cannot reach the platform.
+func (m *Machine) searchable() (local []netip.Addr, remote map[string][]netip.Addr) {
+	remote = map[string][]netip.Addr{}
+	seen := map[netip.Addr]bool{m.Self: true}
+	for _, targets := range [][]*fleet.Target{m.View.Targets(m.Service), m.View.RemovedTargets(m.Service)} {
+		for _, t := range targets {
+			a := t.Agent()
+			switch {
+			case seen[a]:
+			case t.DataCentre == m.DataCentre:
+				local = append(local, a)
+			default:
+				remote[t.DataCentre] = append(remote[t.DataCentre], a)
+			}
+			seen[a] = true
+		}
+	}
+	return local, remote
+}
+
+// gone reports whether an agent counts as gone with its target: the entry of the
+// target was removed, and the agent has not answered for goneTimeout.
+func (m *Machine) gone(now time.Duration, a netip.Addr) bool {
+	if m.peer(a).silentFor(now) < goneTimeout {
+		return false
+	}
+	t := m.View.TargetAt(a)
+	return t == nil || t.Service != m.Service
+}
+
+// notGone returns the agents that do not count as gone.
+func (m *Machine) notGone(now time.Duration, agents []netip.Addr) []netip.Addr {
+	return slices.DeleteFunc(slices.Clone(agents), func(a netip.Addr) bool { return m.gone(now, a) })
+}
+
 // incompleteReason returns why the view may lack an agent whose target holds
 // flows of the service, or an empty string if it does not.
 func (m *Machine) incompleteReason(now time.Duration) string {
--- a/core/ownership/incomplete_test.go
+++ b/core/ownership/incomplete_test.go
@@ -52,6 +52,26 @@
 	assert.Equal(t, f.records[unknownPacket.Key].owner, fleettest.Agent(2))
 }
 
+// Guards against the reset of an open flow by an agent that has just read the
+// platform, where the entry of a running target is missing, and that no peer has
+// told what was removed.
+func TestStartedAgentLearnsRemovalsFirst(t *testing.T) {
+	f := restartedFixture(t)
+	f.View.Apply(0, &fleet.Delta{Revision: 9, Full: true, Config: &fleet.Config{Version: 1}, ConfigRevision: 1, Changes: []fleet.Change{
+		{ID: "a", Revision: 3, Target: fleettest.Target(0, fleet.Ready)}, {ID: "b", Revision: 4, Target: fleettest.Target(1, fleet.Ready)}}})
+	f.balancerSends(relay.Packet, unknownPacket)
+	f.peerAnswers(1, relay.NotOwner, 1)
+	f.returnProbe(unknownPacket)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+	f.View.Apply(0, &fleet.Delta{Changes: []fleet.Change{{ID: "c", Revision: 5, Last: fleettest.Target(2, fleet.Ready), RemovedMS: 2000}}})
+	f.advance(searchRetryDelay)
+	assert.Equal(t, len(f.searchedAgents()), 1)
+	assert.Equal(t, f.searchedAgents()[0], fleettest.Agent(2))
+	f.View.SettleRemovals()
+	f.peerAnswers(2, relay.NotOwner, 1)
+	assert.Equal(t, len(f.out.ToCaller), 1)
+}
+
 // Guards against the reset of an open flow at a target that started while this
 // agent did not hear of changes.
 func TestAgentWithOldViewResetsNothing(t *testing.T) {
@@ -82,6 +102,35 @@
 	assert.Equal(t, f.out.Events[len(f.out.Events)-1].Reason, "peer_ahead")
 }
 
+// Guards against lost flows that are never reset for a minute after a VM was
+// lost together with its target.
+func TestSearchDoesNotWaitForGoneAgent(t *testing.T) {
+	f := newFixture(t, true)
+	f.removeTargets(2)
+	f.balancerSends(relay.Packet, unknownPacket)
+	f.peerAnswers(1, relay.NotOwner, 1)
+	for f.now < goneTimeout {
+		f.advance(searchTimeout)
+		assert.Equal(t, len(f.out.ToCaller), 0)
+	}
+	f.View.Confirm(f.now, 0, f.View.Progress())
+	p := unknownPacket
+	p.Key = fleettest.Key(2)
+	f.balancerSends(relay.Packet, p)
+	f.peerAnswers(1, relay.NotOwner, 2)
+	assert.Equal(t, len(f.out.ToCaller), 1)
+	// It is asked again from time to time, and if it answers, it counts again.
+	f.advance(goneRetryInterval)
+	p.Key = fleettest.Key(3)
+	f.balancerSends(relay.Packet, p)
+	assert.Equal(t, len(f.searchedAgents()), 2)
+	f.peerAnswers(2, relay.NotOwner, 3)
+	p.Key = fleettest.Key(4)
+	f.balancerSends(relay.Packet, p)
+	f.peerAnswers(1, relay.NotOwner, 4)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+}
+
 // Guards against an agent that answers for its data centre although it may not
 // know all agents there.
 func TestAgentWithoutRemovalsDeclinesSurvey(t *testing.T) {
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -54,6 +54,12 @@
 	// maxSearchViewAge is the age of the view up to which it lists every target
 	// that may hold a flow. An older view may lack targets that got flows since.
 	maxSearchViewAge = 4 * time.Second
+	// goneTimeout is how long the agent of a removed target must leave questions
+	// unanswered to count as gone with its target.
+	goneTimeout = 3 * time.Second
+	// goneRetryInterval is the interval at which an agent that counts as gone is
+	// asked again.
+	goneRetryInterval = time.Second
 	// heartbeatTimeout is the time without a message after which a peer gets no
 	// new flows.
 	heartbeatTimeout = 700 * time.Millisecond
@@ -195,8 +201,12 @@
 	lastHeard time.Duration
 	everHeard bool
 	// progress is the progress of the peer's view in its last heartbeat.
-	progress     fleet.Progress
-	suspectUntil time.Duration
+	progress fleet.Progress
+	// unanswered says that the peer has not answered a question. The first one
+	// was sent at askedAt, the last one at lastAsked.
+	unanswered         bool
+	askedAt, lastAsked time.Duration
+	suspectUntil       time.Duration
 	// unreported counts the flows that this agent placed there and that the
 	// peer has not reported yet.
 	unreported int
@@ -284,7 +294,7 @@
 		return
 	}
 	p := m.peer(from)
-	p.load, p.lastHeard, p.everHeard = msg.Load, now, true
+	p.heard(now, msg.Load)
 	p.progress = msg.Progress
 }
 
--- a/core/ownership/peers.go
+++ b/core/ownership/peers.go
@@ -10,6 +10,27 @@
 	"trefoilweir.example/core/relay"
 )
 
+// heard records a datagram of the peer.
+func (p *peer) heard(now time.Duration, load relay.Load) {
+	p.load, p.lastHeard, p.everHeard, p.unanswered = load, now, true, false
+}
+
+// asked records a question to the peer.
+func (p *peer) asked(now time.Duration) {
+	if !p.unanswered {
+		p.unanswered, p.askedAt = true, now
+	}
+	p.lastAsked = now
+}
+
+// silentFor returns how long the peer has left questions unanswered.
+func (p *peer) silentFor(now time.Duration) time.Duration {
+	if !p.unanswered {
+		return 0
+	}
+	return now - p.askedAt
+}
+
 // acceptsFlows reports whether an agent and its target take new flows, as far
 // as the agent has reported.
 func (m *Machine) acceptsFlows(a netip.Addr) bool {
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -95,8 +95,8 @@
 		s.denied, s.deniedRosters, s.unresolved, s.retries = map[netip.Addr]bool{}, map[string]uint64{}, map[netip.Addr]string{}, 0
 	}
 	s.remote, s.found, s.noOwner, s.ack, s.declinedSurveys = false, false, false, p.Ack, 0
-	local, _ := m.searchable(now)
-	m.sendSearches(local, p, msg, s, out)
+	local, _ := m.searchable()
+	m.sendSearches(now, local, p, msg, s, out)
 	if m.mayHoldUnknownFlows(now) && !s.selfDenied {
 		s.maybeOwners = append(s.maybeOwners, m.Self)
 	}
@@ -104,47 +104,25 @@
 	m.advanceSearch(now, p.Key, s, out)
 }
 
-func (m *Machine) sendSearches(agents []netip.Addr, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
+func (m *Machine) sendSearches(now time.Duration, agents []netip.Addr, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
 	for _, a := range agents {
-		m.sendSearch(a, p, msg, s, out)
+		m.sendSearch(now, a, p, msg, s, out)
 	}
 }
 
 // sendSearch asks an agent whether it owns the flow, unless it has already
-// denied that.
-func (m *Machine) sendSearch(a netip.Addr, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
+// denied that. The search does not wait for an agent that counts as gone.
+func (m *Machine) sendSearch(now time.Duration, a netip.Addr, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
 	if s.denied[a] {
 		return
 	}
-	s.asked[a] = searchScope{}
-	m.forward(a, relay.Search, p, msg, out)
-}
-
-// searchable returns the other agents that may hold flows of the service: those
-// in the local data centre, and the others by data centre.
-func (m *Machine) searchable(now time.Duration) (local []netip.Addr, remote map[string][]netip.Addr) {
-	remote = map[string][]netip.Addr{}
-	seen := map[netip.Addr]bool{m.Self: true}
-	add := func(t *fleet.Target) {
-		a := t.Agent()
-		switch {
-		case seen[a]:
-		case t.DataCentre == m.DataCentre:
-			local = append(local, a)
-		default:
-			remote[t.DataCentre] = append(remote[t.DataCentre], a)
-		}
-		seen[a] = true
-	}
-	for _, t := range m.View.Targets(m.Service) {
-		add(t)
-	}
-	for _, t := range m.View.RemovedTargets(m.Service) {
-		if p := m.peers[t.Agent()]; p != nil && p.everHeard && now-p.lastHeard <= heartbeatTimeout {
-			add(t)
-		}
+	if !m.gone(now, a) {
+		s.asked[a] = searchScope{}
+	} else if now-m.peer(a).lastAsked < goneRetryInterval {
+		return
 	}
-	return local, remote
+	m.peer(a).asked(now)
+	m.forward(a, relay.Search, p, msg, out)
 }
 
 // mayHoldUnknownFlows reports whether the target may hold flows that the agent
--- a/core/ownership/searchremote.go
+++ b/core/ownership/searchremote.go
@@ -28,36 +28,47 @@
 	if err != nil {
 		return
 	}
-	_, remote := m.searchable(now)
+	_, remote := m.searchable()
 	for _, dataCentre := range slices.Sorted(maps.Keys(remote)) {
 		agents := remote[dataCentre]
-		if len(agents) <= maxDirectSearches {
-			m.sendSearches(agents, &p, &relay.Message{Origin: s.origin}, s, out)
+		if surveyable := m.notGone(now, agents); len(surveyable) > maxDirectSearches {
+			m.sendSurvey(now, dataCentre, surveyable, &p, s, out)
 			continue
 		}
-		m.sendSurvey(dataCentre, agents, &p, s, out)
+		m.sendSearches(now, agents, &p, &relay.Message{Origin: s.origin}, s, out)
 	}
 }
 
 // sendSurvey asks an agent to search its data centre. Each survey of a search
 // goes to another agent.
-func (m *Machine) sendSurvey(dataCentre string, agents []netip.Addr, p *flow.Packet, s *search, out *plane.Out) {
+func (m *Machine) sendSurvey(now time.Duration, dataCentre string, agents []netip.Addr, p *flow.Packet, s *search, out *plane.Out) {
 	roster := m.View.Roster(m.Service, dataCentre)
 	if denied, ok := s.deniedRosters[dataCentre]; ok && denied == roster {
 		if unresolved := s.unresolvedIn(dataCentre); len(unresolved) <= maxDirectSearches {
-			m.sendSearches(unresolved, p, &relay.Message{Origin: s.origin}, s, out)
+			m.sendSearches(now, unresolved, p, &relay.Message{Origin: s.origin}, s, out)
 			return
 		}
 	}
-	hash := p.Key.Hash()
-	slices.SortFunc(agents, func(a, b netip.Addr) int { return cmp.Compare(fleet.Score(hash, b), fleet.Score(hash, a)) })
-	a := agents[s.surveysSent%len(agents)]
+	a := m.surveyor(p.Key, agents, s)
 	s.surveysSent++
 	s.asked[a] = searchScope{dataCentre, roster}
+	m.peer(a).asked(now)
 	out.Send(a, relay.Message{Kind: relay.Survey, Hops: 1, Service: m.serviceTag, Origin: s.origin, Home: m.Self, Progress: m.View.Progress(),
 		Roster: roster, Body: p.Raw})
 }
 
+// surveyor returns the agent that gets the next survey of a search, one of a
+// listed target if there is any.
+func (m *Machine) surveyor(key flow.Key, agents []netip.Addr, s *search) netip.Addr {
+	candidates := slices.DeleteFunc(slices.Clone(agents), func(a netip.Addr) bool { return m.View.TargetAt(a) == nil })
+	if len(candidates) == 0 {
+		candidates = slices.Clone(agents)
+	}
+	hash := key.Hash()
+	slices.SortFunc(candidates, func(a, b netip.Addr) int { return cmp.Compare(fleet.Score(hash, b), fleet.Score(hash, a)) })
+	return candidates[s.surveysSent%len(candidates)]
+}
+
 // unresolvedIn returns the agents of a data centre that a survey left
 // unresolved and that have not denied the flow since.
 func (s *search) unresolvedIn(dataCentre string) (agents []netip.Addr) {
@@ -77,15 +88,20 @@
 		s.asked[from] = asked
 		return
 	}
-	if _, remote := m.searchable(now); len(remote[asked.dataCentre]) > 0 {
-		m.sendSurvey(asked.dataCentre, remote[asked.dataCentre], &p, s, out)
+	_, remote := m.searchable()
+	agents := m.notGone(now, remote[asked.dataCentre])
+	if len(agents) == 0 {
+		// The view has lost the agents of the data centre since the survey.
+		s.asked[from] = asked
+		return
 	}
+	m.sendSurvey(now, asked.dataCentre, agents, &p, s, out)
 }
 
 // handleSurveyResult handles the answer for a data centre. If few agents there
 // did not answer the survey, this agent asks them directly. If there are many,
 // the round stays incomplete.
-func (m *Machine) handleSurveyResult(asked searchScope, msg *relay.Message, s *search, out *plane.Out) {
+func (m *Machine) handleSurveyResult(now time.Duration, asked searchScope, msg *relay.Message, s *search, out *plane.Out) {
 	s.deniedRosters[asked.dataCentre] = asked.roster
 	for _, a := range slices.Concat(msg.MaybeOwners, msg.Unanswered) {
 		s.unresolved[a] = asked.dataCentre
@@ -96,10 +112,10 @@
 		return
 	}
 	if len(msg.Unanswered) <= maxDirectSearches {
-		m.sendSearches(msg.Unanswered, &p, &relay.Message{Origin: s.origin}, s, out)
+		m.sendSearches(now, msg.Unanswered, &p, &relay.Message{Origin: s.origin}, s, out)
 		return
 	}
-	for _, a := range msg.Unanswered {
+	for _, a := range m.notGone(now, msg.Unanswered) {
 		s.asked[a] = searchScope{}
 	}
 }
--- a/core/ownership/survey.go
+++ b/core/ownership/survey.go
@@ -43,9 +43,14 @@
 	if m.mayHoldUnknownFlows(now) && !m.selfDenied(p.Key) {
 		s.maybeOwners = append(s.maybeOwners, m.Self)
 	}
-	local, _ := m.searchable(now)
+	local, _ := m.searchable()
 	for _, a := range local {
-		s.asked[a] = true
+		if !m.gone(now, a) {
+			s.asked[a] = true
+		} else if now-m.peer(a).lastAsked < goneRetryInterval {
+			continue
+		}
+		m.peer(a).asked(now)
 		m.forward(a, relay.Search, p, &relay.Message{Origin: msg.Origin, Home: from, Hops: msg.Hops}, out)
 	}
 	m.surveys[p.Key] = append(slices.DeleteFunc(m.surveys[p.Key], func(o *survey) bool { return o.asker == from }), s)
