core/ownership: keep open flows that have had no request yet

Cause: an accepted flow whose request does not arrive within a round trip stops counting as load (phaseClosed). The first request of such a flow was then searched for, every agent denied it, and the caller got a reset.

Change: only flows that both ends have closed, or that no caller has opened, are dropped after closedFlowTTL. Others stay until the idle timeout.

Measured: TestOpenFlowWithoutRequestIsKept (handshake, 9 s pause, request with an idle timeout of 10 s) fails before, passes after.

--- /dev/null
+++ b/core/ownership/bookkeeping_test.go
@@ -0,0 +1,38 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/fleet/fleettest"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/relay"
+)
+
+// setIdleTimeout adopts a version of the routes with another idle timeout.
+func (f *fixture) setIdleTimeout(version uint64, idle time.Duration) {
+	revision := f.View.Revision() + 1
+	f.View.Apply(f.now, &fleet.Delta{Revision: revision, ConfigRevision: revision, Config: &fleet.Config{Version: version, IdleTimeoutMS: int(idle / ms),
+		Routes: []fleet.Route{{Name: "r", Address: fleettest.Address, Service: fleettest.Service}}}})
+}
+
+// Guards against the reset of an open flow whose caller sends its first request
+// long after the handshake. The agent no longer counts such a flow as load, and
+// forgot it after closedFlowTTL.
+func TestOpenFlowWithoutRequestIsKept(t *testing.T) {
+	f := newFixture(t, true)
+	key := fleettest.Key(1)
+	f.setIdleTimeout(9, 10*time.Second)
+	f.balancerSends(relay.Place, flow.Packet{Key: key, Open: true, Seq: 100})
+	f.targetSends(flow.Packet{Key: key, Open: true, Seq: 5000, Ack: 101})
+	f.balancerSends(relay.Packet, flow.Packet{Key: key, Seq: 101, Ack: 5001})
+	assert.Equal(t, len(f.out.ToTarget), 1)
+	for range 9 {
+		f.advance(time.Second)
+	}
+	assert.Equal(t, f.Load().Busy, uint16(0))
+	f.balancerSends(relay.Packet, flow.Packet{Key: key, Seq: 101, Ack: 5001, Len: 10})
+	assert.Equal(t, len(f.out.ToTarget), 1)
+}
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -63,7 +63,7 @@
 	// configuration sets no idle timeout.
 	defaultIdleTTL = 30 * time.Second
 	// closedFlowTTL is how long an idle flow is kept after both ends have
-	// closed it.
+	// closed it, or if its caller has not opened it.
 	closedFlowTTL = 4 * time.Second
 	// minHalfOpenTimeout and maxHalfOpenTimeout bound how long an accepted flow
 	// counts as a request about to arrive. A caller that has not given up sends
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -68,13 +68,22 @@
 }
 
 func (m *Machine) sweepFlow(now time.Duration, key flow.Key, f *ownedFlow, idle time.Duration) {
-	idleTime := now - f.lastSeen
-	switch {
-	case idleTime > idle, f.phase == phaseClosed && idleTime > closedFlowTTL:
+	ttl := idle
+	if f.ended() {
+		ttl = closedFlowTTL
+	}
+	if now-f.lastSeen > ttl {
 		m.forget(now, key, f)
 	}
 }
 
+// ended reports whether the flow is closed or was never opened. An open flow
+// without a request is no load either, but its caller may send one until the
+// idle timeout.
+func (f *ownedFlow) ended() bool {
+	return f.phase == phaseClosed && (!f.opened || f.callerClosed && f.targetClosed)
+}
+
 // checkHalfOpen stops counting accepted flows as load if their request has not
 // arrived in time.
 func (m *Machine) checkHalfOpen(now time.Duration) {
