core/ownership: take the longest idle timeout of the versions so far

Both used the version in force at that moment. A version with a short timeout that is in force only for a moment made agents forget or deny flows that are open under the next version, so their callers got a reset.

Change: an agent uses the longest idle timeout of the versions that it has had since its start. The price is entries that are kept longer after the operator lowers the timeout.

--- a/core/ownership/bookkeeping_test.go
+++ b/core/ownership/bookkeeping_test.go
@@ -36,3 +36,35 @@
 	f.balancerSends(relay.Packet, flow.Packet{Key: key, Seq: 101, Ack: 5001, Len: 10})
 	assert.Equal(t, len(f.out.ToTarget), 1)
 }
+
+// Guards against the reset of an open flow because a version with a short idle
+// timeout was in force for a moment.
+func TestShortIdleTimeoutInBetween(t *testing.T) {
+	const long, short = 20 * time.Second, 2 * time.Second
+	f := newFixture(t, true)
+	f.setIdleTimeout(9, long)
+	f.advance(ms)
+	f.openFlow(1)
+	f.targetSends(flow.Packet{Key: fleettest.Key(1), Seq: 5001, Ack: 111, Len: 10})
+	f.advance(2*short + time.Second)
+	f.setIdleTimeout(10, short)
+	f.advance(sweepInterval)
+	f.setIdleTimeout(11, long)
+	f.advance(sweepInterval)
+	f.balancerSends(relay.Packet, flow.Packet{Key: fleettest.Key(1), Seq: 111, Ack: 5011, Len: 10})
+	assert.Equal(t, len(f.out.ToTarget), 1)
+}
+
+// Guards against a restarted agent that denies a flow of its target because a
+// version with a short idle timeout is in force for a moment.
+func TestShortIdleTimeoutAfterRestart(t *testing.T) {
+	const long, short = 20 * time.Second, 2 * time.Second
+	f := newFixture(t, false)
+	f.setIdleTimeout(9, long)
+	f.advance(ms)
+	f.setIdleTimeout(10, short)
+	f.advance(long / 2)
+	assert.Assert(t, f.mayHoldUnknownFlows(f.now))
+	f.advance(long/2 + idleMargin)
+	assert.Assert(t, !f.mayHoldUnknownFlows(f.now))
+}
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -166,6 +166,8 @@
 	// unknownFlowsUntil is until when the target may hold flows that the agent
 	// does not know.
 	unknownFlowsUntil time.Duration
+	// longestIdleTimeout is the longest idle timeout of the versions so far.
+	longestIdleTimeout time.Duration
 	// targetHeard says that the target has sent a packet since the start of the
 	// agent. targetProbed says that it has received a probe, the first one at
 	// targetProbedAt. nextTargetCheck is when the next check whether the target
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -151,7 +151,7 @@
 // does not know. That ends after the idle timeout: a flow may be discarded if
 // neither end has sent anything for that time since the start of the agent.
 func (m *Machine) mayHoldUnknownFlows(now time.Duration) bool {
-	idle := m.View.IdleTimeout()
+	idle := m.idleTimeout()
 	return now < m.unknownFlowsUntil && (idle == 0 || now < m.startedAt+idle+idleMargin)
 }
 
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -12,6 +12,7 @@
 // Tick handles the timeouts that are due at the time now.
 func (m *Machine) Tick(now time.Duration, out *plane.Out) {
 	m.stats.advance(now)
+	m.longestIdleTimeout = m.idleTimeout()
 	m.checkHalfOpen(now)
 	m.checkOffers(now, out)
 	m.checkPlacements(now, out)
@@ -56,7 +57,7 @@
 // sweep drops idle and closed flows and idle records.
 func (m *Machine) sweep(now time.Duration) {
 	m.lastSweep = now
-	idle := 2 * cmp.Or(m.View.IdleTimeout(), defaultIdleTTL/2)
+	idle := 2 * cmp.Or(m.idleTimeout(), defaultIdleTTL/2)
 	for key, f := range m.flows {
 		m.sweepFlow(now, key, f, idle)
 	}
@@ -67,6 +68,14 @@
 	}
 }
 
+// idleTimeout returns the longest idle timeout of the versions that the agent has
+// had since its start, or 0 if it knows none. A shorter one may be in force only
+// for a moment, and the flows that were idle then are open under the next
+// version.
+func (m *Machine) idleTimeout() time.Duration {
+	return max(m.longestIdleTimeout, m.View.IdleTimeout())
+}
+
 func (m *Machine) sweepFlow(now time.Duration, key flow.Key, f *ownedFlow, idle time.Duration) {
 	ttl := idle
 	if f.ended() {
