core/ownership: a restarted agent allows for packets it has not seen

Cause: from the first packet of its target after a restart, an agent took the end of that packet for the highest number that the target had sent. If the packet is a retransmission, the caller has acknowledged more than that. The agent did not take the caller's packets for this flow; while it might hold unknown flows they went to the target as probes, and after the idle timeout since the restart the agent denied the flow, which was reset.

Change: the highest number is guessed with the margin of the data that may be in flight, as the first number already was.

Measured: TestRetransmissionAfterRestart fails before, passes after.

--- a/core/ownership/bookkeeping_test.go
+++ b/core/ownership/bookkeeping_test.go
@@ -68,3 +68,24 @@
 	f.advance(long/2 + idleMargin)
 	assert.Assert(t, !f.mayHoldUnknownFlows(f.now))
 }
+
+// Guards against the reset of an open flow whose first packet after a restart of
+// the agent was a retransmission. The caller had acknowledged more than that
+// packet, so the agent did not take the caller's packets for this flow.
+func TestRetransmissionAfterRestart(t *testing.T) {
+	const idle = 10 * time.Second
+	f := newFixture(t, false)
+	f.setIdleTimeout(9, idle)
+	key := fleettest.Key(1)
+	f.advance(1500 * ms)
+	f.targetSends(flow.Packet{Key: key, Seq: 9001, Ack: 111, Len: 1200})
+	p := flow.Packet{Key: key, Seq: 111, Ack: 9001 + 16*1200}
+	f.balancerSends(relay.Packet, p)
+	assert.Equal(t, len(f.out.ToTarget), 1)
+	f.advance(idle - 100*ms)
+	assert.Assert(t, !f.mayHoldUnknownFlows(f.now))
+	p.Len = 10
+	f.balancerSends(relay.Packet, p)
+	assert.Equal(t, len(f.out.ToTarget), 1)
+	assert.DeepEqual(t, f.sentKinds(), []relay.Kind(nil))
+}
--- a/core/ownership/flows.go
+++ b/core/ownership/flows.go
@@ -16,7 +16,8 @@
 	// caller has received the target's acceptance.
 	accepted, opened bool
 	// base is the target's first sequence number and top the highest that it
-	// has sent. baseKnown says that base is known. callerTop is the caller's
+	// has sent. Both have a margin if the agent has not seen the beginning of the
+	// flow. baseKnown says that base and top are known. callerTop is the caller's
 	// highest sequence number.
 	baseKnown            bool
 	base, top, callerTop uint32
@@ -146,7 +147,7 @@
 	f.accepted = true
 	switch {
 	case !f.baseKnown:
-		f.base, f.top, f.baseKnown = p.Seq-maxInFlightBytes, end, true
+		f.base, f.top, f.baseKnown = p.Seq-maxInFlightBytes, end+maxInFlightBytes, true
 	case int32(end-f.top) > 0:
 		f.top = end
 	}
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -306,5 +306,5 @@
 
 // maxInFlightBytes bounds the data in flight. The acknowledgements of a caller
 // may be this far behind the first packet of the target that a restarted agent
-// sees.
+// sees. If that packet is a retransmission, they may be this far beyond it.
 const maxInFlightBytes = 16 * 1200
