core/ownership: a flow learned from its acceptance takes only its own packets

Cause: if an agent restarts between the opening packet and the answer of its target, it learns the flow from the answer, but did not note the number in it. Such a flow matched every packet of the caller. If the caller had opened the flow at another target by a copy, a search gave the packet to this target too, and the agent reported itself as the owner.

Change: the agent takes the first number of the target from the answer.

Measured: TestAcceptedCopyLearnedAfterRestart fails before, passes after.

--- a/core/ownership/bookkeeping_test.go
+++ b/core/ownership/bookkeeping_test.go
@@ -89,3 +89,18 @@
 	assert.Equal(t, len(f.out.ToTarget), 1)
 	assert.DeepEqual(t, f.sentKinds(), []relay.Kind(nil))
 }
+
+// Guards against packets of a flow at another target that reach this one,
+// because the agent restarted while its target accepted a copy of the opening
+// packet.
+func TestAcceptedCopyLearnedAfterRestart(t *testing.T) {
+	f := newFixture(t, false)
+	key := fleettest.Key(1)
+	f.targetSends(flow.Packet{Key: key, Open: true, Seq: 5000, Ack: 101})
+	p := flow.Packet{Key: key, Seq: 101, Ack: 777_001, Len: 10}
+	f.balancerSends(relay.Search, p)
+	assert.Equal(t, len(f.out.ToTarget), 0)
+	p.Ack = 5001
+	f.balancerSends(relay.Packet, p)
+	assert.Equal(t, len(f.out.ToTarget), 1)
+}
--- a/core/ownership/flows.go
+++ b/core/ownership/flows.go
@@ -138,8 +138,13 @@
 	f.lastSeen = now
 	end := p.Seq + uint32(p.Len)
 	if p.Open {
-		if !f.opened {
+		switch {
+		case !f.opened:
 			m.handleAccepted(now, f, p, out)
+		case !f.baseKnown:
+			// The agent restarted after it had given the opening packet to the
+			// target.
+			f.base, f.top, f.baseKnown = p.Seq, p.Seq+maxInFlightBytes, true
 		}
 		return
 	}
