core/ownership: the window of probes slides

Cause: an agent counted the probes of a flow since the first one and began anew when that one was 2.5 s old, although the last one might be a moment old. So three packets could reach other targets within 0.3 s.

Change: the probes of the last 2.5 s count. A search is kept as long as it has such probes. Once all agents have answered, earlier probes no longer delay the remaining ones.

Measured: TestProbeWindowSlides fails before (probes at 0.02, 2.32, 2.57 and 2.57 s), passes after.

--- a/core/ownership/probe.go
+++ b/core/ownership/probe.go
@@ -16,8 +16,8 @@
 func (m *Machine) probeSelf(now time.Duration, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
 	s.roundStart, s.raw, s.origin, s.done, s.onlySelfAsked = now, slices.Clone(p.Raw), msg.Origin, true, true
 	s.prober = m.Self
-	m.countProbe(now, s)
-	out.Event(plane.Event{Kind: plane.EventProbed, Flow: p.Key, PacketSeq: p.Seq, Peer: m.Self, Value: int64(s.probesSent)})
+	s.probes.add(now)
+	out.Event(plane.Event{Kind: plane.EventProbed, Flow: p.Key, PacketSeq: p.Seq, Peer: m.Self, Value: int64(s.probes.count(now))})
 	m.probeTarget(now, p, out)
 }
 
@@ -60,31 +60,20 @@
 	}
 }
 
-// countProbe counts a probe of a flow.
-func (m *Machine) countProbe(now time.Duration, s *search) {
-	if now-s.firstProbeAt > probeWindow || s.probesSent == 0 {
-		s.probesSent, s.firstProbeAt = 0, now
-	}
-	s.probesSent++
-}
-
 // probeMaybeOwners sends probes to the agents whose targets may hold the flow,
 // until the flow has had limit probes in the window.
 func (m *Machine) probeMaybeOwners(now time.Duration, key flow.Key, s *search, limit int, out *plane.Out) {
-	if now-s.firstProbeAt > probeWindow {
-		s.probesSent = 0
-	}
 	p, err := m.Codec.FromCaller(s.raw)
 	if err != nil {
 		return
 	}
 	for _, a := range slices.Clone(s.maybeOwners) {
-		if s.probesSent >= limit {
+		if s.probes.count(now) >= limit {
 			return
 		}
-		m.countProbe(now, s)
+		s.probes.add(now)
 		s.probing[a] = true
-		out.Event(plane.Event{Kind: plane.EventProbed, Flow: key, PacketSeq: p.Seq, Peer: a, Value: int64(s.probesSent)})
+		out.Event(plane.Event{Kind: plane.EventProbed, Flow: key, PacketSeq: p.Seq, Peer: a, Value: int64(s.probes.count(now))})
 		msg := &relay.Message{Origin: s.origin}
 		if a == m.Self {
 			m.handleProbe(now, m.Self, &p, msg, out)
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -49,9 +49,8 @@
 	// prober is the agent for which the local target was probed, with a packet
 	// that the balancer origin received.
 	prober netip.Addr
-	// probesSent counts the probes of the flow since firstProbeAt.
-	probesSent   int
-	firstProbeAt time.Duration
+	// probes has the probes of the flow.
+	probes probeTimes
 	// onlySelfAsked says that only the local target has been probed so far.
 	onlySelfAsked bool
 	// selfDenied says that the local target does not hold the flow.
@@ -79,7 +78,7 @@
 		m.searches[p.Key] = s
 	}
 	if !msg.Home.IsValid() && m.mayHoldUnknownFlows(now) && !s.selfDenied {
-		if !s.onlySelfAsked || s.probesSent < probeBudget {
+		if !s.onlySelfAsked || s.probes.count(now) < probeBudget {
 			m.probeSelf(now, p, msg, s, out)
 		}
 		return
@@ -201,7 +200,7 @@
 	s.done = true
 	if len(s.maybeOwners) > 0 {
 		// All other agents have denied the flow, so only these can own it.
-		m.probeMaybeOwners(now, key, s, len(s.maybeOwners), out)
+		m.probeMaybeOwners(now, key, s, s.probes.count(now)+len(s.maybeOwners), out)
 		return
 	}
 	m.resetUnowned(s, out)
@@ -241,7 +240,7 @@
 		case !s.done && s.remote && now-s.roundStart >= remoteSearchTimeout:
 			s.done = true
 			m.probeMaybeOwners(now, key, s, probeBudget, out)
-		case s.done && now-s.roundStart >= max(searchResultTTL, probeWindow):
+		case s.done && now-s.roundStart >= max(searchResultTTL, probeWindow) && s.probes.count(now) == 0:
 			delete(m.searches, key)
 		}
 	}
