core/ownership: the budget of probes is that of the flow

Cause: each agent that searches for a flow counted only its own probes. If packets of a flow come to several homes, because balancers or their views change, or to an agent that a balancer takes for the owner, each of them sent two probes to wrong targets while the flow's own agent was restarting. Three packets at other targets and none at the right one break the flow.

Change: an agent that answers a search says how many probes its target has had in the last 2.5 s, in a byte of the datagram that was reserved. A survey adds them up for its data centre. A search counts them like its own probes. Two agents whose searches run at the same moment (within about 70 ms) do not see each other's probes yet.

A search costs no further datagram.

--- a/core/ownership/answers.go
+++ b/core/ownership/answers.go
@@ -44,6 +44,7 @@
 		return
 	}
 	delete(s.asked, from)
+	s.countReportedProbes(now, from, msg)
 	switch {
 	case forSurvey && msg.Kind == relay.MaybeOwner:
 		m.handleDeclinedSurvey(now, from, asked, s, out)
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -93,7 +93,8 @@
 	// interval between them grows.
 	searchRetryDelay = 80 * time.Millisecond
 	maxSearchRetries = 6
-	// probeBudget is the number of probes of a flow in probeWindow.
+	// probeBudget is the number of probes of a flow in probeWindow, by all agents
+	// that search for it.
 	probeBudget = 2
 	probeWindow = 2500 * time.Millisecond
 	// defaultFlowTTL is used if Options.FlowTTL is zero.
--- a/core/ownership/probe.go
+++ b/core/ownership/probe.go
@@ -16,9 +16,8 @@
 func (m *Machine) probeSelf(now time.Duration, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
 	s.roundStart, s.raw, s.origin, s.done, s.onlySelfAsked = now, slices.Clone(p.Raw), msg.Origin, true, true
 	s.prober = m.Self
-	s.probes.add(now)
-	out.Event(plane.Event{Kind: plane.EventProbed, Flow: p.Key, PacketSeq: p.Seq, Peer: m.Self, Value: int64(s.probes.count(now))})
-	m.probeTarget(now, p, out)
+	m.probeOwnTarget(now, p, s, out)
+	out.Event(plane.Event{Kind: plane.EventProbed, Flow: p.Key, PacketSeq: p.Seq, Peer: m.Self, Value: int64(s.probeCount(now))})
 }
 
 // probeTarget gives the target a packet, which it returns unless it holds the
@@ -68,18 +67,18 @@
 		return
 	}
 	for _, a := range slices.Clone(s.maybeOwners) {
-		if s.probes.count(now) >= limit {
+		if s.probeCount(now) >= limit {
 			return
 		}
-		s.probes.add(now)
 		s.probing[a] = true
-		out.Event(plane.Event{Kind: plane.EventProbed, Flow: key, PacketSeq: p.Seq, Peer: a, Value: int64(s.probes.count(now))})
 		msg := &relay.Message{Origin: s.origin}
 		if a == m.Self {
 			m.handleProbe(now, m.Self, &p, msg, out)
-			continue
+		} else {
+			s.countSentProbe(now, a)
+			m.forward(a, relay.Probe, &p, msg, out)
 		}
-		m.forward(a, relay.Probe, &p, msg, out)
+		out.Event(plane.Event{Kind: plane.EventProbed, Flow: key, PacketSeq: p.Seq, Peer: a, Value: int64(s.probeCount(now))})
 	}
 }
 
@@ -101,7 +100,7 @@
 		m.answerNotHeld(p.Key, s, out)
 		return
 	}
-	m.probeTarget(now, p, out)
+	m.probeOwnTarget(now, p, s, out)
 }
 
 // handleProbeDenied records that the target of a probed agent does not hold the
--- a/core/ownership/probebudget_test.go
+++ b/core/ownership/probebudget_test.go
@@ -104,6 +104,38 @@
 	return most
 }
 
+// Guards against three packets of a flow at other targets while its agent is
+// restarting. The packets come to several homes because balancers or their views
+// change, or to an agent that a balancer takes for the owner. Each of these
+// agents searches for the flow.
+func TestProbesOfSeveralSearchersAreBounded(t *testing.T) {
+	one := func(byte) string { return "dc-0" }
+	two := func(n byte) string { return []string{"dc-0", "dc-1"}[n/6] }
+	for name, c := range map[string]struct {
+		dataCentreOf func(byte) string
+		agents       byte
+		homes        []byte
+		asOwner      bool
+	}{
+		"homes in one data centre":            {one, 8, []byte{1, 2, 3}, false},
+		"homes in two data centres":           {two, 12, []byte{1, 7, 2, 8}, false},
+		"an owner according to a balancer":    {one, 8, []byte{1, 2, 3}, true},
+		"owners in two data centres":          {two, 12, []byte{7, 1, 8}, true},
+		"one home that sends several packets": {one, 8, []byte{1, 1, 1, 1, 1, 1, 1, 1, 1, 1}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newRestartedFleet(t, c.dataCentreOf, c.agents)
+			for i, home := range c.homes {
+				s.send(home, c.asOwner && i == 0)
+				s.advance(400 * ms)
+			}
+			assert.Assert(t, len(s.misdelivered) > 0)
+			assert.Assert(t, s.mostInWindow() <= probeBudget, "packets reached other targets at %v", s.misdelivered)
+			assert.Equal(t, s.resets, 0)
+		})
+	}
+}
+
 // Guards against probes that add up over the end of the window: the budget was
 // renewed at once although the last probe was a moment ago.
 func TestProbeWindowSlides(t *testing.T) {
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -49,8 +49,11 @@
 	// prober is the agent for which the local target was probed, with a packet
 	// that the balancer origin received.
 	prober netip.Addr
-	// probes has the probes of the flow.
-	probes probeTimes
+	// probes has the probes of the flow that this agent has sent or that were
+	// reported to it, by the agent that got or reported them. ownTargetProbes
+	// has those at the local target.
+	probes          map[netip.Addr]probeTimes
+	ownTargetProbes probeTimes
 	// onlySelfAsked says that only the local target has been probed so far.
 	onlySelfAsked bool
 	// selfDenied says that the local target does not hold the flow.
@@ -78,10 +81,13 @@
 		m.searches[p.Key] = s
 	}
 	if !msg.Home.IsValid() && m.mayHoldUnknownFlows(now) && !s.selfDenied {
-		if !s.onlySelfAsked || s.probes.count(now) < probeBudget {
+		switch {
+		case s.probeCount(now) < probeBudget:
 			m.probeSelf(now, p, msg, s, out)
+			return
+		case s.onlySelfAsked:
+			return
 		}
-		return
 	}
 	m.beginRound(now, p, msg, s, out)
 }
@@ -156,7 +162,8 @@
 
 // handleSearch answers a search of another agent.
 func (m *Machine) handleSearch(now time.Duration, from netip.Addr, p *flow.Packet, msg *relay.Message, out *plane.Out) {
-	answer := relay.Message{Kind: relay.NotOwner, Service: m.serviceTag, Flow: p.Key, Load: m.Load(), Origin: msg.Origin}
+	answer := relay.Message{Kind: relay.NotOwner, Service: m.serviceTag, Flow: p.Key, Load: m.Load(), Origin: msg.Origin,
+		Probes: probesOnWire(m.ownTargetProbes(now, p.Key))}
 	f := m.flows[p.Key]
 	switch {
 	case f != nil && f.matches(p):
@@ -200,7 +207,7 @@
 	s.done = true
 	if len(s.maybeOwners) > 0 {
 		// All other agents have denied the flow, so only these can own it.
-		m.probeMaybeOwners(now, key, s, s.probes.count(now)+len(s.maybeOwners), out)
+		m.probeMaybeOwners(now, key, s, s.probeCount(now)+len(s.maybeOwners), out)
 		return
 	}
 	m.resetUnowned(s, out)
@@ -240,7 +247,7 @@
 		case !s.done && s.remote && now-s.roundStart >= remoteSearchTimeout:
 			s.done = true
 			m.probeMaybeOwners(now, key, s, probeBudget, out)
-		case s.done && now-s.roundStart >= max(searchResultTTL, probeWindow) && s.probes.count(now) == 0:
+		case s.done && now-s.roundStart >= max(searchResultTTL, probeWindow) && s.probeCount(now) == 0:
 			delete(m.searches, key)
 		}
 	}
--- a/core/ownership/survey.go
+++ b/core/ownership/survey.go
@@ -21,6 +21,9 @@
 	// whose target may hold the flow.
 	asked       map[netip.Addr]bool
 	maybeOwners []netip.Addr
+	// probes is the number of recent probes of the flow that the agents have
+	// reported.
+	probes int
 }
 
 // handleSurvey searches the local data centre for the owner of a flow. The owner
@@ -39,7 +42,7 @@
 		out.Send(from, relay.Message{Kind: relay.MaybeOwner, Service: m.serviceTag, Flow: p.Key, Load: m.Load(), Origin: msg.Origin})
 		return
 	}
-	s := &survey{startedAt: now, asker: from, asked: map[netip.Addr]bool{}}
+	s := &survey{startedAt: now, asker: from, asked: map[netip.Addr]bool{}, probes: m.ownTargetProbes(now, p.Key)}
 	if m.mayHoldUnknownFlows(now) && !m.selfDenied(p.Key) {
 		s.maybeOwners = append(s.maybeOwners, m.Self)
 	}
@@ -65,6 +68,9 @@
 		if s.asked[from] && msg.Kind == relay.MaybeOwner {
 			s.maybeOwners = append(s.maybeOwners, from)
 		}
+		if s.asked[from] {
+			s.probes += int(msg.Probes)
+		}
 		delete(s.asked, from)
 	}
 	m.endSurveys(msg.Flow, out)
@@ -90,7 +96,8 @@
 	if max(len(s.maybeOwners), len(unanswered)) > relay.MaxListedAgents {
 		return
 	}
-	out.Send(s.asker, relay.Message{Kind: relay.SurveyResult, Service: m.serviceTag, Flow: key, Load: m.Load(), MaybeOwners: s.maybeOwners, Unanswered: unanswered})
+	out.Send(s.asker, relay.Message{Kind: relay.SurveyResult, Service: m.serviceTag, Flow: key, Load: m.Load(), Probes: probesOnWire(s.probes),
+		MaybeOwners: s.maybeOwners, Unanswered: unanswered})
 }
 
 func (m *Machine) setSurveys(key flow.Key, left []*survey) {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -124,6 +124,10 @@
 	// sender knew that there was no later change.
 	Progress fleet.Progress
 	Age      time.Duration
+	// Probes is the number of recent probes of the flow that the sender knows of:
+	// those of its own target, or in a SurveyResult those of the targets in its
+	// data centre.
+	Probes uint8
 	// Roster is the sender's digest of the agents that a Survey covers.
 	Roster uint64
 	// MaybeOwners and Unanswered are the agents that a SurveyResult lists:
@@ -161,7 +165,7 @@
 
 // Append appends the encoded message to b.
 func (m *Message) Append(b []byte) []byte {
-	b = append(b, Version, byte(m.Kind), m.Hops, 0)
+	b = append(b, Version, byte(m.Kind), m.Hops, m.Probes)
 	b = binary.BigEndian.AppendUint64(b, m.Service)
 	switch m.Kind {
 	case Open, Place, Packet, Search, Probe:
@@ -199,7 +203,7 @@
 	if len(b) < commonSize || b[0] != Version {
 		return m, ErrMalformed
 	}
-	m.Kind, m.Hops, m.Service = Kind(b[1]), b[2], binary.BigEndian.Uint64(b[4:])
+	m.Kind, m.Hops, m.Probes, m.Service = Kind(b[1]), b[2], b[3], binary.BigEndian.Uint64(b[4:])
 	rest := b[commonSize:]
 	switch m.Kind {
 	case Open, Place, Packet, Search, Probe:
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -18,7 +18,7 @@
 	{Kind: Survey, Service: 7, Home: netip.MustParseAddr("10.0.0.2"), Progress: fleet.Progress{Epoch: 1 << 60, Revision: 1 << 40, Version: 1 << 20}, Roster: 1 << 50, Body: []byte("packet")},
 	{Kind: SurveyResult, Service: 7, Flow: flow.Key{CallerPort: 5}, MaybeOwners: []netip.Addr{netip.MustParseAddr("10.0.0.2"), netip.MustParseAddr("10.0.0.3")},
 		Unanswered: []netip.Addr{netip.MustParseAddr("10.0.0.4")}},
-	{Kind: SurveyResult, Service: 7, Flow: flow.Key{CallerPort: 6}},
+	{Kind: SurveyResult, Service: 7, Flow: flow.Key{CallerPort: 6}, Probes: 9},
 	{Kind: SurveyResult, Service: 7, Unanswered: []netip.Addr{netip.MustParseAddr("10.0.0.4")}},
 	{Kind: Heartbeat, Service: 7, Load: Load{Flags: FlagReplyRequested}, Progress: fleet.Progress{Epoch: 2, Revision: 9, Version: 300}, Age: 5 * time.Millisecond},
 }
