--- a/core/ownership/flows.go
+++ b/core/ownership/flows.go
@@ -16,7 +16,8 @@
 	// caller has received the target's acceptance.
 	accepted, opened bool
 	// base is the target's first sequence number and top the highest that it
-	// has sent. baseKnown says that base is known. callerTop is the caller's
+	// has sent. Both have a margin if the agent has not seen the beginning of the
+	// flow. baseKnown says that base and top are known. callerTop is the caller's
 	// highest sequence number.
 	baseKnown            bool
 	base, top, callerTop uint32
@@ -137,8 +138,13 @@
 	f.lastSeen = now
 	end := p.Seq + uint32(p.Len)
 	if p.Open {
-		if !f.opened {
+		switch {
+		case !f.opened:
 			m.handleAccepted(now, f, p, out)
+		case !f.baseKnown:
+			// The agent restarted after it had given the opening packet to the
+			// target.
+			f.base, f.top, f.baseKnown = p.Seq, p.Seq+maxInFlightBytes, true
 		}
 		return
 	}
@@ -146,7 +152,7 @@
 	f.accepted = true
 	switch {
 	case !f.baseKnown:
-		f.base, f.top, f.baseKnown = p.Seq-maxInFlightBytes, end, true
+		f.base, f.top, f.baseKnown = p.Seq-maxInFlightBytes, end+maxInFlightBytes, true
 	case int32(end-f.top) > 0:
 		f.top = end
 	}
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -72,7 +72,7 @@
 	// configuration sets no idle timeout.
 	defaultIdleTTL = 30 * time.Second
 	// closedFlowTTL is how long an idle flow is kept after both ends have
-	// closed it.
+	// closed it, or if its caller has not opened it.
 	closedFlowTTL = 4 * time.Second
 	// minHalfOpenTimeout and maxHalfOpenTimeout bound how long an accepted flow
 	// counts as a request about to arrive. A caller that has not given up sends
@@ -102,7 +102,8 @@
 	// interval between them grows.
 	searchRetryDelay = 80 * time.Millisecond
 	maxSearchRetries = 6
-	// probeBudget is the number of probes of a flow in probeWindow.
+	// probeBudget is the number of probes of a flow in probeWindow, by all agents
+	// that search for it.
 	probeBudget = 2
 	probeWindow = 2500 * time.Millisecond
 	// defaultFlowTTL is used if Options.FlowTTL is zero.
@@ -175,6 +176,8 @@
 	// unknownFlowsUntil is until when the target may hold flows that the agent
 	// does not know.
 	unknownFlowsUntil time.Duration
+	// longestIdleTimeout is the longest idle timeout of the versions so far.
+	longestIdleTimeout time.Duration
 	// targetHeard says that the target has sent a packet since the start of the
 	// agent. targetProbed says that it has received a probe, the first one at
 	// targetProbedAt. nextTargetCheck is when the next check whether the target
@@ -320,5 +323,5 @@
 
 // maxInFlightBytes bounds the data in flight. The acknowledgements of a caller
 // may be this far behind the first packet of the target that a restarted agent
-// sees.
+// sees. If that packet is a retransmission, they may be this far beyond it.
 const maxInFlightBytes = 16 * 1200
