ownership: a search ends when the agent's own target answers the probe

Cause: the answer of the own target to a probe did not mark the search as over. 80 ms later it began another round and sent the caller's packet to the own target and to the targets of all agents that had restarted, though the owner was known.

Change: such an answer ends the search.

--- a/core/ownership/probe.go
+++ b/core/ownership/probe.go
@@ -159,6 +159,7 @@
 		return
 	}
 	f.origin, s.onlySelfAsked = s.origin, false
+	s.done, s.found = true, true
 	m.reportOwner(f, s.origin, key, out)
 	m.reportOwner(f, s.prober, key, out)
 	s.prober = netip.Addr{}
