ownership: at most two probes of a flow are on their way at a time

Cause: once all agents had answered, a search sent a probe to every agent that had restarted at the same moment. After a planned restart of many agents the packet went to as many other targets, some of them after the right one had got it.

Change: two probes are on their way at a time, and the next one goes out when one is denied, so the owner's report ends the series. Results of searches whose owner is found, or that have reset the flow, are dropped after 2 s whatever probes there were.

--- a/core/ownership/probe.go
+++ b/core/ownership/probe.go
@@ -59,29 +59,39 @@
 	}
 }
 
-// probeMaybeOwners sends probes to the agents whose targets may hold the flow,
-// until the flow has had limit probes in the window.
-func (m *Machine) probeMaybeOwners(now time.Duration, key flow.Key, s *search, limit int, out *plane.Out) {
-	p, err := m.Codec.FromCaller(s.raw)
-	if err != nil {
-		return
-	}
+// probeMaybeOwners sends probes to the agents whose targets may hold the flow.
+// At most probeBudget probes are on their way at a time, so few packets reach
+// other targets after the one that holds the flow. Unless all agents have
+// answered, the flow has at most probeBudget probes in probeWindow.
+func (m *Machine) probeMaybeOwners(now time.Duration, key flow.Key, s *search, out *plane.Out) {
 	for _, a := range slices.Clone(s.maybeOwners) {
-		if s.probeCount(now) >= limit {
+		if len(s.probing) >= probeBudget || !s.allAnswered && s.probeCount(now) >= probeBudget {
 			return
 		}
-		s.probing[a] = true
-		msg := &relay.Message{Origin: s.origin}
-		if a == m.Self {
-			m.handleProbe(now, m.Self, &p, msg, out)
-		} else {
-			s.countSentProbe(now, a)
-			m.forward(a, relay.Probe, &p, msg, out)
+		if s.probing[a] || !slices.Contains(s.maybeOwners, a) {
+			continue
 		}
-		out.Event(plane.Event{Kind: plane.EventProbed, Flow: key, PacketSeq: p.Seq, Peer: a, Value: int64(s.probeCount(now))})
+		m.probe(now, a, key, s, out)
 	}
 }
 
+// probe sends a probe to an agent whose target may hold the flow.
+func (m *Machine) probe(now time.Duration, to netip.Addr, key flow.Key, s *search, out *plane.Out) {
+	p, err := m.Codec.FromCaller(s.raw)
+	if err != nil {
+		return
+	}
+	s.probing[to] = true
+	msg := &relay.Message{Origin: s.origin}
+	if to == m.Self {
+		m.handleProbe(now, m.Self, &p, msg, out)
+	} else {
+		s.countSentProbe(now, to)
+		m.forward(to, relay.Probe, &p, msg, out)
+	}
+	out.Event(plane.Event{Kind: plane.EventProbed, Flow: key, PacketSeq: p.Seq, Peer: to, Value: int64(s.probeCount(now))})
+}
+
 // handleProbe gives a packet to the target to learn whether it holds the flow.
 func (m *Machine) handleProbe(now time.Duration, from netip.Addr, p *flow.Packet, msg *relay.Message, out *plane.Out) {
 	if f := m.flows[p.Key]; f != nil && f.matches(p) {
@@ -104,13 +114,21 @@
 }
 
 // handleProbeDenied records that the target of a probed agent does not hold the
-// flow. After the last probe no target holds it, provided that all agents have
-// answered.
+// flow, and probes the next one. After the last probe no target holds it,
+// provided that all agents have answered.
 func (m *Machine) handleProbeDenied(now time.Duration, from netip.Addr, key flow.Key, s *search, out *plane.Out) {
 	delete(s.probing, from)
 	s.maybeOwners = slices.DeleteFunc(s.maybeOwners, func(a netip.Addr) bool { return a == from })
+	if s.found {
+		return
+	}
 	if len(s.probing)+len(s.maybeOwners)+len(s.asked) == 0 {
 		m.conclude(now, key, s, out)
+		return
+	}
+	if s.done && s.allAnswered {
+		s.roundStart = now
+		m.probeMaybeOwners(now, key, s, out)
 	}
 }
 
--- a/core/ownership/probes_test.go
+++ b/core/ownership/probes_test.go
@@ -74,3 +74,22 @@
 	}
 	assert.Equal(t, probed, 2)
 }
+
+// Guards against three or more packets that reach wrong targets after the flow's
+// own target got one. A caller that then pauses for 2 s sends its target nothing
+// in that time. The next probes wait for the answers to the last ones, and the
+// owner's report ends them.
+func TestProbesComeInBatches(t *testing.T) {
+	f := fiveAgents(t)
+	f.balancerSends(relay.Packet, flow.Packet{Key: fleettest.Key(1), Seq: 111, Ack: 5001, Len: 10})
+	for n := byte(1); n < 5; n++ {
+		f.peerAnswers(n, relay.MaybeOwner, 1)
+	}
+	assert.Equal(t, f.probedAgents(), probeBudget)
+	probed := f.out.Sends[0].To
+	f.out.Clear()
+	f.FromPeer(f.now, probed, &relay.Message{Kind: relay.Owner, Service: tag, Flow: fleettest.Key(1)}, &f.out)
+	assert.Equal(t, f.probedAgents(), 0)
+	f.advance(searchRetryDelay)
+	assert.Equal(t, f.probedAgents()+len(f.searchedAgents()), 0)
+}
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -41,7 +41,8 @@
 	maybeOwners []netip.Addr
 	probing     map[netip.Addr]bool
 	// done says that the round is over, found says that the owner is known.
-	done, found bool
+	// allAnswered says that all agents that may own the flow have answered.
+	done, found, allAnswered bool
 	// noOwner says that all agents have answered and no target holds the flow.
 	// It applies to packets with the acknowledgement ack.
 	noOwner bool
@@ -99,7 +100,7 @@
 	if s.denied == nil || s.ack != p.Ack {
 		s.denied, s.deniedRosters, s.unresolved, s.retries = map[netip.Addr]bool{}, map[string]uint64{}, map[netip.Addr]string{}, 0
 	}
-	s.remote, s.found, s.noOwner, s.ack, s.declinedSurveys = false, false, false, p.Ack, 0
+	s.remote, s.found, s.allAnswered, s.noOwner, s.ack, s.declinedSurveys = false, false, false, false, p.Ack, 0
 	local, _ := m.searchable()
 	m.sendSearches(now, local, p, msg, s, out)
 	if m.mayHoldUnknownFlows(now) && !s.selfDenied {
@@ -221,12 +222,9 @@
 		m.conclude(now, key, s, out)
 		return
 	}
-	limit := probeBudget
-	if m.incompleteReason(now) == "" {
-		// All other agents have denied the flow, so only these can own it.
-		limit = s.probeCount(now) + len(s.maybeOwners)
-	}
-	m.probeMaybeOwners(now, key, s, limit, out)
+	// All agents have answered, so only these can own the flow.
+	s.allAnswered = m.incompleteReason(now) == ""
+	m.probeMaybeOwners(now, key, s, out)
 }
 
 // retrySearch begins another round of an incomplete search, in which an agent
@@ -262,8 +260,8 @@
 		switch {
 		case !s.done && s.remote && now-s.roundStart >= remoteSearchTimeout:
 			s.done = true
-			m.probeMaybeOwners(now, key, s, probeBudget, out)
-		case s.done && now-s.roundStart >= max(searchResultTTL, probeWindow) && s.probeCount(now) == 0:
+			m.probeMaybeOwners(now, key, s, out)
+		case s.done && now-s.roundStart >= searchResultTTL && (s.found || s.noOwner || s.probeCount(now) == 0):
 			delete(m.searches, key)
 		}
 	}
