ownership: probes stay bounded until the owner of a flow is found

What callers saw: packets of an open flow went to other targets and none to its own for 4.4 s, while agents and balancers were restarted in turn.

Cause: two probes of a flow were allowed in 2.5 s as long as some agent had not answered. While agents restart in turn there is always one, so a third probe went to a wrong target a few seconds after the first two.

Change: the window is 30 s, longer than any caller's deadline.

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -103,9 +103,11 @@
 	searchRetryDelay = 80 * time.Millisecond
 	maxSearchRetries = 6
 	// probeBudget is the number of probes of a flow in probeWindow, by all agents
-	// that search for it.
+	// that search for it. The window is longer than the deadlines of callers:
+	// three packets at other targets break a flow, however far apart they are, if
+	// none has reached its own.
 	probeBudget = 2
-	probeWindow = 2500 * time.Millisecond
+	probeWindow = 30 * time.Second
 	// defaultFlowTTL is used if Options.FlowTTL is zero.
 	defaultFlowTTL = 60 * time.Second
 	// maxStartSkew is by how much a target may start before its agent if both
--- a/core/ownership/probes_test.go
+++ b/core/ownership/probes_test.go
@@ -1,7 +1,9 @@
 package ownership
 
 import (
+	"net/netip"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"trefoilweir.example/core/fleet"
@@ -11,16 +13,19 @@
 	"trefoilweir.example/core/relay"
 )
 
-// probedAgents counts the probes that the last step sent to other agents.
-func (f *fixture) probedAgents() (n int) {
+// probed returns the agents to which the last step sent probes.
+func (f *fixture) probed() (agents []netip.Addr) {
 	for _, s := range f.out.Sends {
 		if s.Message.Kind == relay.Probe {
-			n++
+			agents = append(agents, s.To)
 		}
 	}
-	return n
+	return agents
 }
 
+// probedAgents counts the probes that the last step sent to other agents.
+func (f *fixture) probedAgents() int { return len(f.probed()) }
+
 // fiveAgents returns agent 0 of a service with five agents, which did not
 // restart.
 func fiveAgents(t *testing.T) *fixture {
@@ -93,3 +98,35 @@
 	f.advance(searchRetryDelay)
 	assert.Equal(t, f.probedAgents()+len(f.searchedAgents()), 0)
 }
+
+// Guards against a third packet of an open flow that reaches a wrong target
+// seconds after the first two, while the flow's own agent is restarting or is
+// not found and its target has got none.
+func TestProbesStayBoundedWhileAnAgentIsSilent(t *testing.T) {
+	f := fiveAgents(t)
+	const callerInterval = 1600 * ms
+	probes, nextPacket := 0, f.now
+	// denyProbes makes each agent that got a probe deny the flow.
+	denyProbes := func() {
+		for len(f.probed()) > 0 {
+			to := f.probed()[0]
+			probes++
+			f.out.Clear()
+			f.FromPeer(f.now, to, &relay.Message{Kind: relay.NotOwner, Service: tag, Flow: unknownPacket.Key}, &f.out)
+		}
+	}
+	for end := f.now + 20*time.Second; f.now < end; {
+		if f.now >= nextPacket {
+			nextPacket += callerInterval
+			f.balancerSends(relay.Packet, unknownPacket)
+			denyProbes()
+		}
+		for n := byte(1); n < 4; n++ {
+			f.peerAnswers(n, relay.MaybeOwner, 1)
+			denyProbes()
+		}
+		f.advance(searchTimeout)
+		denyProbes()
+	}
+	assert.Assert(t, probes <= probeBudget, "%d probes while agent 4 was silent", probes)
+}
