core/ownership: no refusal of a flow whose copies went elsewhere

Cause: a flow waits for a slot at one agent, and its caller sends copies of the opening packet after 200 and 600 ms. If the reports of that agent are lost or the caller's balancer changes, a copy goes to another agent, whose target may accept it. The first agent refused the flow later (no slot in time, overload, full queue), while it opened or was open at the other target.

Change: an agent refuses a queued flow only if the copies that its caller has sent by then came to this agent. Otherwise it drops the flow and still tells the balancer and the home.

Measured: TestFlowWhoseCopyWentElsewhereIsNotRefused fails before, passes after.

--- /dev/null
+++ b/core/ownership/copies_test.go
@@ -0,0 +1,37 @@
+package ownership
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"trefoilweir.example/core/fleet/fleettest"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/relay"
+)
+
+// Guards against the refusal of a flow that another target has accepted. The
+// flow is queued here, and the copy that its caller has sent since went to
+// another agent, because the reports of this one were lost.
+func TestFlowWhoseCopyWentElsewhereIsNotRefused(t *testing.T) {
+	for copiesSeenHere, refusals := range []int{0, 0, 1} {
+		f := newFixture(t, true)
+		for port := uint16(100); port < 105; port++ {
+			f.openFlow(port)
+		}
+		key := fleettest.Key(1)
+		f.balancerSends(relay.Place, flow.Packet{Key: key, Open: true, Seq: 100})
+		f.advance(firstCopyAge)
+		if copiesSeenHere >= 1 {
+			f.balancerSends(relay.Place, flow.Packet{Key: key, Open: true, Seq: 100, Ack: 1})
+		}
+		f.advance(secondCopyAge - firstCopyAge)
+		if copiesSeenHere >= 2 {
+			f.balancerSends(relay.Place, flow.Packet{Key: key, Open: true, Seq: 100, Ack: 2})
+		}
+		assert.Equal(t, f.Queued(), 1)
+		f.advance(defaultTimeout)
+		assert.Equal(t, f.Queued(), 0)
+		assert.Equal(t, len(f.out.ToCaller), refusals, "with %d copies seen", copiesSeenHere)
+		assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.Refused})
+	}
+}
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -165,10 +165,22 @@
 	m.forward(to, relay.Place, p, &forwarded, out)
 }
 
-// refuse resets a new flow that no target takes. It notifies the balancer and
-// the home, and ends its own placement, so that no timer places the flow again.
+// refuse resets a new flow that no target takes.
 func (m *Machine) refuse(p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
 	m.reset(p, reason, out)
+	m.release(p, msg, out)
+}
+
+// giveUp drops a new flow without an answer to its caller, because a target may
+// have accepted it.
+func (m *Machine) giveUp(p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
+	out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: reason})
+	m.release(p, msg, out)
+}
+
+// release notifies the balancer and the home that this agent does not place a
+// flow, and ends its own placement, so that no timer places the flow again.
+func (m *Machine) release(p *flow.Packet, msg *relay.Message, out *plane.Out) {
 	m.notify(relay.Refused, p.Key, msg, out)
 	m.endPlacement(p.Key)
 	if r := m.records[p.Key]; r != nil && !r.confirmed {
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -35,6 +35,9 @@
 type queuedFlow struct {
 	raw []byte
 	msg relay.Message
+	// copies is the number of copies of the opening packet that the caller had
+	// sent, according to the packets that came here.
+	copies uint32
 }
 
 // callerWait returns how long a caller has waited for an answer when it sends
@@ -50,6 +53,20 @@
 	}
 }
 
+// copiesSent returns how many copies of its opening packet a caller has sent
+// after it has waited for an answer for some time. It is the inverse of
+// callerWait.
+func copiesSent(wait time.Duration) uint32 {
+	switch {
+	case wait < firstCopyAge:
+		return 0
+	case wait < secondCopyAge:
+		return 1
+	default:
+		return 2
+	}
+}
+
 // full reports whether another request would have to wait at the target.
 func (m *Machine) full() bool {
 	slots := m.slots()
@@ -73,13 +90,16 @@
 // flow is queued or was refused. In both cases the target does not get it now.
 func (m *Machine) queueIfFull(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) bool {
 	since := now - callerWait(p.Ack)
-	if !m.queue.UpdateSince(p.Key, since) {
+	if m.queue.UpdateSince(p.Key, since) {
+		v := m.queue.Value(p.Key)
+		v.copies = max(v.copies, p.Ack)
+	} else {
 		if !m.full() {
 			return false
 		}
 		it := waitqueue.Item[flow.Key, queuedFlow]{
 			Key: p.Key, Since: since, Objective: defaultObjective, Timeout: defaultTimeout,
-			Value: queuedFlow{slices.Clone(p.Raw), relay.Message{Origin: msg.Origin, Home: msg.Home, Hops: msg.Hops, RefusedBy: msg.RefusedBy}},
+			Value: queuedFlow{slices.Clone(p.Raw), relay.Message{Origin: msg.Origin, Home: msg.Home, Hops: msg.Hops, RefusedBy: msg.RefusedBy}, p.Ack},
 		}
 		if r, ok := m.View.Route(p.Key.Service()); ok {
 			it.Priority = r.Priority
@@ -88,7 +108,7 @@
 		}
 		evicted, full := m.queue.Push(it, now, m.answerTime())
 		if full {
-			m.refuseQueued(&evicted, "queue_full", out)
+			m.refuseQueued(now, &evicted, "queue_full", out)
 			if evicted.Key == it.Key {
 				return true
 			}
@@ -107,10 +127,10 @@
 	}
 	service, answer := m.serviceTime(), m.answerTime()
 	for it, ok := m.queue.PopExpired(now, service); ok; it, ok = m.queue.PopExpired(now, service) {
-		m.refuseQueued(&it, "no_slot_in_time", out)
+		m.refuseQueued(now, &it, "no_slot_in_time", out)
 	}
 	for it, ok := m.queue.PopStarved(now, answer); ok; it, ok = m.queue.PopStarved(now, answer) {
-		m.refuseQueued(&it, "overload", out)
+		m.refuseQueued(now, &it, "overload", out)
 	}
 	reason := m.refusalReason(now)
 	for m.queue.Len() > 0 && (reason != "" || !m.full()) {
@@ -129,11 +149,19 @@
 	}
 }
 
-// refuseQueued refuses a queued flow. The flow has reached no target.
-func (m *Machine) refuseQueued(it *waitqueue.Item[flow.Key, queuedFlow], reason string, out *plane.Out) {
-	if p, err := m.Codec.FromCaller(it.Value.raw); err == nil {
-		m.refuse(&p, &it.Value.msg, reason, out)
+// refuseQueued refuses a queued flow. The flow has reached no target through this
+// agent. If its caller has sent copies that did not come here, another target may
+// have accepted one, so the caller gets no answer from this agent.
+func (m *Machine) refuseQueued(now time.Duration, it *waitqueue.Item[flow.Key, queuedFlow], reason string, out *plane.Out) {
+	p, err := m.Codec.FromCaller(it.Value.raw)
+	if err != nil {
+		return
+	}
+	if copiesSent(now-it.Since) > it.Value.copies {
+		m.giveUp(&p, &it.Value.msg, "copy_elsewhere", out)
+		return
 	}
+	m.refuse(&p, &it.Value.msg, reason, out)
 }
 
 // answerTime returns the time from the admission of a flow within which nearly
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -47,7 +47,9 @@
 	Waiting
 	// Heartbeat reports the sender's load and the progress of its view.
 	Heartbeat
-	// Refused reports that the sender has refused a new flow to its caller.
+	// Refused reports that the sender has refused a new flow to its caller, or
+	// has dropped it because another target may have accepted a copy of its
+	// opening packet.
 	Refused
 	// Survey asks an agent to search its data centre for the owner of a flow,
 	// and carries the packet.
--- a/core/waitqueue/waitqueue.go
+++ b/core/waitqueue/waitqueue.go
@@ -76,6 +76,17 @@
 	return false
 }
 
+// Value returns the value of a waiting flow, or nil if the flow does not wait. The
+// result is valid until the next change of the queue.
+func (q *Queue[K, V]) Value(key K) *V {
+	for i := range q.items {
+		if q.items[i].Key == key {
+			return &q.items[i].Value
+		}
+	}
+	return nil
+}
+
 // Pop removes and returns the next flow. Flows that can still meet their
 // objective come before late ones, then flows are ordered by priority and age.
 // answerTime is the time from admission within which nearly all answers arrive.
