core/ownership: no refusal of a flow that another target may have accepted

Cause: if the chosen agent does not report in time, the home places the flow again, and refused it if no target was left. The first target may have accepted the flow, with the report lost or late.

Change: a home refuses a flow only if it has placed it nowhere. Otherwise it drops the flow.

Measured: TestPlacedFlowIsNotRefusedByItsHome fails before, passes after.

--- a/core/ownership/copies_test.go
+++ b/core/ownership/copies_test.go
@@ -35,3 +35,15 @@
 		assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.Refused})
 	}
 }
+
+// Guards against the refusal of a flow that a target may have accepted, because
+// the report of its agent was lost and no other target is left.
+func TestPlacedFlowIsNotRefusedByItsHome(t *testing.T) {
+	f := newFixture(t, true)
+	f.Leave()
+	f.balancerSends(relay.Open, flow.Packet{Key: fleettest.Key(1), Open: true, Seq: 100})
+	assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.Place})
+	f.removeTargets(0, 1, 2)
+	f.advance(minOwnerTimeout)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+}
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -47,7 +47,12 @@
 // place chooses a target and offers the flow to it.
 func (m *Machine) place(now time.Duration, p *flow.Packet, msg *relay.Message, tried []netip.Addr, out *plane.Out) {
 	to, ok := m.choose(now, p.Key, tried)
-	if !ok {
+	switch {
+	case !ok && len(tried) > 0:
+		// An agent in tried may have accepted the flow, and its report was lost.
+		m.giveUp(p, msg, "no_other_target", out)
+		return
+	case !ok:
 		m.refuse(p, msg, "no_target", out)
 		return
 	}
