core/ownership: the time of day alone does not make a target new

If the time of day jumps back by seconds and the agent alone restarts during the warm-up of its target, a target that has flows counts as new, and these flows are reset.

Change: the target's entry must also appear after the agent has had a view that was current at the agent's start or later. If the first such view already lists the target, the agent does not take it for new.

TestTargetThatStartedWithItsAgent listed the target in the first view in all cases, which is the order of events of the fault. The target is now listed after the first view, as on the platform, and the old order is a case that must not count as new. All former cases and answers stay.

Measured: TestTargetThatStartedWithItsAgent, TestFreshTargetNeedsCurrentView and TestProbesAfterLossOfAllVMs fail before, pass after. The last has the load for which the rule exists: 50 lost flows at 8 agents cause no probe, and one each at an agent whose first view comes late.

--- a/core/ownership/fresh_test.go
+++ b/core/ownership/fresh_test.go
@@ -10,33 +10,95 @@
 	"trefoilweir.example/core/fleet/fleettest"
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/flow/flowtest"
+	"trefoilweir.example/core/plane"
 	"trefoilweir.example/core/relay"
 )
 
-// Guards against a storm of probes after the loss of all VMs. No restarted
-// agent knew what its target held, so each packet of 1,975 lost flows went to
-// every target of the service.
+// Guards against a storm of probes after the loss of all VMs, and against an
+// agent that denies flows of its target because the time of day jumped between
+// their starts. In the storm no restarted agent knew what its target held, so
+// each packet of 1,975 lost flows went to every target of the service.
 func TestTargetThatStartedWithItsAgent(t *testing.T) {
 	const started = 1_000_000
 	for name, c := range map[string]struct {
-		startUnixMS int64
-		warmup      int
-		answer      relay.Kind
+		startUnixMS   int64
+		warmup        int
+		listedAtFirst bool
+		answer        relay.Kind
 	}{
-		"with the agent":                          {started - maxStartSkew.Milliseconds(), 1500, relay.NotOwner},
-		"after the agent":                         {started + 3000, 1500, relay.NotOwner},
-		"before the agent":                        {started - maxStartSkew.Milliseconds() - 1, 1500, relay.MaybeOwner},
-		"time of day is off, not warming up":      {started + 5000, 0, relay.MaybeOwner},
-		"long before the agent, still warming up": {started - 60_000, 100, relay.MaybeOwner},
+		"with the agent":                             {started - maxStartSkew.Milliseconds(), 1500, false, relay.NotOwner},
+		"after the agent":                            {started + 3000, 1500, false, relay.NotOwner},
+		"before the agent":                           {started - maxStartSkew.Milliseconds() - 1, 1500, false, relay.MaybeOwner},
+		"time of day is off, not warming up":         {started + 5000, 0, false, relay.MaybeOwner},
+		"time of day is off, listed before":          {started + 1000, 1500, true, relay.MaybeOwner},
+		"long before the agent, still warming up":    {started - 60_000, 100, false, relay.MaybeOwner},
+		"start time is missing":                      {0, 1500, false, relay.MaybeOwner},
+		"with the agent, but listed before its view": {started - 1, 1500, true, relay.MaybeOwner},
 	} {
-		target := fleettest.Target(0, fleet.Ready)
-		target.StartUnixMS, target.WarmupMS = c.startUnixMS, c.warmup
-		v := fleettest.View(0, target, fleettest.Target(1, fleet.Ready))
-		f := &fixture{T: t, Machine: New(0, Options{Self: fleettest.Agent(0), DataCentre: fleettest.DataCentre, Service: fleettest.Service,
-			Target: netip.AddrPortFrom(fleettest.Agent(0), 80), StartedMS: started, Codec: flowtest.Codec{}, View: v})}
-		f.advance(10 * time.Millisecond)
-		f.balancerSends(relay.Search, flow.Packet{Key: fleettest.Key(1), Seq: 101, Ack: 5001, Len: 10})
-		assert.DeepEqual(t, f.sentKinds(), []relay.Kind{c.answer})
-		assert.Equal(t, len(f.out.ToTarget), 0, name)
+		t.Run(name, func(t *testing.T) {
+			target := fleettest.Target(0, fleet.Ready)
+			target.StartUnixMS, target.WarmupMS = c.startUnixMS, c.warmup
+			first := fleettest.Target(0, fleet.Ready)
+			if c.listedAtFirst {
+				first = target
+			}
+			v := fleettest.View(0, first, fleettest.Target(1, fleet.Ready))
+			f := &fixture{T: t, Machine: New(0, Options{Self: fleettest.Agent(0), DataCentre: fleettest.DataCentre, Service: fleettest.Service,
+				Target: netip.AddrPortFrom(fleettest.Agent(0), 80), StartedMS: started, Codec: flowtest.Codec{}, View: v})}
+			f.advance(10 * time.Millisecond)
+			v.Apply(f.now, &fleet.Delta{Revision: fleettest.Revision + 1, Changes: []fleet.Change{{ID: target.ID, Revision: fleettest.Revision + 1, Target: target}}})
+			f.advance(10 * time.Millisecond)
+			f.balancerSends(relay.Search, flow.Packet{Key: fleettest.Key(1), Seq: 101, Ack: 5001, Len: 10})
+			assert.DeepEqual(t, f.sentKinds(), []relay.Kind{c.answer})
+			assert.Equal(t, len(f.out.ToTarget), 0)
+		})
+	}
+}
+
+// Guards against an agent that takes its target for new because the agent's
+// first view was older than the agent: the target was listed only after that
+// view, and had flows before the agent restarted.
+func TestFreshTargetNeedsCurrentView(t *testing.T) {
+	const started = 1_000_000
+	v := fleettest.View(0, fleettest.Target(0, fleet.Ready))
+	f := &fixture{T: t, now: time.Second, Machine: New(time.Second, Options{Self: fleettest.Agent(0), DataCentre: fleettest.DataCentre, Service: fleettest.Service,
+		Target: netip.AddrPortFrom(fleettest.Agent(0), 80), StartedMS: started, Codec: flowtest.Codec{}, View: v})}
+	f.advance(10 * time.Millisecond)
+	target := fleettest.Target(0, fleet.Ready)
+	target.StartUnixMS, target.WarmupMS = started+1000, 1500
+	v.Apply(f.now, &fleet.Delta{Revision: fleettest.Revision + 1, Changes: []fleet.Change{{ID: target.ID, Revision: fleettest.Revision + 1, Target: target}}})
+	f.advance(10 * time.Millisecond)
+	assert.Assert(t, f.mayHoldUnknownFlows(f.now))
+}
+
+// Guards against probes after the loss of all VMs, in the order of events that
+// the users' platform has: the first view of an agent lists the lost target, and
+// the new one registers a moment later. An agent whose first view lists the new
+// target costs one probe of each lost flow.
+func TestProbesAfterLossOfAllVMs(t *testing.T) {
+	const agents, flows, started = 8, 50, 1_000_000
+	for _, lateAgents := range []int{0, 1} {
+		s := newRestartedFleet(t, func(byte) string { return "dc-0" }, agents)
+		s.agents = map[netip.Addr]*Machine{}
+		for n := range byte(agents) {
+			target := fleettest.Target(n, fleet.Ready)
+			target.DataCentre, target.StartUnixMS, target.WarmupMS = "dc-0", started-1, 1500
+			v := fleettest.View(0, s.view.Targets(fleettest.Service)...)
+			s.agents[target.Agent()] = New(0, Options{Self: target.Agent(), DataCentre: target.DataCentre, Service: fleettest.Service,
+				Target: target.Address, StartedMS: started, Codec: flowtest.Codec{}, View: v})
+			if int(n) >= lateAgents {
+				s.agents[target.Agent()].Tick(0, &plane.Out{})
+			}
+			revision := v.Revision() + 1
+			v.Apply(0, &fleet.Delta{Revision: revision, Changes: []fleet.Change{{ID: target.ID, Revision: revision, Target: target}}})
+		}
+		s.advance(10 * ms)
+		for port := range uint16(flows) {
+			m := relay.Message{Kind: relay.Packet, Service: tag, Origin: balancer, Home: fleettest.Agent(byte(port % agents)),
+				Body: flowtest.Encode(flow.Packet{Key: fleettest.Key(port), Seq: 111, Ack: 5001, Len: 10})}
+			s.deliver(balancer, m.Home, m)
+		}
+		assert.Equal(t, s.resets, flows)
+		assert.Equal(t, len(s.misdelivered), lateAgents*flows)
 	}
 }
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -177,6 +177,9 @@
 	targetProbedAt, nextTargetCheck time.Duration
 	lastSweep                       time.Duration
 	targetStartUnixMS               int64
+	// sawCurrentView says that a view was known at a tick that was confirmed since
+	// the start of the agent.
+	sawCurrentView bool
 }
 
 // record is what a home knows about a flow.
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -18,7 +18,7 @@
 	m.checkPlacements(now, out)
 	m.checkSearches(now, out)
 	m.checkSurveys(now, out)
-	m.checkIncarnation(out)
+	m.checkIncarnation(now, out)
 	m.admit(now, out)
 	if now-m.lastSweep >= sweepInterval {
 		m.sweep(now)
@@ -27,7 +27,9 @@
 
 // checkIncarnation detects that the target has been replaced by a new
 // incarnation.
-func (m *Machine) checkIncarnation(out *plane.Out) {
+func (m *Machine) checkIncarnation(now time.Duration, out *plane.Out) {
+	sawCurrentView := m.sawCurrentView
+	m.sawCurrentView = m.sawCurrentView || m.View.Usable() && m.View.Age(now) <= now-m.startedAt
 	t := m.View.TargetAt(m.Self)
 	if t == nil || t.Address != m.Target || t.StartUnixMS == m.targetStartUnixMS {
 		return
@@ -37,14 +39,18 @@
 		m.stats.serviceTime = 0
 	}
 	m.targetStartUnixMS = t.StartUnixMS
-	m.checkFreshTarget(t, out)
+	if sawCurrentView {
+		m.checkFreshTarget(t, out)
+	}
 }
 
 // checkFreshTarget detects that the target started no earlier than the agent.
 // All its flows then came through this agent, so it holds none that the agent
 // does not know. Otherwise, after the loss of all VMs, every packet of a lost
-// flow would go to every target of the service as a probe. Clocks may be off by
-// seconds, so the target must be warming up as well.
+// flow would go to every target of the service as a probe. The time of day may
+// have jumped by seconds between the two starts. So it counts only for a target
+// that is warming up and whose entry appeared after the agent had a view that
+// was current at its start or later.
 func (m *Machine) checkFreshTarget(t *fleet.Target, out *plane.Out) {
 	age := time.Duration(m.StartedMS-t.StartUnixMS) * time.Millisecond
 	if m.unknownFlowsUntil == 0 || t.WarmupMS <= 0 || age > maxStartSkew {
