core/ownership: copies elsewhere also count when a target stops taking flows

Cause: a queued flow whose target starts to drain, or whose agent stops, is handed over, and was refused if no other agent takes it, even if copies of its opening packet had gone elsewhere.

Change: such a flow ends by the same rule as other queued flows.

Measured: TestQueuedFlowOfDrainingTargetIsNotRefused fails before, passes after.

--- a/core/ownership/copies_test.go
+++ b/core/ownership/copies_test.go
@@ -36,6 +36,26 @@
 	}
 }
 
+// Guards against the refusal of such a flow when the target starts to drain.
+func TestQueuedFlowOfDrainingTargetIsNotRefused(t *testing.T) {
+	for copiesSeenHere, refusals := range []int{0, 1} {
+		f := newFixture(t, true)
+		for port := uint16(100); port < 105; port++ {
+			f.openFlow(port)
+		}
+		key := fleettest.Key(1)
+		f.balancerSends(relay.Place, flow.Packet{Key: key, Open: true, Seq: 100})
+		f.advance(firstCopyAge)
+		if copiesSeenHere == 1 {
+			f.balancerSends(relay.Place, flow.Packet{Key: key, Open: true, Seq: 100, Ack: 1})
+		}
+		f.removeTargets(0, 1, 2)
+		f.advance(ms)
+		assert.Equal(t, f.Queued(), 0)
+		assert.Equal(t, len(f.out.ToCaller), refusals, "with %d copies seen", copiesSeenHere)
+	}
+}
+
 // Guards against the refusal of a flow that a target may have accepted, because
 // the report of its agent was lost and no other target is left.
 func TestPlacedFlowIsNotRefusedByItsHome(t *testing.T) {
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -154,12 +154,8 @@
 // handOver forwards an opening packet to the agent of another target, or
 // refuses the flow if there is none.
 func (m *Machine) handOver(now time.Duration, p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
-	tried := []netip.Addr{m.Self}
-	if msg.RefusedBy.IsValid() {
-		tried = append(tried, msg.RefusedBy)
-	}
-	to, ok := m.choose(now, p.Key, tried)
-	if !ok || slices.Contains(tried, to) || msg.Hops >= maxHops {
+	to, ok := m.handOverTo(now, p, msg)
+	if !ok {
 		m.refuse(p, msg, reason, out)
 		return
 	}
@@ -170,6 +166,17 @@
 	m.forward(to, relay.Place, p, &forwarded, out)
 }
 
+// handOverTo returns the agent to which a new flow is handed over, and whether
+// there is one.
+func (m *Machine) handOverTo(now time.Duration, p *flow.Packet, msg *relay.Message) (netip.Addr, bool) {
+	tried := []netip.Addr{m.Self}
+	if msg.RefusedBy.IsValid() {
+		tried = append(tried, msg.RefusedBy)
+	}
+	to, ok := m.choose(now, p.Key, tried)
+	return to, ok && !slices.Contains(tried, to) && msg.Hops < maxHops
+}
+
 // refuse resets a new flow that no target takes.
 func (m *Machine) refuse(p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
 	m.reset(p, reason, out)
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -140,7 +140,7 @@
 			continue
 		}
 		if reason != "" {
-			m.handOver(now, &p, &it.Value.msg, reason, out)
+			m.handOverQueued(now, &it, &p, reason, out)
 			continue
 		}
 		out.Event(plane.Event{Kind: plane.EventAdmitted, Flow: it.Key, PacketSeq: p.Seq, Value: (now - it.Since).Milliseconds()})
@@ -157,13 +157,29 @@
 	if err != nil {
 		return
 	}
-	if copiesSent(now-it.Since) > it.Value.copies {
+	if copiesElsewhere(now, it) {
 		m.giveUp(&p, &it.Value.msg, "copy_elsewhere", out)
 		return
 	}
 	m.refuse(&p, &it.Value.msg, reason, out)
 }
 
+// handOverQueued hands a queued flow over, or ends it like refuseQueued if no
+// other agent takes it.
+func (m *Machine) handOverQueued(now time.Duration, it *waitqueue.Item[flow.Key, queuedFlow], p *flow.Packet, reason string, out *plane.Out) {
+	if _, ok := m.handOverTo(now, p, &it.Value.msg); !ok {
+		m.refuseQueued(now, it, reason, out)
+		return
+	}
+	m.handOver(now, p, &it.Value.msg, reason, out)
+}
+
+// copiesElsewhere reports whether the caller of a queued flow has sent copies that
+// did not come here.
+func copiesElsewhere(now time.Duration, it *waitqueue.Item[flow.Key, queuedFlow]) bool {
+	return copiesSent(now-it.Since) > it.Value.copies
+}
+
 // answerTime returns the time from the admission of a flow within which nearly
 // all first answers come.
 func (m *Machine) answerTime() time.Duration {
