--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -47,7 +47,12 @@
 // place chooses a target and offers the flow to it.
 func (m *Machine) place(now time.Duration, p *flow.Packet, msg *relay.Message, tried []netip.Addr, out *plane.Out) {
 	to, ok := m.choose(now, p.Key, tried)
-	if !ok {
+	switch {
+	case !ok && len(tried) > 0:
+		// An agent in tried may have accepted the flow, and its report was lost.
+		m.giveUp(p, msg, "no_other_target", out)
+		return
+	case !ok:
 		m.refuse(p, msg, "no_target", out)
 		return
 	}
@@ -149,12 +154,8 @@
 // handOver forwards an opening packet to the agent of another target, or
 // refuses the flow if there is none.
 func (m *Machine) handOver(now time.Duration, p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
-	tried := []netip.Addr{m.Self}
-	if msg.RefusedBy.IsValid() {
-		tried = append(tried, msg.RefusedBy)
-	}
-	to, ok := m.choose(now, p.Key, tried)
-	if !ok || slices.Contains(tried, to) || msg.Hops >= maxHops {
+	to, ok := m.handOverTo(now, p, msg)
+	if !ok {
 		m.refuse(p, msg, reason, out)
 		return
 	}
@@ -165,10 +166,33 @@
 	m.forward(to, relay.Place, p, &forwarded, out)
 }
 
-// refuse resets a new flow that no target takes. It notifies the balancer and
-// the home, and ends its own placement, so that no timer places the flow again.
+// handOverTo returns the agent to which a new flow is handed over, and whether
+// there is one.
+func (m *Machine) handOverTo(now time.Duration, p *flow.Packet, msg *relay.Message) (netip.Addr, bool) {
+	tried := []netip.Addr{m.Self}
+	if msg.RefusedBy.IsValid() {
+		tried = append(tried, msg.RefusedBy)
+	}
+	to, ok := m.choose(now, p.Key, tried)
+	return to, ok && !slices.Contains(tried, to) && msg.Hops < maxHops
+}
+
+// refuse resets a new flow that no target takes.
 func (m *Machine) refuse(p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
 	m.reset(p, reason, out)
+	m.release(p, msg, out)
+}
+
+// giveUp drops a new flow without an answer to its caller, because a target may
+// have accepted it.
+func (m *Machine) giveUp(p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
+	out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: reason})
+	m.release(p, msg, out)
+}
+
+// release notifies the balancer and the home that this agent does not place a
+// flow, and ends its own placement, so that no timer places the flow again.
+func (m *Machine) release(p *flow.Packet, msg *relay.Message, out *plane.Out) {
 	m.notify(relay.Refused, p.Key, msg, out)
 	m.endPlacement(p.Key)
 	if r := m.records[p.Key]; r != nil && !r.confirmed {
