dispatch: send packets to a known owner in the name of its own service

Cause: the balancer derived the service of each packet anew from the route of its address. After a version with other weights or another service, packets of open flows carried the tag of a service to which the owner does not belong. The owner's agent drops such packets (other_service), so the flow is silent until its caller gives up.

Change: the table of owners keeps the service tag that the owner reported, and packets to a known owner carry it.

Result: TestKnownOwnerKeepsItsService failed before the change (the packet had the tag of the new service) and passes now; go test ./core/dispatch passes.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -60,7 +60,10 @@
 )
 
 type owner struct {
-	agent    netip.Addr
+	agent netip.Addr
+	// service is the tag of the owner's service, as the owner reported it. It
+	// may differ from the one that the route has now.
+	service  uint64
 	lastSeen time.Duration
 }
 
@@ -170,7 +173,7 @@
 	}
 	if e := m.owners[p.Key]; e != nil {
 		e.lastSeen = now
-		m.forward(e.agent, m.serviceOf(p), p, out)
+		out.Send(e.agent, relay.Message{Kind: relay.Packet, Service: e.service, Origin: m.self, Body: p.Raw})
 		return
 	}
 	m.forwardUnknown(now, p, out)
@@ -189,10 +192,6 @@
 	return r.ServiceOf(p.Key.Hash())
 }
 
-func (m *Machine) forward(to netip.Addr, service string, p *flow.Packet, out *plane.Out) {
-	out.Send(to, relay.Message{Kind: relay.Packet, Service: relay.ServiceTag(service), Origin: m.self, Body: p.Raw})
-}
-
 // forwardUnknown forwards a packet to the home of its flow because the owner of
 // the flow is not known.
 func (m *Machine) forwardUnknown(now time.Duration, p *flow.Packet, out *plane.Out) {
@@ -291,7 +290,7 @@
 		e = &owner{}
 		m.owners[msg.Flow] = e
 	}
-	e.agent, e.lastSeen = from, now
+	e.agent, e.service, e.lastSeen = from, msg.Service, now
 }
 
 // Tick handles the timeouts that are due at the time now. It must be called at
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -171,3 +171,33 @@
 	m.FromCaller(late+fleet.ReturnGrace+ms, openPacket(3, 0), &out)
 	assert.Equal(t, len(out.ToCaller), 2)
 }
+
+// setRoute brings a new version with one route into force.
+func setRoute(v *fleet.View, r fleet.Route) {
+	r.Name, r.Address = "r", fleettest.Address
+	v.Apply(0, &fleet.Delta{Revision: v.Revision(), Config: &fleet.Config{Version: v.Version() + 1, Routes: []fleet.Route{r}}})
+}
+
+// Guards against packets of open flows that are sent to their owner in the name
+// of another service, because a new version changed the weights of their route
+// or its service. The owner drops such packets.
+func TestKnownOwnerKeepsItsService(t *testing.T) {
+	const other = "seats"
+	for _, c := range []struct{ before, after fleet.Route }{
+		{fleet.Route{Split: []fleet.WeightedService{{Service: fleettest.Service, Weight: 1}, {Service: other}}},
+			fleet.Route{Split: []fleet.WeightedService{{Service: fleettest.Service}, {Service: other, Weight: 1}}}},
+		{fleet.Route{Service: fleettest.Service}, fleet.Route{Service: other}},
+	} {
+		v := fleettest.View(0, fleettest.Ready(3)...)
+		setRoute(v, c.before)
+		m := New(self, "dc", flowtest.Codec{}, v)
+		var out plane.Out
+		m.FromCaller(0, openPacket(1, 0), &out)
+		m.FromPeer(5*ms, fleettest.Agent(2), &relay.Message{Kind: relay.Owner, Service: relay.ServiceTag(fleettest.Service), Flow: fleettest.Key(1)}, &out)
+		setRoute(v, c.after)
+		out.Clear()
+		m.FromCaller(6*ms, dataPacket(1), &out)
+		assert.Equal(t, out.Sends[0].To, fleettest.Agent(2))
+		assert.Equal(t, out.Sends[0].Message.Service, relay.ServiceTag(fleettest.Service))
+	}
+}
