ownership: search the other services of an address before a reset

Cause: the service of an open flow was derived anew from its route. After a version with other weights or another service, a balancer that did not know the owner sent packets of open flows to a service that does not hold them. The home there asked all agents of its own service, all denied, and the flow was reset although its target was sound.

The datagram (redirect, a new kind, so that agents of earlier builds do not take its list for a part of the packet) lists the services that were searched, at most eight. Only the last service resets the flow. A record forwards the list too, so that outdated records in two services cannot make a packet circulate. If the route's service has no targets, the balancer sends packets of unknown owners to an earlier service. New flows go by the current route only, as before.

A process that starts after a version replaced a service, and reads it at the platform, does not know the earlier service.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -193,19 +193,22 @@
 }
 
 // forwardUnknown forwards a packet to the home of its flow because the owner of
-// the flow is not known.
+// the flow is not known. If the service of the route has no targets, it uses
+// another service to which the address led. The agents find the service that
+// holds the flow.
 func (m *Machine) forwardUnknown(now time.Duration, p *flow.Packet, out *plane.Out) {
 	service := m.serviceOf(p)
 	if service == "" {
 		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: "no_route"})
 		return
 	}
-	homes := m.homes(now, service, p.Key, m.view.RemovedTargets(service))
-	if len(homes) == 0 {
-		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: "no_target"})
-		return
+	for _, candidate := range append([]string{service}, m.view.ServicesOf(p.Key.Service())...) {
+		if homes := m.homes(now, candidate, p.Key, m.view.RemovedTargets(candidate)); len(homes) > 0 {
+			out.Send(homes[0], relay.Message{Kind: relay.Packet, Service: relay.ServiceTag(candidate), Origin: m.self, Home: homes[0], Body: p.Raw})
+			return
+		}
 	}
-	out.Send(homes[0], relay.Message{Kind: relay.Packet, Service: relay.ServiceTag(service), Origin: m.self, Home: homes[0], Body: p.Raw})
+	out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: "no_target"})
 }
 
 // homes returns the homes of a flow in order, suspects last. It uses the ready
@@ -214,7 +217,7 @@
 func (m *Machine) homes(now time.Duration, service string, key flow.Key, fallback []*fleet.Target) []netip.Addr {
 	hash := key.Hash()
 	m.homesBuffer = m.homesBuffer[:0]
-	for _, targets := range [][]*fleet.Target{m.ready(service), m.view.Targets(service), fallback} {
+	for _, targets := range [][]*fleet.Target{m.view.ReadyTargets(service), m.view.Targets(service), fallback} {
 		if m.homesBuffer = fleet.Homes(m.homesBuffer, targets, hash, m.dataCentre); len(m.homesBuffer) > 0 {
 			break
 		}
@@ -223,16 +226,6 @@
 	return m.homesBuffer
 }
 
-func (m *Machine) ready(service string) []*fleet.Target {
-	var ready []*fleet.Target
-	for _, t := range m.view.Targets(service) {
-		if t.State == fleet.Ready {
-			ready = append(ready, t)
-		}
-	}
-	return ready
-}
-
 func (m *Machine) suspectRank(now time.Duration, agent netip.Addr) int {
 	if until, ok := m.suspects[agent]; ok && now < until {
 		return 1
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -201,3 +201,17 @@
 		assert.Equal(t, out.Sends[0].Message.Service, relay.ServiceTag(fleettest.Service))
 	}
 }
+
+// Guards against packets of open flows that are dropped because the new service
+// of their route has no targets yet.
+func TestNewServiceWithoutTargets(t *testing.T) {
+	v := fleettest.View(0, fleettest.Ready(2)...)
+	m := New(self, "dc", flowtest.Codec{}, v)
+	setRoute(v, fleet.Route{Service: "seats"})
+	var out plane.Out
+	m.FromCaller(ms, dataPacket(1), &out)
+	assert.Equal(t, len(out.Sends), 1)
+	assert.Equal(t, out.Sends[0].Message.Service, relay.ServiceTag(fleettest.Service))
+	m.FromCaller(ms, openPacket(2, 0), &out)
+	assert.Equal(t, len(out.Sends), 1, "a new flow goes by the current route only")
+}
--- a/core/fleet/homes.go
+++ b/core/fleet/homes.go
@@ -38,6 +38,18 @@
 	return dst
 }
 
+// HomeOf returns the first home of an open flow in a service, and whether there
+// is one. It uses the ready targets, or all listed ones if none is ready, or the
+// removed ones if none is listed.
+func (v *View) HomeOf(service string, hash uint64, dataCentre string) (netip.Addr, bool) {
+	for _, targets := range [][]*Target{v.ReadyTargets(service), v.Targets(service), v.RemovedTargets(service)} {
+		if homes := Homes(nil, targets, hash, dataCentre); len(homes) > 0 {
+			return homes[0], true
+		}
+	}
+	return netip.Addr{}, false
+}
+
 // Score returns the rendezvous score of an agent for the hash of a flow.
 func Score(hash uint64, agent netip.Addr) uint64 {
 	var b [8 + 4]byte
--- a/core/fleet/lookup.go
+++ b/core/fleet/lookup.go
@@ -42,6 +42,17 @@
 // must not change the result.
 func (v *View) Targets(service string) []*Target { return v.index.targets(service) }
 
+// ReadyTargets returns the listed targets of a service that take new flows.
+func (v *View) ReadyTargets(service string) []*Target {
+	var ready []*Target
+	for _, t := range v.Targets(service) {
+		if t.State == Ready {
+			ready = append(ready, t)
+		}
+	}
+	return ready
+}
+
 // Roster returns a digest of the VMs on which the listed targets of a service
 // run in a data centre. Two views with the same digest list the same VMs.
 func (v *View) Roster(service, dataCentre string) (digest uint64) {
--- /dev/null
+++ b/core/fleet/services_test.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var address = netip.MustParseAddrPort("198.18.0.1:443")
+
+// routesOver returns a view that had the routes one after the other, a second
+// apart. A nil route means that the address had none.
+func routesOver(routes ...*Route) *View {
+	v := New()
+	for i, r := range routes {
+		c := &Config{Version: uint64(i + 1)}
+		if r != nil {
+			r.Address = address
+			c.Routes = append(c.Routes, *r)
+		}
+		v.Apply(time.Duration(i)*time.Second, &Delta{Config: c})
+	}
+	return v
+}
+
+func split(services ...string) *Route {
+	r := &Route{}
+	for weight, s := range services {
+		r.Split = append(r.Split, WeightedService{Service: s, Weight: weight})
+	}
+	return r
+}
+
+// Guards against a service that is left out although it may have open flows of
+// the address, and against one that is named twice.
+func TestServicesOf(t *testing.T) {
+	for _, c := range []struct {
+		routes []*Route
+		want   []string
+	}{
+		{[]*Route{{Service: "a"}}, []string{"a"}},
+		{[]*Route{split("a", "b")}, []string{"a", "b"}},
+		{[]*Route{{Service: "a"}, {Service: "b"}}, []string{"b", "a"}},
+		{[]*Route{{Service: "a"}, {Service: "b"}, {Service: "a"}}, []string{"a", "b"}},
+		{[]*Route{split("a", "b"), split("b", "c"), {Service: "d"}}, []string{"d", "c", "b", "a"}},
+		{[]*Route{split("a", "b"), nil}, []string{"b", "a"}},
+		{[]*Route{{Service: "a"}, nil, {Service: "b"}}, []string{"b", "a"}},
+		{[]*Route{nil}, nil},
+	} {
+		assert.DeepEqual(t, routesOver(c.routes...).ServicesOf(address), c.want)
+	}
+}
+
+// Guards against earlier services that are forgotten while their flows may be
+// open, and against a history that is never discarded.
+func TestPastServicesExpire(t *testing.T) {
+	v := routesOver(&Route{Service: "a"}, &Route{Service: "b"}, nil)
+	v.Expire(time.Second + RetiredRouteRetention)
+	assert.DeepEqual(t, v.ServicesOf(address), []string{"b", "a"})
+	v.Expire(2*time.Second + RetiredRouteRetention)
+	assert.DeepEqual(t, v.ServicesOf(address), []string{"b"})
+	v.Expire(3*time.Second + RetiredRouteRetention)
+	assert.Equal(t, len(v.pastServices), 0)
+}
+
+// Guards against a history that grows with each version.
+func TestPastServicesAreBounded(t *testing.T) {
+	var routes []*Route
+	for n := range 3 * maxPastServices {
+		routes = append(routes, &Route{Service: fmt.Sprint(n)})
+	}
+	services := routesOver(routes...).ServicesOf(address)
+	assert.Equal(t, len(services), 1+maxPastServices)
+	assert.Equal(t, services[1], fmt.Sprint(3*maxPastServices-2))
+}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -47,6 +47,9 @@
 	pastConfigs []*Config
 	routes      map[netip.AddrPort]*Route
 	retired     map[netip.AddrPort]retiredRoute
+	// pastServices holds, by address, the services that it no longer leads to,
+	// the latest last.
+	pastServices map[netip.AddrPort][]pastService
 
 	// confirmedAt is when the revision was last known to be the newest.
 	confirmedAt   time.Duration
@@ -68,7 +71,7 @@
 
 // New returns an empty view.
 func New() *View {
-	return &View{entries: map[string]*entry{}, routes: map[netip.AddrPort]*Route{}, retired: map[netip.AddrPort]retiredRoute{}, index: newIndex()}
+	return &View{entries: map[string]*entry{}, routes: map[netip.AddrPort]*Route{}, retired: map[netip.AddrPort]retiredRoute{}, pastServices: map[netip.AddrPort][]pastService{}, index: newIndex()}
 }
 
 // Revision returns the revision up to which the view is complete.
@@ -202,6 +205,7 @@
 	for i := range c.Routes {
 		routes[c.Routes[i].Address] = &c.Routes[i]
 	}
+	v.recordPastServices(now, routes)
 	for address, r := range v.routes {
 		if routes[address] == nil {
 			v.retired[address] = retiredRoute{r, now}
@@ -251,8 +255,8 @@
 	}
 }
 
-// Expire discards removed entries and retired routes whose retention time has
-// passed.
+// Expire discards removed entries, retired routes and earlier services whose
+// retention time has passed.
 func (v *View) Expire(now time.Duration) {
 	for len(v.removals) > 0 && now-v.removals[0].removedAt > RemovedEntryRetention {
 		e := v.removals[0]
@@ -269,4 +273,5 @@
 			delete(v.retired, address)
 		}
 	}
+	v.expirePastServices(now)
 }
--- a/core/ownership/flows.go
+++ b/core/ownership/flows.go
@@ -55,7 +55,7 @@
 	}
 	if r := m.records[p.Key]; r != nil && r.owner != m.Self && msg.Hops < maxHops {
 		r.lastSeen = now
-		m.forward(r.owner, relay.Packet, p, msg, out)
+		m.forward(r.owner, msg.Kind, p, msg, out)
 		return
 	}
 	m.handleUnknown(now, p, msg, out)
--- a/core/ownership/fuzz_test.go
+++ b/core/ownership/fuzz_test.go
@@ -19,7 +19,7 @@
 	data := flowtest.Encode(flow.Packet{Key: key, Seq: 101, Ack: 5001, Len: 4})
 	var script []byte
 	add := func(from byte, b []byte) { script = append(append(script, from, byte(len(b))), b...) }
-	for kind := relay.Open; kind <= relay.SurveyResult; kind++ {
+	for kind := relay.Open; kind <= relay.Redirect; kind++ {
 		for _, body := range [][]byte{open, data} {
 			m := relay.Message{Kind: kind, Service: tag, Origin: balancer, Home: fleettest.Agent(1), Flow: key, Body: body}
 			add(byte(kind%4), m.Append(nil))
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -23,7 +23,8 @@
 //     a probe at an agent that has restarted. A flow has at most probeBudget
 //     probes in probeWindow unless every agent of the service has answered.
 //   - A packet for another service never reaches the target.
-//   - A flow is reset only if no target holds it.
+//   - A flow is reset only if no target holds it, in none of the services to
+//     which its address leads or led.
 package ownership
 
 import (
@@ -262,7 +263,7 @@
 		m.handleOpening(now, &p, msg, out)
 	case relay.Place:
 		m.offer(now, &p, msg, out)
-	case relay.Packet:
+	case relay.Packet, relay.Redirect:
 		m.handlePacket(now, &p, msg, out)
 	case relay.Search:
 		m.handleSearch(now, from, &p, msg, out)
@@ -292,7 +293,7 @@
 }
 
 func (m *Machine) forward(to netip.Addr, kind relay.Kind, p *flow.Packet, msg *relay.Message, out *plane.Out) {
-	out.Send(to, relay.Message{Kind: kind, Hops: msg.Hops + 1, Service: m.serviceTag, Origin: msg.Origin, Home: msg.Home, RefusedBy: msg.RefusedBy, Body: p.Raw})
+	out.Send(to, relay.Message{Kind: kind, Hops: msg.Hops + 1, Service: m.serviceTag, Origin: msg.Origin, Home: msg.Home, RefusedBy: msg.RefusedBy, DeniedServices: msg.DeniedServices, Body: p.Raw})
 }
 
 // FromTarget handles a packet from the target.
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -20,6 +20,9 @@
 	// received it.
 	raw    []byte
 	origin netip.Addr
+	// deniedServices has the tags of the services that were searched for the
+	// flow before this one.
+	deniedServices []uint64
 	// retries counts the rounds that the agent began without a packet of the
 	// caller, surveysSent the surveys, and declinedSurveys the surveys of this
 	// round that the asked agent declined. remote says that the round has asked
@@ -71,6 +74,7 @@
 		return
 	}
 	if s != nil && s.noOwner && s.ack == p.Ack {
+		s.origin, s.deniedServices = msg.Origin, msg.DeniedServices
 		m.resetSearched(now, p, s, out)
 		return
 	}
@@ -78,6 +82,7 @@
 		s = &search{}
 		m.searches[p.Key] = s
 	}
+	s.deniedServices = msg.DeniedServices
 	if !msg.Home.IsValid() && m.mayHoldUnknownFlows(now) && !s.selfDenied {
 		if !s.onlySelfAsked || s.probesSent < probeBudget {
 			m.probeSelf(now, p, msg, s, out)
@@ -185,8 +190,12 @@
 	}
 }
 
-// resetSearched resets a flow for which a search found no owner.
+// resetSearched resets a flow for which a search found no owner, unless another
+// service may hold it.
 func (m *Machine) resetSearched(now time.Duration, p *flow.Packet, s *search, out *plane.Out) {
+	if m.sendToNextService(p, s, out) {
+		return
+	}
 	m.reset(p, "no_target_holds_flow", out)
 	out.Events[len(out.Events)-1].Search = m.searchBasis(now, s)
 }
--- a/core/ownership/survey_test.go
+++ b/core/ownership/survey_test.go
@@ -27,6 +27,10 @@
 	remoteDatagrams, localDatagrams int
 	resets                          int
 	toTarget                        map[netip.Addr]int
+	// reported is the last report of an owner to the balancer, reporter its
+	// sender.
+	reported relay.Message
+	reporter netip.Addr
 }
 
 func newCluster(t *testing.T, dataCentres, agentsEach byte) *cluster {
@@ -51,6 +55,9 @@
 
 func (s *cluster) deliver(from, to netip.Addr, m relay.Message) {
 	agent := s.agents[to]
+	if to == balancer && m.Kind == relay.Owner {
+		s.reported, s.reporter = m, from
+	}
 	if agent == nil {
 		return
 	}
--- a/core/plane/out.go
+++ b/core/plane/out.go
@@ -108,6 +108,9 @@
 	// normally again.
 	EventTargetFails   EventKind = "target_fails"
 	EventTargetAnswers EventKind = "target_answers"
+	// EventNextService says that no target of the agent's service holds a flow,
+	// so its packet goes to another service of its address.
+	EventNextService EventKind = "next_service"
 )
 
 // Event is one decision with the values that it was based on.
--- a/core/relay/fields.go
+++ b/core/relay/fields.go
@@ -49,6 +49,28 @@
 	return list, rest, true
 }
 
+// appendTags appends the length of a list and its service tags, at most
+// MaxDeniedServices.
+func appendTags(b []byte, tags []uint64) []byte {
+	tags = tags[:min(len(tags), MaxDeniedServices)]
+	b = append(b, byte(len(tags)))
+	for _, tag := range tags {
+		b = binary.BigEndian.AppendUint64(b, tag)
+	}
+	return b
+}
+
+func parseTags(b []byte) (tags []uint64, rest []byte, ok bool) {
+	if len(b) == 0 || b[0] > MaxDeniedServices || len(b) < 1+int(b[0])*tagSize {
+		return nil, nil, false
+	}
+	n, rest := int(b[0]), b[1:]
+	for range n {
+		tags, rest = append(tags, binary.BigEndian.Uint64(rest)), rest[tagSize:]
+	}
+	return tags, rest, true
+}
+
 func appendAddr(b []byte, a netip.Addr) []byte {
 	if !a.Is4() {
 		return append(b, 0, 0, 0, 0)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -56,11 +56,15 @@
 	// except perhaps the agents that it lists. Those have restarted or did not
 	// answer.
 	SurveyResult
+	// Redirect carries a packet of an open flow to the home of the flow in
+	// another service of its address, because no target of the services in
+	// DeniedServices holds the flow.
+	Redirect
 )
 
 var kindNames = [...]string{Open: "open", Place: "place", Packet: "packet", Search: "search", Probe: "probe",
 	Owner: "owner", NotOwner: "not_owner", MaybeOwner: "maybe_owner", Waiting: "waiting", Heartbeat: "beat", Refused: "refused",
-	Survey: "survey", SurveyResult: "surveyed"}
+	Survey: "survey", SurveyResult: "surveyed", Redirect: "redirect"}
 
 // String returns the name of the kind in logs and metrics.
 func (k Kind) String() string {
@@ -129,6 +133,9 @@
 	// MaybeOwners and Unanswered are the agents that a SurveyResult lists:
 	// those that have restarted, and those that did not answer.
 	MaybeOwners, Unanswered []netip.Addr
+	// DeniedServices has the ServiceTags of the services none of whose targets
+	// holds the flow of a Redirect, at most MaxDeniedServices.
+	DeniedServices []uint64
 	// Body is the caller's packet.
 	Body []byte
 }
@@ -141,12 +148,16 @@
 	loadSize   = 1 + 2*4
 	addrSize   = 4
 	rosterSize = 8
+	tagSize    = 8
 	ageSize    = 2
 )
 
 // MaxListedAgents is the greatest length of a list in a SurveyResult.
 const MaxListedAgents = 100
 
+// MaxDeniedServices is the greatest length of the list in a Redirect.
+const MaxDeniedServices = 8
+
 // maxAge is the greatest Age that a datagram can carry. Append caps a greater
 // one.
 const maxAge = 0xFFFF * time.Millisecond
@@ -171,6 +182,9 @@
 		b = appendAddr(appendAddr(appendAddr(b, m.Origin), m.Home), m.RefusedBy)
 		b = appendProgress(b, m.Progress)
 		return append(binary.BigEndian.AppendUint64(b, m.Roster), m.Body...)
+	case Redirect:
+		b = appendAddr(appendAddr(appendAddr(b, m.Origin), m.Home), m.RefusedBy)
+		return append(appendTags(b, m.DeniedServices), m.Body...)
 	case Owner, NotOwner, MaybeOwner, Waiting, Refused:
 		b = m.Load.append(m.Flow.Append(b))
 		return appendAddr(b, m.Origin)
@@ -217,6 +231,15 @@
 			return m, ErrMalformed
 		}
 		m.Roster, m.Body = binary.BigEndian.Uint64(rest), rest[rosterSize:]
+	case Redirect:
+		if len(b) <= packetSize {
+			return m, ErrMalformed
+		}
+		m.Origin, m.Home, m.RefusedBy = parseAddr(rest), parseAddr(rest[4:]), parseAddr(rest[8:])
+		var ok bool
+		if m.DeniedServices, m.Body, ok = parseTags(rest[3*addrSize:]); !ok || len(m.Body) == 0 {
+			return m, ErrMalformed
+		}
 	case Owner, NotOwner, MaybeOwner, Waiting, Refused:
 		if len(b) != answerSize {
 			return m, ErrMalformed
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -20,6 +20,8 @@
 		Unanswered: []netip.Addr{netip.MustParseAddr("10.0.0.4")}},
 	{Kind: SurveyResult, Service: 7, Flow: flow.Key{CallerPort: 6}},
 	{Kind: SurveyResult, Service: 7, Unanswered: []netip.Addr{netip.MustParseAddr("10.0.0.4")}},
+	{Kind: Redirect, Hops: 1, Service: 7, Origin: netip.MustParseAddr("10.0.0.1"), Home: netip.MustParseAddr("10.0.0.2"), DeniedServices: []uint64{1 << 60, 9}, Body: []byte("packet")},
+	{Kind: Redirect, Service: 7, DeniedServices: []uint64{1, 2, 3, 4, 5, 6, 7, MaxDeniedServices}, Body: []byte{0}},
 	{Kind: Heartbeat, Service: 7, Load: Load{Flags: FlagReplyRequested}, Progress: fleet.Progress{Epoch: 2, Revision: 9, Version: 300}, Age: 5 * time.Millisecond},
 }
 
@@ -40,6 +42,22 @@
 	assert.Equal(t, got.Age, maxAge)
 }
 
+// Guards against a list that reaches into the caller's packet, so that a target
+// gets a part of it, and against one that is longer than its bound.
+func TestMalformedRedirect(t *testing.T) {
+	m := Message{Kind: Redirect, DeniedServices: []uint64{1, 2}, Body: []byte("p")}
+	encoded := m.Append(nil)
+	for n := range len(encoded) {
+		_, err := Decode(encoded[:n])
+		assert.ErrorIs(t, err, ErrMalformed)
+	}
+	m = Message{Kind: Redirect, Body: make([]byte, (MaxDeniedServices+1)*tagSize+1)}
+	encoded = m.Append(nil)
+	encoded[packetSize] = MaxDeniedServices + 1
+	_, err := Decode(encoded)
+	assert.ErrorIs(t, err, ErrMalformed)
+}
+
 // Guards against a decoder that panics, and against one that accepts datagrams
 // of other protocols.
 func FuzzDecode(f *testing.F) {
