fleet: tell a peer without a view the earlier services of the addresses

Cause: a process that gets its first view from a peer, because the platform does not answer, did not know to which services the addresses led before. If it then searched for a flow of such a service, it reset the flow.

--- a/core/fleet/delta.go
+++ b/core/fleet/delta.go
@@ -28,7 +28,7 @@
 	if v.config != nil && p.Version < v.config.Version {
 		d.ConfigRevision = v.configRevision
 		if d.Patch = v.patchFrom(p.Version); d.Patch == nil {
-			d.Config = v.config
+			d.Config, d.PastServices = v.config, v.pastServicesAt(now)
 		}
 	}
 	return d
--- a/core/fleet/fuzz_test.go
+++ b/core/fleet/fuzz_test.go
@@ -14,6 +14,7 @@
 		`{"revision":9,"changes":[{"id":"a","revision":9,"target":{"id":"a","service":"s","address":"10.0.0.1:80","state":"ready","born":2}},{"id":"b","revision":8}]}`,
 		`{"revision":20,"full":true,"changes":[],"config":{"version":3,"routes":[{"name":"r","address":"198.18.0.1:1","split":[{"service":"s","weight":-1}]}]}}`,
 		`{"revision":3,"patch":{"base":1,"version":2,"set":[{"address":"198.18.0.1:1"}],"removed":["198.18.0.1:1","x"]},"disturbed_ms":5}`,
+		`{"revision":20,"config":{"version":3},"past_services":[{"address":"198.18.0.1:1","service":"s","ago_ms":9223372036854775807},{"address":"198.18.0.1:1","service":"t","ago_ms":5}]}`,
 		`{"changes":[{"id":"a","revision":1,"target":{"address":""}}]}`,
 		`{"confirmed_ms":-1}`, `null`, `[]`,
 	} {
--- a/core/fleet/services.go
+++ b/core/fleet/services.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -62,12 +64,39 @@
 	}
 }
 
+// addPastService adds a service to the history of an address. If the service is
+// in it already, the later time counts.
 func (v *View) addPastService(address netip.AddrPort, added pastService) {
-	past := slices.DeleteFunc(v.pastServices[address], func(p pastService) bool { return p.service == added.service })
+	past := v.pastServices[address]
+	if i := slices.IndexFunc(past, func(p pastService) bool { return p.service == added.service }); i >= 0 {
+		added.leftAt = max(added.leftAt, past[i].leftAt)
+		past = slices.Delete(past, i, i+1)
+	}
 	past = append(past, added)
+	slices.SortStableFunc(past, func(a, b pastService) int { return cmp.Compare(a.leftAt, b.leftAt) })
 	v.pastServices[address] = past[max(0, len(past)-maxPastServices):]
 }
 
+// pastServicesAt returns the earlier services of all addresses, for a peer.
+func (v *View) pastServicesAt(now time.Duration) []PastService {
+	var told []PastService
+	for _, address := range slices.SortedFunc(maps.Keys(v.pastServices), netip.AddrPort.Compare) {
+		for _, p := range v.pastServices[address] {
+			told = append(told, PastService{address, p.service, max(0, now-p.leftAt).Milliseconds()})
+		}
+	}
+	return told
+}
+
+// addToldServices adds the earlier services that a peer has told.
+func (v *View) addToldServices(now time.Duration, told []PastService) {
+	for _, p := range told {
+		if ago := time.Duration(p.AgoMS) * time.Millisecond; p.AgoMS <= RetiredRouteRetention.Milliseconds() {
+			v.addPastService(p.Address, pastService{p.Service, now - ago})
+		}
+	}
+}
+
 // expirePastServices discards the earlier services whose open flows may be
 // discarded by now.
 func (v *View) expirePastServices(now time.Duration) {
--- a/core/fleet/services_test.go
+++ b/core/fleet/services_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -66,6 +67,35 @@
 	assert.Equal(t, len(v.pastServices), 0)
 }
 
+// Guards against a process that resets open flows of an earlier service because
+// it started after the version that replaced the service and got its view from
+// a peer.
+func TestPastServicesAreTold(t *testing.T) {
+	v := routesOver(&Route{Service: "a"}, split("b", "c"), &Route{Service: "d"})
+	d := v.Since(3*time.Second, Progress{})
+	data, err := json.Marshal(d)
+	assert.NilError(t, err)
+	var told Delta
+	assert.NilError(t, json.Unmarshal(data, &told))
+	assert.NilError(t, told.Validate())
+	peer := New()
+	for range 2 {
+		peer.Apply(3*time.Second, &told)
+		assert.DeepEqual(t, peer.ServicesOf(address), []string{"d", "c", "b", "a"})
+	}
+	// The age of the history does not start anew at the peer.
+	peer.Expire(time.Second + RetiredRouteRetention + time.Millisecond)
+	assert.DeepEqual(t, peer.ServicesOf(address), []string{"d", "c", "b"})
+	peer.Expire(2*time.Second + RetiredRouteRetention + time.Millisecond)
+	assert.DeepEqual(t, peer.ServicesOf(address), []string{"d"})
+	// A peer that follows the versions knows the services itself, so that a
+	// change costs it no more bytes.
+	for version := uint64(1); version <= 3; version++ {
+		d := v.Since(3*time.Second, Progress{Revision: 1, Version: version})
+		assert.Equal(t, len(d.PastServices), 0)
+	}
+}
+
 // Guards against a history that grows with each version.
 func TestPastServicesAreBounded(t *testing.T) {
 	var routes []*Route
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -114,6 +114,13 @@
 	IdleTimeoutMS int `json:"idle_timeout_ms"`
 }
 
+// PastService is a service to which an address led AgoMS ago, in milliseconds.
+type PastService struct {
+	Address netip.AddrPort `json:"address"`
+	Service string         `json:"service"`
+	AgoMS   int64          `json:"ago_ms"`
+}
+
 // Delta holds the changes since a revision.
 type Delta struct {
 	// Epoch is the epoch of all revisions in the delta.
@@ -132,6 +139,9 @@
 	// ConfigRevision is the revision of the version that Config or Patch leads
 	// to.
 	ConfigRevision uint64 `json:"config_revision,omitempty"`
+	// PastServices are services to which addresses led before Config. With a
+	// Patch there are none, because the view that it applies to has its own.
+	PastServices []PastService `json:"past_services,omitempty"`
 	// ConfirmedMS is the time since the sender's revision was last known to be
 	// the newest, in milliseconds.
 	ConfirmedMS int64 `json:"confirmed_ms"`
--- a/core/fleet/validate.go
+++ b/core/fleet/validate.go
@@ -25,6 +25,11 @@
 			return fmt.Errorf("changes[%d].%w", i, err)
 		}
 	}
+	for i := range d.PastServices {
+		if err := d.PastServices[i].validate(); err != nil {
+			return fmt.Errorf("past_services[%d].%w", i, err)
+		}
+	}
 	if d.Config != nil {
 		if err := validateRoutes(d.Config.Routes); err != nil {
 			return fmt.Errorf("config.routes%w", err)
@@ -52,6 +57,18 @@
 	return nil
 }
 
+func (p *PastService) validate() error {
+	switch {
+	case !isIPv4(p.Address):
+		return fmt.Errorf("address: %w", errNotIPv4)
+	case p.Service == "":
+		return fmt.Errorf("service: %w", errEmpty)
+	case p.AgoMS < 0:
+		return fmt.Errorf("ago_ms: %d is negative", p.AgoMS)
+	}
+	return nil
+}
+
 func validateRoutes(routes []Route) error {
 	for i := range routes {
 		if !isIPv4(routes[i].Address) {
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -131,6 +131,7 @@
 		return false
 	}
 	v.setConfig(now, c, d.ConfigRevision)
+	v.addToldServices(now, d.PastServices)
 	return true
 }
 
