--- /dev/null
+++ b/core/ownership/holders.go
@@ -0,0 +1,90 @@
+package ownership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/plane"
+)
+
+// searchable returns the other agents whose targets may hold flows of the
+// service: those in the local data centre, and the others by data centre, those
+// of listed targets first. A removed target may still run: its entry lapses or
+// is withdrawn if it cannot reach the platform.
+func (m *Machine) searchable() (local []netip.Addr, remote map[string][]netip.Addr) {
+	remote = map[string][]netip.Addr{}
+	seen := map[netip.Addr]bool{m.Self: true}
+	for _, targets := range [][]*fleet.Target{m.View.Targets(m.Service), m.View.RemovedTargets(m.Service)} {
+		for _, t := range targets {
+			a := t.Agent()
+			switch {
+			case seen[a]:
+			case t.DataCentre == m.DataCentre:
+				local = append(local, a)
+			default:
+				remote[t.DataCentre] = append(remote[t.DataCentre], a)
+			}
+			seen[a] = true
+		}
+	}
+	return local, remote
+}
+
+// gone reports whether an agent counts as gone with its target: the entry of the
+// target was removed, and the agent has not answered for goneTimeout.
+func (m *Machine) gone(now time.Duration, a netip.Addr) bool {
+	if m.peer(a).silentFor(now) < goneTimeout {
+		return false
+	}
+	t := m.View.TargetAt(a)
+	return t == nil || t.Service != m.Service
+}
+
+// notGone returns the agents that do not count as gone.
+func (m *Machine) notGone(now time.Duration, agents []netip.Addr) []netip.Addr {
+	return slices.DeleteFunc(slices.Clone(agents), func(a netip.Addr) bool { return m.gone(now, a) })
+}
+
+// incompleteReason returns why the view may lack an agent whose target holds
+// flows of the service, or an empty string if it does not.
+func (m *Machine) incompleteReason(now time.Duration) string {
+	switch {
+	case !m.View.Usable():
+		return "no_view"
+	case m.View.Age(now) > maxSearchViewAge:
+		return "old_view"
+	case !m.View.RemovalsKnown(now):
+		return "removals_not_known"
+	}
+	return ""
+}
+
+// peerAhead reports whether a peer has told of a later view, which may list more
+// targets.
+func (m *Machine) peerAhead(now time.Duration) bool {
+	own := m.View.Progress()
+	for _, p := range m.peers {
+		if p.everHeard && now-p.lastHeard <= heartbeatTimeout && p.progress.LaterThan(own) {
+			return true
+		}
+	}
+	return false
+}
+
+// conclude ends a search in which no agent that was asked holds the flow. It
+// resets the flow only if every agent that may hold it was asked. Otherwise the
+// search goes on.
+func (m *Machine) conclude(now time.Duration, key flow.Key, s *search, out *plane.Out) {
+	reason := m.incompleteReason(now)
+	if reason == "" && m.peerAhead(now) {
+		reason = "peer_ahead"
+	}
+	if reason != "" {
+		out.Event(plane.Event{Kind: plane.EventUnresolved, Flow: key, Reason: reason, Value: int64(s.retries), Search: m.searchBasis(now, s)})
+		return
+	}
+	m.resetUnowned(now, s, out)
+}
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -52,6 +52,15 @@
 	// suspectDuration is how long a home avoids an agent that did not report in
 	// time.
 	suspectDuration = time.Second
+	// maxSearchViewAge is the age of the view up to which it lists every target
+	// that may hold a flow. An older view may lack targets that got flows since.
+	maxSearchViewAge = 4 * time.Second
+	// goneTimeout is how long the agent of a removed target must leave questions
+	// unanswered to count as gone with its target.
+	goneTimeout = 3 * time.Second
+	// goneRetryInterval is the interval at which an agent that counts as gone is
+	// asked again.
+	goneRetryInterval = time.Second
 	// heartbeatTimeout is the time without a message after which a peer gets no
 	// new flows.
 	heartbeatTimeout = 700 * time.Millisecond
@@ -64,7 +73,7 @@
 	// configuration sets no idle timeout.
 	defaultIdleTTL = 30 * time.Second
 	// closedFlowTTL is how long an idle flow is kept after both ends have
-	// closed it.
+	// closed it, or if its caller has not opened it.
 	closedFlowTTL = 4 * time.Second
 	// minHalfOpenTimeout and maxHalfOpenTimeout bound how long an accepted flow
 	// counts as a request about to arrive. A caller that has not given up sends
@@ -94,7 +103,8 @@
 	// interval between them grows.
 	searchRetryDelay = 80 * time.Millisecond
 	maxSearchRetries = 6
-	// probeBudget is the number of probes of a flow in probeWindow.
+	// probeBudget is the number of probes of a flow in probeWindow, by all agents
+	// that search for it.
 	probeBudget = 2
 	probeWindow = 2500 * time.Millisecond
 	// defaultFlowTTL is used if Options.FlowTTL is zero.
@@ -167,6 +177,8 @@
 	// unknownFlowsUntil is until when the target may hold flows that the agent
 	// does not know.
 	unknownFlowsUntil time.Duration
+	// longestIdleTimeout is the longest idle timeout of the versions so far.
+	longestIdleTimeout time.Duration
 	// targetHeard says that the target has sent a packet since the start of the
 	// agent. targetProbed says that it has received a probe, the first one at
 	// targetProbedAt. nextTargetCheck is when the next check whether the target
@@ -189,10 +201,16 @@
 
 // peer is another agent of the service.
 type peer struct {
-	load         relay.Load
-	lastHeard    time.Duration
-	everHeard    bool
-	suspectUntil time.Duration
+	load      relay.Load
+	lastHeard time.Duration
+	everHeard bool
+	// progress is the progress of the peer's view in its last heartbeat.
+	progress fleet.Progress
+	// unanswered says that the peer has not answered a question. The first one
+	// was sent at askedAt, the last one at lastAsked.
+	unanswered         bool
+	askedAt, lastAsked time.Duration
+	suspectUntil       time.Duration
 	// unreported counts the flows that this agent placed there and that the
 	// peer has not reported yet.
 	unreported int
@@ -280,7 +298,8 @@
 		return
 	}
 	p := m.peer(from)
-	p.load, p.lastHeard, p.everHeard = msg.Load, now, true
+	p.heard(now, msg.Load)
+	p.progress = msg.Progress
 }
 
 func (m *Machine) peer(a netip.Addr) *peer {
@@ -305,5 +324,5 @@
 
 // maxInFlightBytes bounds the data in flight. The acknowledgements of a caller
 // may be this far behind the first packet of the target that a restarted agent
-// sees.
+// sees. If that packet is a retransmission, they may be this far beyond it.
 const maxInFlightBytes = 16 * 1200
--- a/core/ownership/probe.go
+++ b/core/ownership/probe.go
@@ -16,9 +16,8 @@
 func (m *Machine) probeSelf(now time.Duration, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
 	s.roundStart, s.raw, s.origin, s.done, s.onlySelfAsked = now, slices.Clone(p.Raw), msg.Origin, true, true
 	s.prober = m.Self
-	m.countProbe(now, s)
-	out.Event(plane.Event{Kind: plane.EventProbed, Flow: p.Key, PacketSeq: p.Seq, Peer: m.Self, Value: int64(s.probesSent)})
-	m.probeTarget(now, p, out)
+	m.probeOwnTarget(now, p, s, out)
+	out.Event(plane.Event{Kind: plane.EventProbed, Flow: p.Key, PacketSeq: p.Seq, Peer: m.Self, Value: int64(s.probeCount(now))})
 }
 
 // probeTarget gives the target a packet, which it returns unless it holds the
@@ -60,37 +59,26 @@
 	}
 }
 
-// countProbe counts a probe of a flow.
-func (m *Machine) countProbe(now time.Duration, s *search) {
-	if now-s.firstProbeAt > probeWindow || s.probesSent == 0 {
-		s.probesSent, s.firstProbeAt = 0, now
-	}
-	s.probesSent++
-}
-
 // probeMaybeOwners sends probes to the agents whose targets may hold the flow,
 // until the flow has had limit probes in the window.
 func (m *Machine) probeMaybeOwners(now time.Duration, key flow.Key, s *search, limit int, out *plane.Out) {
-	if now-s.firstProbeAt > probeWindow {
-		s.probesSent = 0
-	}
 	p, err := m.Codec.FromCaller(s.raw)
 	if err != nil {
 		return
 	}
 	for _, a := range slices.Clone(s.maybeOwners) {
-		if s.probesSent >= limit {
+		if s.probeCount(now) >= limit {
 			return
 		}
-		m.countProbe(now, s)
 		s.probing[a] = true
-		out.Event(plane.Event{Kind: plane.EventProbed, Flow: key, PacketSeq: p.Seq, Peer: a, Value: int64(s.probesSent)})
 		msg := &relay.Message{Origin: s.origin}
 		if a == m.Self {
 			m.handleProbe(now, m.Self, &p, msg, out)
-			continue
+		} else {
+			s.countSentProbe(now, a)
+			m.forward(a, relay.Probe, &p, msg, out)
 		}
-		m.forward(a, relay.Probe, &p, msg, out)
+		out.Event(plane.Event{Kind: plane.EventProbed, Flow: key, PacketSeq: p.Seq, Peer: a, Value: int64(s.probeCount(now))})
 	}
 }
 
@@ -112,7 +100,7 @@
 		m.answerNotHeld(now, p.Key, s, out)
 		return
 	}
-	m.probeTarget(now, p, out)
+	m.probeOwnTarget(now, p, s, out)
 }
 
 // handleProbeDenied records that the target of a probed agent does not hold the
@@ -122,7 +110,7 @@
 	delete(s.probing, from)
 	s.maybeOwners = slices.DeleteFunc(s.maybeOwners, func(a netip.Addr) bool { return a == from })
 	if len(s.probing)+len(s.maybeOwners)+len(s.asked) == 0 {
-		m.resetUnowned(now, s, out)
+		m.conclude(now, key, s, out)
 	}
 }
 
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -52,9 +52,11 @@
 	// prober is the agent for which the local target was probed, with a packet
 	// that the balancer origin received.
 	prober netip.Addr
-	// probesSent counts the probes of the flow since firstProbeAt.
-	probesSent   int
-	firstProbeAt time.Duration
+	// probes has the probes of the flow that this agent has sent or that were
+	// reported to it, by the agent that got or reported them. ownTargetProbes
+	// has those at the local target.
+	probes          map[netip.Addr]probeTimes
+	ownTargetProbes probeTimes
 	// onlySelfAsked says that only the local target has been probed so far.
 	onlySelfAsked bool
 	// selfDenied says that the local target does not hold the flow.
@@ -84,10 +86,13 @@
 	}
 	s.deniedServices = msg.DeniedServices
 	if !msg.Home.IsValid() && m.mayHoldUnknownFlows(now) && !s.selfDenied {
-		if !s.onlySelfAsked || s.probesSent < probeBudget {
+		switch {
+		case s.probeCount(now) < probeBudget:
 			m.probeSelf(now, p, msg, s, out)
+			return
+		case s.onlySelfAsked:
+			return
 		}
-		return
 	}
 	m.beginRound(now, p, msg, s, out)
 }
@@ -100,8 +105,8 @@
 		s.denied, s.deniedRosters, s.unresolved, s.retries = map[netip.Addr]bool{}, map[string]uint64{}, map[netip.Addr]string{}, 0
 	}
 	s.remote, s.found, s.noOwner, s.ack, s.declinedSurveys = false, false, false, p.Ack, 0
-	local, _ := m.searchable(now)
-	m.sendSearches(local, p, msg, s, out)
+	local, _ := m.searchable()
+	m.sendSearches(now, local, p, msg, s, out)
 	if m.mayHoldUnknownFlows(now) && !s.selfDenied {
 		s.maybeOwners = append(s.maybeOwners, m.Self)
 	}
@@ -109,60 +114,39 @@
 	m.advanceSearch(now, p.Key, s, out)
 }
 
-func (m *Machine) sendSearches(agents []netip.Addr, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
+func (m *Machine) sendSearches(now time.Duration, agents []netip.Addr, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
 	for _, a := range agents {
-		m.sendSearch(a, p, msg, s, out)
+		m.sendSearch(now, a, p, msg, s, out)
 	}
 }
 
 // sendSearch asks an agent whether it owns the flow, unless it has already
-// denied that.
-func (m *Machine) sendSearch(a netip.Addr, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
+// denied that. The search does not wait for an agent that counts as gone.
+func (m *Machine) sendSearch(now time.Duration, a netip.Addr, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
 	if s.denied[a] {
 		return
 	}
-	s.asked[a] = searchScope{}
-	m.forward(a, relay.Search, p, msg, out)
-}
-
-// searchable returns the other agents that may hold flows of the service: those
-// in the local data centre, and the others by data centre.
-func (m *Machine) searchable(now time.Duration) (local []netip.Addr, remote map[string][]netip.Addr) {
-	remote = map[string][]netip.Addr{}
-	seen := map[netip.Addr]bool{m.Self: true}
-	add := func(t *fleet.Target) {
-		a := t.Agent()
-		switch {
-		case seen[a]:
-		case t.DataCentre == m.DataCentre:
-			local = append(local, a)
-		default:
-			remote[t.DataCentre] = append(remote[t.DataCentre], a)
-		}
-		seen[a] = true
-	}
-	for _, t := range m.View.Targets(m.Service) {
-		add(t)
-	}
-	for _, t := range m.View.RemovedTargets(m.Service) {
-		if p := m.peers[t.Agent()]; p != nil && p.everHeard && now-p.lastHeard <= heartbeatTimeout {
-			add(t)
-		}
+	if !m.gone(now, a) {
+		s.asked[a] = searchScope{}
+	} else if now-m.peer(a).lastAsked < goneRetryInterval {
+		return
 	}
-	return local, remote
+	m.peer(a).asked(now)
+	m.forward(a, relay.Search, p, msg, out)
 }
 
 // mayHoldUnknownFlows reports whether the target may hold flows that the agent
 // does not know. That ends after the idle timeout: a flow may be discarded if
 // neither end has sent anything for that time since the start of the agent.
 func (m *Machine) mayHoldUnknownFlows(now time.Duration) bool {
-	idle := m.View.IdleTimeout()
+	idle := m.idleTimeout()
 	return now < m.unknownFlowsUntil && (idle == 0 || now < m.startedAt+idle+idleMargin)
 }
 
 // handleSearch answers a search of another agent.
 func (m *Machine) handleSearch(now time.Duration, from netip.Addr, p *flow.Packet, msg *relay.Message, out *plane.Out) {
-	answer := relay.Message{Kind: relay.NotOwner, Service: m.serviceTag, Flow: p.Key, Load: m.Load(), Origin: msg.Origin}
+	answer := relay.Message{Kind: relay.NotOwner, Service: m.serviceTag, Flow: p.Key, Load: m.Load(), Origin: msg.Origin,
+		Probes: probesOnWire(m.ownTargetProbes(now, p.Key))}
 	f := m.flows[p.Key]
 	switch {
 	case f != nil && f.matches(p):
@@ -242,12 +226,16 @@
 		}
 	}
 	s.done = true
-	if len(s.maybeOwners) > 0 {
-		// All other agents have denied the flow, so only these can own it.
-		m.probeMaybeOwners(now, key, s, len(s.maybeOwners), out)
+	if len(s.maybeOwners) == 0 {
+		m.conclude(now, key, s, out)
 		return
 	}
-	m.resetUnowned(now, s, out)
+	limit := probeBudget
+	if m.incompleteReason(now) == "" {
+		// All other agents have denied the flow, so only these can own it.
+		limit = s.probeCount(now) + len(s.maybeOwners)
+	}
+	m.probeMaybeOwners(now, key, s, limit, out)
 }
 
 // retrySearch begins another round of an incomplete search, in which an agent
@@ -284,7 +272,7 @@
 		case !s.done && s.remote && now-s.roundStart >= remoteSearchTimeout:
 			s.done = true
 			m.probeMaybeOwners(now, key, s, probeBudget, out)
-		case s.done && now-s.roundStart >= max(searchResultTTL, probeWindow):
+		case s.done && now-s.roundStart >= max(searchResultTTL, probeWindow) && s.probeCount(now) == 0:
 			delete(m.searches, key)
 		}
 	}
