--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -60,7 +60,10 @@
 )
 
 type owner struct {
-	agent    netip.Addr
+	agent netip.Addr
+	// service is the tag of the owner's service, as the owner reported it. It
+	// may differ from the one that the route has now.
+	service  uint64
 	lastSeen time.Duration
 }
 
@@ -170,7 +173,7 @@
 	}
 	if e := m.owners[p.Key]; e != nil {
 		e.lastSeen = now
-		m.forward(e.agent, m.serviceOf(p), p, out)
+		out.Send(e.agent, relay.Message{Kind: relay.Packet, Service: e.service, Origin: m.self, Body: p.Raw})
 		return
 	}
 	m.forwardUnknown(now, p, out)
@@ -189,24 +192,23 @@
 	return r.ServiceOf(p.Key.Hash())
 }
 
-func (m *Machine) forward(to netip.Addr, service string, p *flow.Packet, out *plane.Out) {
-	out.Send(to, relay.Message{Kind: relay.Packet, Service: relay.ServiceTag(service), Origin: m.self, Body: p.Raw})
-}
-
 // forwardUnknown forwards a packet to the home of its flow because the owner of
-// the flow is not known.
+// the flow is not known. If the service of the route has no targets, it uses
+// another service to which the address led. The agents find the service that
+// holds the flow.
 func (m *Machine) forwardUnknown(now time.Duration, p *flow.Packet, out *plane.Out) {
 	service := m.serviceOf(p)
 	if service == "" {
 		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: "no_route"})
 		return
 	}
-	homes := m.homes(now, service, p.Key, m.view.RemovedTargets(service))
-	if len(homes) == 0 {
-		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: "no_target"})
-		return
+	for _, candidate := range append([]string{service}, m.view.ServicesOf(p.Key.Service())...) {
+		if homes := m.homes(now, candidate, p.Key, m.view.RemovedTargets(candidate)); len(homes) > 0 {
+			out.Send(homes[0], relay.Message{Kind: relay.Packet, Service: relay.ServiceTag(candidate), Origin: m.self, Home: homes[0], Body: p.Raw})
+			return
+		}
 	}
-	out.Send(homes[0], relay.Message{Kind: relay.Packet, Service: relay.ServiceTag(service), Origin: m.self, Home: homes[0], Body: p.Raw})
+	out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: "no_target"})
 }
 
 // homes returns the homes of a flow in order, suspects last. It uses the ready
@@ -215,7 +217,7 @@
 func (m *Machine) homes(now time.Duration, service string, key flow.Key, fallback []*fleet.Target) []netip.Addr {
 	hash := key.Hash()
 	m.homesBuffer = m.homesBuffer[:0]
-	for _, targets := range [][]*fleet.Target{m.ready(service), m.view.Targets(service), fallback} {
+	for _, targets := range [][]*fleet.Target{m.view.ReadyTargets(service), m.view.Targets(service), fallback} {
 		if m.homesBuffer = fleet.Homes(m.homesBuffer, targets, hash, m.dataCentre); len(m.homesBuffer) > 0 {
 			break
 		}
@@ -224,16 +226,6 @@
 	return m.homesBuffer
 }
 
-func (m *Machine) ready(service string) []*fleet.Target {
-	var ready []*fleet.Target
-	for _, t := range m.view.Targets(service) {
-		if t.State == fleet.Ready {
-			ready = append(ready, t)
-		}
-	}
-	return ready
-}
-
 func (m *Machine) suspectRank(now time.Duration, agent netip.Addr) int {
 	if until, ok := m.suspects[agent]; ok && now < until {
 		return 1
@@ -291,7 +283,7 @@
 		e = &owner{}
 		m.owners[msg.Flow] = e
 	}
-	e.agent, e.lastSeen = from, now
+	e.agent, e.service, e.lastSeen = from, msg.Service, now
 }
 
 // Tick handles the timeouts that are due at the time now. It must be called at
