fleetsync: a peer without a view does not tell which entries were removed

Cause: an agent that starts asks peers which entries were removed. A peer without a view counted as one that knows of none. While agents restart in turn, the peers that are asked may all have just started, and the agent took the list of removed entries for known.

Change: such a peer counts as one that did not answer, so the agent asks others.

--- a/node/fleetsync/removals.go
+++ b/node/fleetsync/removals.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -24,6 +25,10 @@
 	removalsRetryInterval = 200 * time.Millisecond
 )
 
+// errNoHistory is returned if a peer has no view yet, or is of a release that
+// does not tell which entries were removed.
+var errNoHistory = errors.New("peer does not know which entries were removed")
+
 // LearnRemovals makes the view know the entries that were removed before the
 // process started. A listing at the platform does not name them, and their
 // targets may still run and hold flows.
@@ -55,6 +60,7 @@
 			s.Log.Debug("peer does not tell which entries were removed", telemetry.Peer(from.String()), telemetry.Error(err))
 			continue
 		}
+		// At least one peer with a view has told what it knows.
 		answered = true
 	}
 	if !answered {
@@ -97,9 +103,7 @@
 		return err
 	}
 	if d.RemovalsKnownMS == nil {
-		// The peer has no view yet, or is of a release that does not know the
-		// parameter.
-		return nil
+		return errNoHistory
 	}
 	s.apply(d, from.String())
 	s.Log.Info("removed entries learned", telemetry.Peer(from.String()), zap.Int("removed", len(d.Changes)), zap.Int64("known_ms", *d.RemovalsKnownMS))
--- a/node/fleetsync/removals_test.go
+++ b/node/fleetsync/removals_test.go
@@ -78,3 +78,18 @@
 	assert.Assert(t, f.askForRemovals(context.Background()))
 	assert.Assert(t, f.removalsKnown())
 }
+
+// Guards against a process that takes a peer without a view for one that knows
+// of no removed entries. While processes restart in turn, the peers that are
+// asked may all have just started.
+func TestPeerWithoutViewTellsNothing(t *testing.T) {
+	f := startedProcess(t)
+	f.Self = fleettest.Agent(0)
+	peer := newFixture(0)
+	peer.View = fleet.New()
+	server := httptest.NewServer(peer)
+	defer server.Close()
+	err := f.pullRemovals(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	assert.ErrorIs(t, err, errNoHistory)
+	assert.Assert(t, !f.removalsKnown())
+}
