ownership: a target in doubt stays in doubt while its flow is searched for

Cause: an agent that restarted says of flows that it does not know that its target may hold them, until the idle timeout since its restart is over. If a caller sends packets in that time and another agent does not answer, these packets reach only agents that search, not the flow's own one. When the time was over, it denied the flow, which was reset.

Change: what an agent has told about a flow holds for 4 s after the last question, until its target was probed.

Result: TestDoubtLastsWhileTheFlowIsSearched; with the rule for the idle timeout alone the agent denies the flow.

--- a/core/ownership/bookkeeping_test.go
+++ b/core/ownership/bookkeeping_test.go
@@ -104,3 +104,27 @@
 	f.balancerSends(relay.Packet, p)
 	assert.Equal(t, len(f.out.ToTarget), 1)
 }
+
+// Guards against the reset of an open flow whose caller sends packets while some
+// agent does not answer: none of them reached the flow's own agent, which then
+// denied the flow when the idle timeout since its restart was over.
+func TestDoubtLastsWhileTheFlowIsSearched(t *testing.T) {
+	const idle, callerInterval = 10 * time.Second, 1600 * ms
+	f := newFixture(t, false)
+	f.setIdleTimeout(9, idle)
+	f.advance(idle - time.Second)
+	for f.now < idle+idleMargin+2*callerInterval {
+		f.balancerSends(relay.Search, unknownPacket)
+		assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.MaybeOwner})
+		for range 8 {
+			f.advance(callerInterval / 8)
+		}
+	}
+	f.probeFrom(1, unknownPacket)
+	assert.Equal(t, len(f.out.ToTarget), 1)
+	// Other flows are known by now.
+	other := unknownPacket
+	other.Key = fleettest.Key(2)
+	f.balancerSends(relay.Search, other)
+	assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.NotOwner})
+}
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -103,6 +103,9 @@
 	// interval between them grows.
 	searchRetryDelay = 80 * time.Millisecond
 	maxSearchRetries = 6
+	// doubtTTL is how long an agent goes on to say of a flow that its target may
+	// hold it. It is longer than the interval between packets of a caller.
+	doubtTTL = 4 * time.Second
 	// probeBudget is the number of probes of a flow in probeWindow, by all agents
 	// that search for it. The window is longer than the deadlines of callers:
 	// three packets at other targets break a flow, however far apart they are, if
--- a/core/ownership/probe.go
+++ b/core/ownership/probe.go
@@ -50,6 +50,7 @@
 	m.unknownFlowsUntil = 0
 	out.Event(plane.Event{Kind: plane.EventTargetFresh, Reason: "not_running"})
 	for key, s := range m.searches {
+		s.doubted = false
 		switch {
 		case s.onlySelfAsked:
 			m.searchOthers(now, s, out)
@@ -106,7 +107,7 @@
 		m.searches[p.Key] = s
 	}
 	s.prober, s.origin = from, msg.Origin
-	if s.selfDenied || !m.mayHoldUnknownFlows(now) {
+	if !m.mayHold(now, p.Key) {
 		m.answerNotHeld(now, p.Key, s, out)
 		return
 	}
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -62,6 +62,10 @@
 	onlySelfAsked bool
 	// selfDenied says that the local target does not hold the flow.
 	selfDenied bool
+	// doubted says that this agent has told another one, last at doubtedAt, that
+	// the local target may hold the flow.
+	doubted   bool
+	doubtedAt time.Duration
 }
 
 // handleUnknown handles a packet of a flow whose owner this agent does not
@@ -86,7 +90,7 @@
 		m.searches[p.Key] = s
 	}
 	s.deniedServices = msg.DeniedServices
-	if !msg.Home.IsValid() && m.mayHoldUnknownFlows(now) && !s.selfDenied {
+	if !msg.Home.IsValid() && m.mayHold(now, p.Key) {
 		switch {
 		case s.probeCount(now) < probeBudget:
 			m.probeSelf(now, p, msg, s, out)
@@ -108,7 +112,7 @@
 	s.remote, s.found, s.allAnswered, s.noOwner, s.ack, s.declinedSurveys = false, false, false, false, p.Ack, 0
 	local, _ := m.searchable()
 	m.sendSearches(now, local, p, msg, s, out)
-	if m.mayHoldUnknownFlows(now) && !s.selfDenied {
+	if m.mayHold(now, p.Key) {
 		s.maybeOwners = append(s.maybeOwners, m.Self)
 	}
 	out.Event(plane.Event{Kind: plane.EventSearched, Flow: p.Key, PacketSeq: p.Seq, Value: int64(len(s.asked))})
@@ -157,15 +161,33 @@
 			m.reportOwner(f, msg.Home, p.Key, out)
 		}
 		answer.Kind = relay.Owner
-	case m.mayHoldUnknownFlows(now) && !m.selfDenied(p.Key):
+	case m.mayHold(now, p.Key):
+		m.recordDoubt(now, p.Key)
 		answer.Kind = relay.MaybeOwner
 	}
 	out.Send(from, answer)
 }
 
-func (m *Machine) selfDenied(key flow.Key) bool {
+// mayHold reports whether the target may hold a flow that the agent does not
+// know. Packets of a flow for which it was so reached only agents that search, so
+// it stays so until the target was probed, beyond the idle timeout.
+func (m *Machine) mayHold(now time.Duration, key flow.Key) bool {
 	s := m.searches[key]
-	return s != nil && s.selfDenied
+	if s == nil {
+		return m.mayHoldUnknownFlows(now)
+	}
+	return !s.selfDenied && (m.mayHoldUnknownFlows(now) || s.doubted && now-s.doubtedAt <= doubtTTL)
+}
+
+// recordDoubt records that this agent tells another one that the target may hold
+// a flow.
+func (m *Machine) recordDoubt(now time.Duration, key flow.Key) {
+	s := m.searches[key]
+	if s == nil {
+		s = &search{roundStart: now, done: true}
+		m.searches[key] = s
+	}
+	s.doubted, s.doubtedAt = true, now
 }
 
 func (m *Machine) resetUnowned(now time.Duration, s *search, out *plane.Out) {
@@ -270,8 +292,15 @@
 		case !s.done && s.remote && now-s.roundStart >= remoteSearchTimeout:
 			s.done = true
 			m.probeMaybeOwners(now, key, s, out)
-		case s.done && now-s.roundStart >= searchResultTTL && (s.found || s.noOwner || s.probeCount(now) == 0):
+		case s.done && now-s.roundStart >= searchResultTTL && s.over(now):
 			delete(m.searches, key)
 		}
 	}
 }
+
+// over reports whether nothing of a search is needed any more: neither its
+// probes nor what the agent has told others.
+func (s *search) over(now time.Duration) bool {
+	doubted := s.doubted && now-s.doubtedAt <= doubtTTL
+	return s.found || s.noOwner || s.probeCount(now) == 0 && !doubted
+}
--- a/core/ownership/survey.go
+++ b/core/ownership/survey.go
@@ -43,7 +43,8 @@
 		return
 	}
 	s := &survey{startedAt: now, asker: from, asked: map[netip.Addr]bool{}, probes: m.ownTargetProbes(now, p.Key)}
-	if m.mayHoldUnknownFlows(now) && !m.selfDenied(p.Key) {
+	if m.mayHold(now, p.Key) {
+		m.recordDoubt(now, p.Key)
 		s.maybeOwners = append(s.maybeOwners, m.Self)
 	}
 	local, _ := m.searchable()
