fleet: an agent that starts learns the earlier services of the addresses

Cause: an agent that starts after a version that replaced a service, and reads that version at the platform, did not know the earlier service. If it searched for a flow of the earlier service, it reset the flow.

Change: the answer to an agent that starts and asks for removed entries also carries the earlier services of the addresses. An agent resets no flow before it has such an answer, so it knows them by then.

--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -51,10 +51,11 @@
 // SettleRemovals records that the peers that were asked know no more removals.
 func (v *View) SettleRemovals() { v.removalHistory.settled = true }
 
-// Removals returns a delta with the entries that were removed within
-// RemovedEntryRetention and with nothing else.
+// Removals returns a delta with what a listing at the platform does not name: the
+// entries that were removed within RemovedEntryRetention, and the earlier
+// services of the addresses.
 func (v *View) Removals(now time.Duration) Delta {
-	d := Delta{Epoch: v.epoch, RemovalsKnownMS: v.removalHistory.knownMS(now)}
+	d := Delta{Epoch: v.epoch, RemovalsKnownMS: v.removalHistory.knownMS(now), PastServices: v.pastServicesAt(now)}
 	var removed []*entry
 	for _, e := range v.removals {
 		if e.removed && e.target != nil {
--- a/core/fleet/services_test.go
+++ b/core/fleet/services_test.go
@@ -96,6 +96,19 @@
 	}
 }
 
+// Guards against an agent that starts after the version that replaced a service,
+// reads that version at the platform and resets open flows of the service.
+func TestStartedProcessLearnsPastServices(t *testing.T) {
+	peer := routesOver(&Route{Service: "a"}, &Route{Service: "b"})
+	for _, epoch := range []uint64{0, 1} {
+		v := New()
+		v.Apply(2*time.Second, &Delta{Epoch: epoch, Full: true, Revision: 5, ListingRevision: 5, Config: &Config{Version: 2, Routes: peer.config.Routes}})
+		d := peer.Removals(2 * time.Second)
+		v.Apply(2*time.Second, &d)
+		assert.DeepEqual(t, v.ServicesOf(address), []string{"b", "a"})
+	}
+}
+
 // Guards against a history that grows with each version.
 func TestPastServicesAreBounded(t *testing.T) {
 	var routes []*Route
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -144,8 +144,9 @@
 	// ConfigRevision is the revision of the version that Config or Patch leads
 	// to.
 	ConfigRevision uint64 `json:"config_revision,omitempty"`
-	// PastServices are services to which addresses led before Config. With a
-	// Patch there are none, because the view that it applies to has its own.
+	// PastServices are services to which addresses led before the sender's
+	// version of the routes. With a Patch there are none, because the view that
+	// it applies to has its own.
 	PastServices []PastService `json:"past_services,omitempty"`
 	// ConfirmedMS is the time since the sender's revision was last known to be
 	// the newest, in milliseconds.
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -88,6 +88,7 @@
 	if d.DisturbedMS != nil {
 		v.RecordDisturbance(now - time.Duration(*d.DisturbedMS)*time.Millisecond)
 	}
+	v.addToldServices(now, d.PastServices)
 	if d.Full && d.Epoch > v.epoch {
 		v.startEpoch(now, d.Epoch)
 	}
@@ -134,7 +135,6 @@
 		return false
 	}
 	v.setConfig(now, c, d.ConfigRevision)
-	v.addToldServices(now, d.PastServices)
 	return true
 }
 
