dispatch: no refusal of a copy because its service has no target

Cause: a copy of an opening packet goes by the present route. If a version gave the route a service without targets, or the last target left, the balancer answered the copy with a reset, although an earlier copy may have reached a target at which the caller opens the flow.

Change: only the first opening packet is refused for want of a target. A copy is dropped (copy_no_target).

--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -202,6 +202,23 @@
 	}
 }
 
+// Guards against a reset of a flow that its caller opens at a target of the
+// earlier service, while a copy of the opening packet finds a service without
+// targets.
+func TestCopyWithoutTargetIsNotRefused(t *testing.T) {
+	v := fleettest.View(0, fleettest.Ready(2)...)
+	m := New(self, "dc", flowtest.Codec{}, v)
+	var out plane.Out
+	start := fleet.ReturnGrace + ms
+	m.FromCaller(start, openPacket(1, 0), &out)
+	assert.Equal(t, len(out.Sends), 1)
+	setRoute(v, fleet.Route{Service: "seats"})
+	m.FromCaller(start+200*ms, openPacket(1, 1), &out)
+	assert.Equal(t, len(out.ToCaller), 0)
+	m.FromCaller(start+200*ms, openPacket(2, 0), &out)
+	assert.Equal(t, len(out.ToCaller), 1, "a new flow is refused at once")
+}
+
 // Guards against packets of open flows that are dropped because the new service
 // of their route has no targets yet.
 func TestNewServiceWithoutTargets(t *testing.T) {
--- a/core/dispatch/opening.go
+++ b/core/dispatch/opening.go
@@ -22,7 +22,7 @@
 			m.hold(now, p.Raw)
 			return
 		}
-		m.refuse(p, "no_target", out)
+		m.refuseWithoutTarget(p, out)
 		return
 	}
 	delete(m.owners, p.Key)
@@ -59,6 +59,17 @@
 	m.refuse(p, "no_route", out)
 }
 
+// refuseWithoutTarget refuses an opening packet for a service without targets. A
+// copy is dropped without an answer, because an earlier copy may have reached a
+// target of the service that the route had then.
+func (m *Machine) refuseWithoutTarget(p *flow.Packet, out *plane.Out) {
+	if p.Ack > 0 {
+		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: "copy_no_target", Value: int64(m.view.Version())})
+		return
+	}
+	m.refuse(p, "no_target", out)
+}
+
 // refuse answers an opening packet with a reset. The packet has reached no
 // target.
 func (m *Machine) refuse(p *flow.Packet, reason string, out *plane.Out) {
