ownership: a round that began without a sufficient view resets nothing

Cause: whether the view lists every holder was checked at the end of a search. An agent that got its first view while its own target had the probe passed the check, although the round had begun before and asked nobody.

Change: a search also keeps what its round lacked at its beginning.

The test TestStartedAgentLearnsRemovalsFirst let the removals be known in the middle of a round; they are known before the round that asks the agent now.

--- a/core/ownership/holders.go
+++ b/core/ownership/holders.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -62,6 +63,13 @@
 	return ""
 }
 
+// unsureReason returns why a round of a search may have left out an agent, or an
+// empty string. A round that began without a sufficient view asked too few
+// agents, even if the view is sufficient by now.
+func (m *Machine) unsureReason(now time.Duration, s *search) string {
+	return cmp.Or(s.incomplete, m.incompleteReason(now))
+}
+
 // peerAhead reports whether a peer has told of a later view, which may list more
 // targets.
 func (m *Machine) peerAhead(now time.Duration) bool {
@@ -78,7 +86,7 @@
 // resets the flow only if every agent that may hold it was asked. Otherwise the
 // search goes on.
 func (m *Machine) conclude(now time.Duration, key flow.Key, s *search, out *plane.Out) {
-	reason := m.incompleteReason(now)
+	reason := m.unsureReason(now, s)
 	if reason == "" && m.peerAhead(now) {
 		reason = "peer_ahead"
 	}
--- a/core/ownership/incomplete_test.go
+++ b/core/ownership/incomplete_test.go
@@ -64,10 +64,10 @@
 	f.returnProbe(unknownPacket)
 	assert.Equal(t, len(f.out.ToCaller), 0)
 	f.View.Apply(0, &fleet.Delta{Changes: []fleet.Change{{ID: "c", Revision: 5, Last: fleettest.Target(2, fleet.Ready), RemovedMS: 2000}}})
+	f.View.SettleRemovals()
 	f.advance(searchRetryDelay)
 	assert.Equal(t, len(f.searchedAgents()), 1)
 	assert.Equal(t, f.searchedAgents()[0], fleettest.Agent(2))
-	f.View.SettleRemovals()
 	f.peerAnswers(2, relay.NotOwner, 1)
 	assert.Equal(t, len(f.out.ToCaller), 1)
 }
@@ -139,3 +139,19 @@
 	f.FromPeer(f.now, fleettest.Agent(9), &relay.Message{Kind: relay.Survey, Service: tag, Origin: balancer, Body: flowtest.Encode(unknownPacket)}, &f.out)
 	assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.MaybeOwner})
 }
+
+// Guards against the reset of an open flow by an agent that got its first view
+// while its own target had the probe: the round began before and asked nobody.
+func TestViewDuringProbeIsTooLate(t *testing.T) {
+	f := restartedFixture(t)
+	f.balancerSends(relay.Packet, unknownPacket)
+	f.View.NothingRemovedBefore(0)
+	f.View.Apply(0, &fleet.Delta{Revision: 9, Full: true, Config: &fleet.Config{Version: 1}, ConfigRevision: 1, Changes: []fleet.Change{
+		{ID: "a", Revision: 3, Target: fleettest.Target(0, fleet.Ready)}, {ID: "b", Revision: 4, Target: fleettest.Target(1, fleet.Ready)}}})
+	f.returnProbe(unknownPacket)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+	f.advance(searchRetryDelay)
+	assert.Equal(t, len(f.searchedAgents()), 1)
+	f.peerAnswers(1, relay.NotOwner, 1)
+	assert.Equal(t, len(f.out.ToCaller), 1)
+}
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -46,6 +46,9 @@
 	// done says that the round is over, found says that the owner is known.
 	// allAnswered says that all agents that may own the flow have answered.
 	done, found, allAnswered bool
+	// incomplete is why the round may not ask every agent that may own the flow,
+	// or an empty string.
+	incomplete string
 	// noOwner says that all agents have answered and no target holds the flow.
 	// It applies to packets with the acknowledgement ack.
 	noOwner bool
@@ -110,6 +113,7 @@
 		s.denied, s.deniedRosters, s.unresolved, s.retries = map[netip.Addr]bool{}, map[string]uint64{}, map[netip.Addr]string{}, 0
 	}
 	s.remote, s.found, s.allAnswered, s.noOwner, s.ack, s.declinedSurveys = false, false, false, false, p.Ack, 0
+	s.incomplete = m.incompleteReason(now)
 	local, _ := m.searchable()
 	m.sendSearches(now, local, p, msg, s, out)
 	if m.mayHold(now, p.Key) {
@@ -254,7 +258,7 @@
 		return
 	}
 	// All agents have answered, so only these can own the flow.
-	s.allAnswered = m.incompleteReason(now) == ""
+	s.allAnswered = m.unsureReason(now, s) == ""
 	m.probeMaybeOwners(now, key, s, out)
 }
 
