ownership: a returned reset does not show that the target lost the flow

Cause: a caller's reset matches every flow with its addresses, whatever it acknowledges. If two targets accepted copies of an opening packet, the reset of one copy may reach the other target, which returns it. The agent took that for a target that had restarted and reset the flow, although the caller had opened it at the first target.

Change: only a returned packet that acknowledges what the target sent shows that the target lost the flow. The flow is searched for otherwise.

--- a/core/ownership/flows.go
+++ b/core/ownership/flows.go
@@ -80,9 +80,12 @@
 	if !f.baseKnown || p.Reset {
 		return true
 	}
-	return p.Ack-f.base <= f.top-f.base+1
+	return f.acknowledgedBy(p)
 }
 
+// acknowledgedBy reports whether a packet acknowledges what the target has sent.
+func (f *ownedFlow) acknowledgedBy(p *flow.Packet) bool { return p.Ack-f.base <= f.top-f.base+1 }
+
 // deliver gives a packet of a flow to the target.
 func (m *Machine) deliver(now time.Duration, f *ownedFlow, p *flow.Packet, out *plane.Out) {
 	f.lastSeen = now
@@ -192,9 +195,13 @@
 		return
 	}
 	if f != nil && f.accepted && f.matches(p) && f.baseKnown {
+		m.forget(now, p.Key, f)
+		if !f.acknowledgedBy(p) {
+			m.searchReturned(now, f, p, out)
+			return
+		}
 		// The target accepted the flow and no longer holds it, so it has
 		// restarted. No other target holds the flow.
-		m.forget(now, p.Key, f)
 		m.reset(p, "target_lost_flow", out)
 		return
 	}
@@ -204,6 +211,16 @@
 	m.handleNotHeld(now, p, out)
 }
 
+// searchReturned searches for the owner of a flow whose packet the target
+// returned and that does not acknowledge what the target sent, as a caller's reset
+// may not. The caller may have opened the flow at another target, which accepted
+// a copy of the opening packet.
+func (m *Machine) searchReturned(now time.Duration, f *ownedFlow, p *flow.Packet, out *plane.Out) {
+	clean := *p
+	clean.Returned, clean.Raw = false, m.Codec.Clean(p.Raw)
+	m.handleUnknown(now, &clean, &relay.Message{Origin: f.origin, Home: m.Self}, out)
+}
+
 // reset aborts a flow that no target holds.
 func (m *Machine) reset(p *flow.Packet, reason string, out *plane.Out) {
 	seq := p.Ack
