core/ownership: a search gives a target the same packet once

Cause: since the window of probes slides, earlier probes no longer limited a search that all agents have answered. If one target may hold the flow and is silent, because it works on the request, each of the rounds gave it the same packet again.

Another packet of the caller goes to it.

--- a/core/ownership/probe.go
+++ b/core/ownership/probe.go
@@ -70,7 +70,11 @@
 		if s.probeCount(now) >= limit {
 			return
 		}
+		if s.hasProbed(now, a, &p) {
+			continue
+		}
 		s.probing[a] = true
+		s.noteProbe(now, a, &p)
 		msg := &relay.Message{Origin: s.origin}
 		if a == m.Self {
 			m.handleProbe(now, m.Self, &p, msg, out)
--- a/core/ownership/probebudget.go
+++ b/core/ownership/probebudget.go
@@ -84,5 +84,28 @@
 	return n
 }
 
+// sentProbe is the last probe that a search has sent to an agent.
+type sentProbe struct {
+	at       time.Duration
+	seq, ack uint32
+	length   int
+}
+
+// hasProbed reports whether the search has recently given this packet to an agent
+// as a probe. A target that holds the flow need not answer at once, so it does
+// not get the packet again in each round.
+func (s *search) hasProbed(now time.Duration, a netip.Addr, p *flow.Packet) bool {
+	last, ok := s.lastProbes[a]
+	return ok && now-last.at <= probeWindow && last == sentProbe{last.at, p.Seq, p.Ack, p.Len}
+}
+
+// noteProbe records that a probe with this packet is sent to an agent.
+func (s *search) noteProbe(now time.Duration, a netip.Addr, p *flow.Packet) {
+	if s.lastProbes == nil {
+		s.lastProbes = map[netip.Addr]sentProbe{}
+	}
+	s.lastProbes[a] = sentProbe{now, p.Seq, p.Ack, p.Len}
+}
+
 // probesOnWire returns a number of probes as it is sent.
 func probesOnWire(n int) uint8 { return uint8(min(n, math.MaxUint8)) }
--- a/core/ownership/probebudget_test.go
+++ b/core/ownership/probebudget_test.go
@@ -179,3 +179,34 @@
 	assert.Equal(t, len(s.misdelivered), 8)
 	assert.Assert(t, s.resets > 0)
 }
+
+// Guards against a search that gives a target the same packet in each round. The
+// target may hold the flow and be silent, because it works on the request. After
+// a kill of all processes, the repeated packets made targets count as failing.
+func TestSilentTargetIsProbedOnce(t *testing.T) {
+	f := newFixture(t, true)
+	p := flow.Packet{Key: fleettest.Key(1), Seq: 111, Ack: 5001, Len: 10}
+	probes := 0
+	for end := f.now + probeWindow; f.now < end; f.advance(20 * ms) {
+		if f.now%(400*ms) == 0 {
+			f.balancerSends(relay.Packet, p)
+		}
+		asked := f.searchedAgents()
+		for _, a := range asked {
+			kind := map[netip.Addr]relay.Kind{fleettest.Agent(1): relay.NotOwner, fleettest.Agent(2): relay.MaybeOwner}[a]
+			f.peerAnswers(a.As4()[3]-10, kind, 1)
+			for _, k := range f.sentKinds() {
+				if k == relay.Probe {
+					probes++
+				}
+			}
+		}
+	}
+	assert.Equal(t, probes, 1)
+	// The caller's next packet goes to the target.
+	p.Seq += 10
+	f.balancerSends(relay.Packet, p)
+	f.peerAnswers(1, relay.NotOwner, 1)
+	f.peerAnswers(2, relay.MaybeOwner, 1)
+	assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.Probe})
+}
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -54,6 +54,8 @@
 	// has those at the local target.
 	probes          map[netip.Addr]probeTimes
 	ownTargetProbes probeTimes
+	// lastProbes has the last probe that this agent has sent to each agent.
+	lastProbes map[netip.Addr]sentProbe
 	// onlySelfAsked says that only the local target has been probed so far.
 	onlySelfAsked bool
 	// selfDenied says that the local target does not hold the flow.
