--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -112,6 +112,9 @@
 	// none has reached its own.
 	probeBudget = 2
 	probeWindow = 30 * time.Second
+	// probeRepeatInterval is the time after which a search gives a target the
+	// same packet again, because the probe may have been lost.
+	probeRepeatInterval = 2500 * time.Millisecond
 	// defaultFlowTTL is used if Options.FlowTTL is zero.
 	defaultFlowTTL = 60 * time.Second
 	// maxStartSkew is by how much a target may start before its agent if both
--- a/core/ownership/probe.go
+++ b/core/ownership/probe.go
@@ -65,32 +65,33 @@
 // other targets after the one that holds the flow. Unless all agents have
 // answered, the flow has at most probeBudget probes in probeWindow.
 func (m *Machine) probeMaybeOwners(now time.Duration, key flow.Key, s *search, out *plane.Out) {
+	p, err := m.Codec.FromCaller(s.raw)
+	if err != nil {
+		return
+	}
 	for _, a := range slices.Clone(s.maybeOwners) {
 		if len(s.probing) >= probeBudget || !s.allAnswered && s.probeCount(now) >= probeBudget {
 			return
 		}
-		if s.probing[a] || !slices.Contains(s.maybeOwners, a) {
+		if s.probing[a] || s.hasProbed(now, a, &p) || !slices.Contains(s.maybeOwners, a) {
 			continue
 		}
-		m.probe(now, a, key, s, out)
+		m.probe(now, a, &p, s, out)
 	}
 }
 
 // probe sends a probe to an agent whose target may hold the flow.
-func (m *Machine) probe(now time.Duration, to netip.Addr, key flow.Key, s *search, out *plane.Out) {
-	p, err := m.Codec.FromCaller(s.raw)
-	if err != nil {
-		return
-	}
+func (m *Machine) probe(now time.Duration, to netip.Addr, p *flow.Packet, s *search, out *plane.Out) {
 	s.probing[to] = true
+	s.noteProbe(now, to, p)
 	msg := &relay.Message{Origin: s.origin}
 	if to == m.Self {
-		m.handleProbe(now, m.Self, &p, msg, out)
+		m.handleProbe(now, m.Self, p, msg, out)
 	} else {
 		s.countSentProbe(now, to)
-		m.forward(to, relay.Probe, &p, msg, out)
+		m.forward(to, relay.Probe, p, msg, out)
 	}
-	out.Event(plane.Event{Kind: plane.EventProbed, Flow: key, PacketSeq: p.Seq, Peer: to, Value: int64(s.probeCount(now))})
+	out.Event(plane.Event{Kind: plane.EventProbed, Flow: p.Key, PacketSeq: p.Seq, Peer: to, Value: int64(s.probeCount(now))})
 }
 
 // handleProbe gives a packet to the target to learn whether it holds the flow.
