fleetsync: peers that know little of removed entries are asked again

Cause: an agent that starts took it that nobody knows of more removed entries after one attempt with any answer, also of peers that had started a moment before it.

Change: an answer settles it only if a peer knows the removals of the whole retention time. After three attempts with answers, 200 ms apart, the agent takes it that no peer knows more, as after a restart of all processes.

--- a/node/fleetsync/removals.go
+++ b/node/fleetsync/removals.go
@@ -17,11 +17,13 @@
 	// queryRemovals asks a peer for the entries that were removed lately, in
 	// place of the changes after a progress.
 	queryRemovals = "removals"
-	// maxRemovalPeers is how many peers a starting process asks for removed
-	// entries, until one of them knows those of the whole retention time.
-	maxRemovalPeers = 3
-	// removalsRetryInterval is the pause after an attempt in which no peer
-	// answered.
+	// removalPeers is how many peers a starting process asks in one attempt for
+	// removed entries, until one of them knows those of the whole retention time.
+	removalPeers = 2
+	// removalAttempts is the number of attempts with an answer after which the
+	// process takes it that no peer knows more, as after a restart of all.
+	removalAttempts = 3
+	// removalsRetryInterval is the pause between two attempts.
 	removalsRetryInterval = 200 * time.Millisecond
 )
 
@@ -37,7 +39,14 @@
 	case <-ctx.Done():
 	case <-s.firstView:
 	}
-	for ctx.Err() == nil && !s.askForRemovals(ctx) {
+	for answered := 0; ctx.Err() == nil && !s.removalsKnown(); {
+		if s.askForRemovals(ctx) {
+			answered++
+		}
+		if answered >= removalAttempts {
+			s.settleRemovals()
+			break
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(removalsRetryInterval):
@@ -47,29 +56,30 @@
 	return ctx.Err()
 }
 
-// askForRemovals asks peers for removed entries and reports whether the view
-// knows as many of them as it can.
-func (s *Sync) askForRemovals(ctx context.Context) bool {
-	peers, answered := s.removalPeers()
+// askForRemovals asks some peers for removed entries, until one of them knows
+// those of the whole retention time, and reports whether a peer with a view has
+// answered or there is none to ask.
+func (s *Sync) askForRemovals(ctx context.Context) (answered bool) {
+	peers, alone := s.removalCandidates()
+	answered = alone
 	for _, peer := range peers {
-		if s.removalsKnown() {
-			return true
-		}
 		from := netip.AddrPortFrom(peer, s.PeerPort)
 		if err := s.pullRemovals(ctx, from); err != nil {
 			s.Log.Debug("peer does not tell which entries were removed", telemetry.Peer(from.String()), telemetry.Error(err))
 			continue
 		}
-		// At least one peer with a view has told what it knows.
 		answered = true
+		if s.removalsKnown() {
+			break
+		}
 	}
-	if !answered {
-		return false
-	}
+	return answered
+}
+
+func (s *Sync) settleRemovals() {
 	s.Lock.Lock()
 	defer s.Lock.Unlock()
 	s.View.SettleRemovals()
-	return true
 }
 
 func (s *Sync) removalsKnown() bool {
@@ -78,10 +88,10 @@
 	return s.View.RemovalsKnown(s.Now())
 }
 
-// removalPeers returns the peers to ask: agents of the local data centre, or of
+// removalCandidates returns the peers to ask: agents of the local data centre, or of
 // others if there is none, at random. alone reports that there is no other agent
 // in the fleet.
-func (s *Sync) removalPeers() (peers []netip.Addr, alone bool) {
+func (s *Sync) removalCandidates() (peers []netip.Addr, alone bool) {
 	s.Lock.Lock()
 	expected := s.View.ExpectsTargets(s.Now())
 	agents := slices.Clone(s.View.Agents())
@@ -91,7 +101,7 @@
 		near = slices.DeleteFunc(agents, func(a netip.Addr) bool { return a == s.Self })
 	}
 	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	return near[:min(len(near), maxRemovalPeers)], len(near) == 0 && !expected
+	return near[:min(len(near), removalPeers)], len(near) == 0 && !expected
 }
 
 // pullRemovals fetches the removed entries of a peer.
