ownership: one lost question does not make an agent gone

Cause: the agent of a removed target counted as gone once its first unanswered question was 3 s old, even if it was the only one. One lost datagram, or a survey that the owner of the flow answered in place of the agent that was asked, and a quiet time made an agent gone, so that a later search did not wait for it and reset a flow of its target.

Change: silence is the time between the first and the last question of a series without long gaps. A surveyor whose survey the owner answered is not waited for.

--- a/core/ownership/answers.go
+++ b/core/ownership/answers.go
@@ -85,6 +85,17 @@
 	if s != nil {
 		s.done, s.found = true, true
 		clear(s.probing)
+		m.excuseSurveyors(s)
 		out.Event(plane.Event{Kind: plane.EventFound, Flow: msg.Flow, Peer: from})
 	}
 }
+
+// excuseSurveyors takes back the questions to the agents that were sent a survey,
+// because they do not answer once the owner has.
+func (m *Machine) excuseSurveyors(s *search) {
+	for a, asked := range s.asked {
+		if asked != (searchScope{}) {
+			m.peer(a).unanswered = false
+		}
+	}
+}
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -55,9 +55,11 @@
 	// maxSearchViewAge is the age of the view up to which it lists every target
 	// that may hold a flow. An older view may lack targets that got flows since.
 	maxSearchViewAge = 4 * time.Second
-	// goneTimeout is how long the agent of a removed target must leave questions
-	// unanswered to count as gone with its target.
-	goneTimeout = 3 * time.Second
+	// goneTimeout is how long the agent of a removed target must leave a series
+	// of questions unanswered to count as gone with its target. maxQuestionGap is
+	// the longest time between two questions of a series.
+	goneTimeout    = 3 * time.Second
+	maxQuestionGap = 5 * time.Second
 	// goneRetryInterval is the interval at which an agent that counts as gone is
 	// asked again.
 	goneRetryInterval = time.Second
--- a/core/ownership/peers.go
+++ b/core/ownership/peers.go
@@ -15,20 +15,22 @@
 	p.load, p.lastHeard, p.everHeard, p.unanswered = load, now, true, false
 }
 
-// asked records a question to the peer.
+// asked records a question to the peer. A question long after the last one
+// begins a new series, because one lost question says nothing.
 func (p *peer) asked(now time.Duration) {
-	if !p.unanswered {
+	if !p.unanswered || now-p.lastAsked > maxQuestionGap {
 		p.unanswered, p.askedAt = true, now
 	}
 	p.lastAsked = now
 }
 
-// silentFor returns how long the peer has left questions unanswered.
+// silentFor returns the time between the first and the last question of a series
+// that the peer has left unanswered.
 func (p *peer) silentFor(now time.Duration) time.Duration {
-	if !p.unanswered {
+	if !p.unanswered || now-p.lastAsked > maxQuestionGap {
 		return 0
 	}
-	return now - p.askedAt
+	return p.lastAsked - p.askedAt
 }
 
 // acceptsFlows reports whether an agent and its target take new flows, as far
