ownership: no refusal of a copy at a home that has not placed it

Cause: each copy of an opening packet starts at the next home. If no target was left there, the home refused the copy, although the first packet may have been accepted through another home, as when all targets begin to drain in that moment.

Change: a home drops such a copy.

Result: TestCopyAtAnotherHomeIsNotRefused failed before. A copy that an agent cannot hand over is still refused.

--- a/core/ownership/copies_test.go
+++ b/core/ownership/copies_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/fleet/fleettest"
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/relay"
@@ -67,3 +68,15 @@
 	f.advance(minOwnerTimeout)
 	assert.Equal(t, len(f.out.ToCaller), 0)
 }
+
+// Guards against the reset of an open flow by the copy of its opening packet:
+// the copy reaches another home after all targets have begun to drain.
+func TestCopyAtAnotherHomeIsNotRefused(t *testing.T) {
+	f := newFixture(t, true)
+	f.View.Apply(f.now, &fleet.Delta{Revision: 200, Changes: []fleet.Change{
+		{ID: "a", Revision: 198, Target: fleettest.Target(0, fleet.Draining)},
+		{ID: "b", Revision: 199, Target: fleettest.Target(1, fleet.Draining)},
+		{ID: "c", Revision: 200, Target: fleettest.Target(2, fleet.Draining)}}})
+	f.balancerSends(relay.Open, flow.Packet{Key: fleettest.Key(1), Open: true, Seq: 100, Ack: 1})
+	assert.Equal(t, len(f.out.ToCaller), 0)
+}
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -48,8 +48,9 @@
 func (m *Machine) place(now time.Duration, p *flow.Packet, msg *relay.Message, tried []netip.Addr, out *plane.Out) {
 	to, ok := m.choose(now, p.Key, tried)
 	switch {
-	case !ok && len(tried) > 0:
-		// An agent in tried may have accepted the flow, and its report was lost.
+	case !ok && (len(tried) > 0 || p.Ack > 0):
+		// An agent in tried may have accepted the flow, and its report was lost. An
+		// earlier copy may have been accepted through another home.
 		m.giveUp(p, msg, "no_other_target", out)
 		return
 	case !ok:
