dispatch: a copy of an opening packet is not refused for want of a route

Cause: if the route was removed after the first packet, a copy got a reset, although a target may have accepted the first packet.

Change: such a copy is dropped. The first packet for an address without a route is refused at once as before.

--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -232,3 +232,16 @@
 	m.FromCaller(ms, openPacket(2, 0), &out)
 	assert.Equal(t, len(out.Sends), 1, "a new flow goes by the current route only")
 }
+
+// Guards against a reset of a flow that its caller opens on a route that was
+// removed before the copy of the opening packet came.
+func TestCopyWithoutRouteIsNotRefused(t *testing.T) {
+	v := fleettest.View(0, fleettest.Ready(2)...)
+	m := New(self, "dc", flowtest.Codec{}, v)
+	var out plane.Out
+	m.FromCaller(ms, openPacket(1, 0), &out)
+	assert.Equal(t, len(out.Sends), 1)
+	v.Apply(ms, &fleet.Delta{Revision: 300, Config: &fleet.Config{Version: 9}, ConfigRevision: 300})
+	m.FromCaller(200*ms, openPacket(1, 1), &out)
+	assert.Equal(t, len(out.ToCaller), 0)
+}
--- a/core/dispatch/opening.go
+++ b/core/dispatch/opening.go
@@ -56,6 +56,11 @@
 		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: "no_route_old_view", Value: age.Milliseconds()})
 		return
 	}
+	if p.Ack > 0 {
+		// The route may have existed when the first packet came.
+		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: "copy_no_route", Value: int64(m.view.Version())})
+		return
+	}
 	m.refuse(p, "no_route", out)
 }
 
