fleetsync: removed entries of another epoch are no answer

Cause: a view ignores entries of another epoch, but the peer counted as one that had told what it knows. So an agent that started while the platform returned from an older copy knew of no removed entries, just when entries are missing most.

Change: the agent asks again until a peer of its epoch answers.

Result: TestRemovalsOfAnotherEpochCount failed before.

--- a/node/fleetsync/removals.go
+++ b/node/fleetsync/removals.go
@@ -31,6 +31,9 @@
 // does not tell which entries were removed.
 var errNoHistory = errors.New("peer does not know which entries were removed")
 
+// errOtherEpoch is returned if a peer's view is of another epoch.
+var errOtherEpoch = errors.New("peer's view is of another epoch of the platform")
+
 // LearnRemovals makes the view know the entries that were removed before the
 // process started. A listing at the platform does not name them, and their
 // targets may still run and hold flows.
@@ -115,6 +118,10 @@
 	if d.RemovalsKnownMS == nil {
 		return errNoHistory
 	}
+	if d.Epoch != s.localProgress().Epoch {
+		// The view would ignore the entries.
+		return errOtherEpoch
+	}
 	s.apply(d, from.String())
 	s.Log.Info("removed entries learned", telemetry.Peer(from.String()), zap.Int("removed", len(d.Changes)), zap.Int64("known_ms", *d.RemovalsKnownMS))
 	return nil
--- a/node/fleetsync/removals_test.go
+++ b/node/fleetsync/removals_test.go
@@ -121,3 +121,16 @@
 	assert.ErrorIs(t, err, errNoHistory)
 	assert.Assert(t, !f.removalsKnown())
 }
+
+// Guards against a process that counts a peer of another epoch as one that has
+// told its removed entries, although the view ignores them.
+func TestRemovalsOfAnotherEpochCount(t *testing.T) {
+	f := startedProcess(t)
+	f.View.Apply(f.now, &fleet.Delta{Epoch: 2, Full: true, Revision: 7, Changes: []fleet.Change{{ID: "a", Revision: 3, Target: fleettest.Target(0, fleet.Ready)}}})
+	peer := longRunningPeer(20 * time.Second)
+	server := httptest.NewServer(peer)
+	defer server.Close()
+	err := f.pullRemovals(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	learned := len(f.View.RemovedTargets(fleettest.Service)) == 1
+	assert.Assert(t, err != nil || learned, "counted as an answer, learned nothing")
+}
