ownership: a search waits for a version of the routes that a peer has

Cause: whether a peer is ahead was decided by the revision alone. A version that the platform has lost is ahead at the same revision, and may name a service of the address that this agent lacks.

Change: the version counts as well.

--- a/core/ownership/holders.go
+++ b/core/ownership/holders.go
@@ -70,12 +70,12 @@
 	return cmp.Or(s.incomplete, m.incompleteReason(now))
 }
 
-// peerAhead reports whether a peer has told of a later view, which may list more
-// targets.
+// peerAhead reports whether a peer has told of a later view or version of the
+// routes, which may name more targets or services.
 func (m *Machine) peerAhead(now time.Duration) bool {
 	own := m.View.Progress()
 	for _, p := range m.peers {
-		if p.everHeard && now-p.lastHeard <= heartbeatTimeout && p.progress.LaterThan(own) {
+		if p.everHeard && now-p.lastHeard <= heartbeatTimeout && p.progress.AheadOf(own) {
 			return true
 		}
 	}
--- a/core/ownership/incomplete_test.go
+++ b/core/ownership/incomplete_test.go
@@ -176,3 +176,17 @@
 	f.peerAnswers(1, relay.NotOwner, 2)
 	assert.Equal(t, len(f.out.ToCaller), 0, "agent 2 was asked in this instant")
 }
+
+// Guards against the reset of an open flow by an agent that lacks a version of
+// the routes, and so a service of the address, that a peer has. The platform has
+// lost the version, so the revisions are equal.
+func TestAgentWithoutVersionOfAPeerResetsNothing(t *testing.T) {
+	f := newFixture(t, true)
+	later := f.View.Progress()
+	later.Version++
+	f.FromPeer(f.now, fleettest.Agent(1), &relay.Message{Kind: relay.Heartbeat, Service: tag, Load: relay.Load{Flags: relay.FlagAgent}, Progress: later}, &f.out)
+	f.balancerSends(relay.Packet, unknownPacket)
+	f.peerAnswers(1, relay.NotOwner, 1)
+	f.peerAnswers(2, relay.NotOwner, 1)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+}
