fleet: the retention of a lapsed entry begins when its target gets no flows

Cause: a lapsed target gets new flows as long as the platform is disturbed, but its entry was dropped 60 s after its removal. A flow that it got just before had no known holder then.

Change: the retention time begins anew while the entry counts as lapsed.

Result: TestFlowOfExpiredEntryIsNotReset failed before.

--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -263,9 +263,23 @@
 	}
 }
 
+// retainLapsed begins the retention time of lapsed entries anew, because their
+// targets get new flows as long as they may be listed again.
+func (v *View) retainLapsed(now time.Duration) {
+	if !v.RecentlyDisturbed(now) {
+		return
+	}
+	for _, e := range v.removals {
+		if e.removed && e.target != nil && e.target.State == Ready {
+			e.removedAt = now
+		}
+	}
+}
+
 // Expire discards removed entries, retired routes and earlier services whose
 // retention time has passed.
 func (v *View) Expire(now time.Duration) {
+	v.retainLapsed(now)
 	for len(v.removals) > 0 && now-v.removals[0].removedAt > RemovedEntryRetention {
 		e := v.removals[0]
 		v.removals = v.removals[1:]
--- a/core/ownership/gone_test.go
+++ b/core/ownership/gone_test.go
@@ -61,3 +61,22 @@
 	f.balancerSends(relay.Packet, flow.Packet{Key: fleettest.Key(1), Seq: 111, Ack: 5001, Len: 10})
 	assert.Equal(t, len(f.out.ToTarget), 1)
 }
+
+// Guards against the reset of a flow that a lapsed target got in the last
+// seconds before its entry expired.
+func TestFlowOfExpiredEntryIsNotReset(t *testing.T) {
+	f := newFixture(t, true)
+	f.removeTargets(2)
+	f.now = fleet.RemovedEntryRetention - time.Second
+	f.View.RecordDisturbance(f.now)
+	f.heartbeats(1, 2)
+	lapsed := f.View.LapsedTargets(f.now, "booking")
+	assert.Equal(t, len(lapsed), 1, "the target still gets new flows")
+	f.now += 2 * time.Second
+	f.View.Expire(f.now)
+	f.View.Confirm(f.now, 0, f.View.Progress())
+	f.heartbeats(1, 2)
+	f.balancerSends(relay.Packet, unknownPacket)
+	f.peerAnswers(1, relay.NotOwner, 1)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+}
