fleetsync: only peers that started together settle what was removed

Cause: three attempts with answers settled what is known of removed entries, although the peers that answered had started a few seconds before and others knew more.

Change: attempts count only if all peers that answered started with this process, as after a restart of all. Otherwise the process looks for a peer with the whole history for up to 10 s. It resets no flow in that time.

Result: TestPeersOfDifferentAgeDoNotSettle; the peer's answer settled it before after three attempts.

--- a/node/fleetsync/removals.go
+++ b/node/fleetsync/removals.go
@@ -20,11 +20,17 @@
 	// removalPeers is how many peers a starting process asks in one attempt for
 	// removed entries, until one of them knows those of the whole retention time.
 	removalPeers = 2
-	// removalAttempts is the number of attempts with an answer after which the
-	// process takes it that no peer knows more, as after a restart of all.
+	// removalAttempts is the number of attempts in which all peers that answer
+	// have started with the process, after which it takes it that all processes
+	// have, so that nobody knows more. Peers that started up to startSpread before
+	// the process count as started with it.
 	removalAttempts = 3
+	startSpread     = time.Second
 	// removalsRetryInterval is the pause between two attempts.
 	removalsRetryInterval = 200 * time.Millisecond
+	// maxRemovalsWait is how long the process looks for a peer that knows the
+	// removals of the whole retention time, if others know only a part.
+	maxRemovalsWait = 10 * time.Second
 )
 
 // errNoHistory is returned if a peer has no view yet, or is of a release that
@@ -42,11 +48,11 @@
 	case <-ctx.Done():
 	case <-s.firstView:
 	}
-	for answered := 0; ctx.Err() == nil && !s.removalsKnown(); {
+	for together := 0; ctx.Err() == nil && !s.removalsKnown(); {
 		if s.askForRemovals(ctx) {
-			answered++
+			together++
 		}
-		if answered >= removalAttempts {
+		if together >= removalAttempts || s.Now() > maxRemovalsWait {
 			s.settleRemovals()
 			break
 		}
@@ -60,23 +66,24 @@
 }
 
 // askForRemovals asks some peers for removed entries, until one of them knows
-// those of the whole retention time, and reports whether a peer with a view has
-// answered or there is none to ask.
-func (s *Sync) askForRemovals(ctx context.Context) (answered bool) {
+// those of the whole retention time. It reports whether the peers that have
+// answered started with this process, or there is no peer.
+func (s *Sync) askForRemovals(ctx context.Context) (together bool) {
 	peers, alone := s.removalCandidates()
-	answered = alone
+	answered, longest := false, time.Duration(0)
 	for _, peer := range peers {
 		from := netip.AddrPortFrom(peer, s.PeerPort)
-		if err := s.pullRemovals(ctx, from); err != nil {
+		known, err := s.pullRemovals(ctx, from)
+		if err != nil {
 			s.Log.Debug("peer does not tell which entries were removed", telemetry.Peer(from.String()), telemetry.Error(err))
 			continue
 		}
-		answered = true
+		answered, longest = true, max(longest, known)
 		if s.removalsKnown() {
 			break
 		}
 	}
-	return answered
+	return alone || answered && longest <= s.Now()+startSpread
 }
 
 func (s *Sync) settleRemovals() {
@@ -107,24 +114,25 @@
 	return near[:min(len(near), removalPeers)], len(near) == 0 && !expected
 }
 
-// pullRemovals fetches the removed entries of a peer.
-func (s *Sync) pullRemovals(ctx context.Context, from netip.AddrPort) error {
+// pullRemovals fetches the removed entries of a peer, and returns for how long
+// before now the peer knows all of them.
+func (s *Sync) pullRemovals(ctx context.Context, from netip.AddrPort) (known time.Duration, err error) {
 	parameters := progressParameters(s.localProgress())
 	parameters[queryRemovals] = "1"
 	d, err := s.get(ctx, from, parameters)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if d.RemovalsKnownMS == nil {
-		return errNoHistory
+		return 0, errNoHistory
 	}
 	if d.Epoch != s.localProgress().Epoch {
 		// The view would ignore the entries.
-		return errOtherEpoch
+		return 0, errOtherEpoch
 	}
 	s.apply(d, from.String())
 	s.Log.Info("removed entries learned", telemetry.Peer(from.String()), zap.Int("removed", len(d.Changes)), zap.Int64("known_ms", *d.RemovalsKnownMS))
-	return nil
+	return time.Duration(*d.RemovalsKnownMS) * time.Millisecond, nil
 }
 
 // removals returns the entries that were removed lately.
--- a/node/fleetsync/removals_test.go
+++ b/node/fleetsync/removals_test.go
@@ -45,7 +45,8 @@
 	peer := longRunningPeer(20 * time.Second)
 	server := httptest.NewServer(peer)
 	defer server.Close()
-	assert.NilError(t, f.pullRemovals(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))))
+	_, err := f.pullRemovals(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	assert.NilError(t, err)
 	assert.Assert(t, f.removalsKnown())
 	removed := f.View.RemovedTargets(fleettest.Service)
 	assert.Equal(t, len(removed), 1)
@@ -63,7 +64,8 @@
 	peer.now = time.Second
 	server := httptest.NewServer(peer)
 	defer server.Close()
-	assert.NilError(t, f.pullRemovals(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))))
+	_, err := f.pullRemovals(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	assert.NilError(t, err)
 	assert.Assert(t, !f.removalsKnown())
 	f.now = fleet.RemovedEntryRetention - time.Second
 	assert.Assert(t, f.removalsKnown())
@@ -107,6 +109,23 @@
 	assert.Equal(t, requests, removalAttempts)
 }
 
+// Guards against a process that settles for the little that peers know which
+// started a few seconds before it. Others may know more.
+func TestPeersOfDifferentAgeDoNotSettle(t *testing.T) {
+	f, peer := startedProcess(t), startedProcess(t)
+	peer.now = startSpread + 100*time.Millisecond
+	server := httptest.NewServer(peer)
+	defer server.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	target := *fleettest.Target(5, fleet.Ready)
+	target.Address = netip.AddrPortFrom(address.Addr(), 80)
+	f.View.Apply(0, &fleet.Delta{Revision: 10, Changes: []fleet.Change{{ID: "peer", Revision: 10, Target: &target}}})
+	f.PeerPort, f.DataCentre, f.Self = address.Port(), fleettest.DataCentre, fleettest.Agent(0)
+	assert.Assert(t, !f.askForRemovals(context.Background()))
+	peer.now = startSpread - 100*time.Millisecond
+	assert.Assert(t, f.askForRemovals(context.Background()))
+}
+
 // Guards against a process that takes a peer without a view for one that knows
 // of no removed entries. While processes restart in turn, the peers that are
 // asked may all have just started.
@@ -117,7 +136,7 @@
 	peer.View = fleet.New()
 	server := httptest.NewServer(peer)
 	defer server.Close()
-	err := f.pullRemovals(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	_, err := f.pullRemovals(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
 	assert.ErrorIs(t, err, errNoHistory)
 	assert.Assert(t, !f.removalsKnown())
 }
@@ -130,7 +149,7 @@
 	peer := longRunningPeer(20 * time.Second)
 	server := httptest.NewServer(peer)
 	defer server.Close()
-	err := f.pullRemovals(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	_, err := f.pullRemovals(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
 	learned := len(f.View.RemovedTargets(fleettest.Service)) == 1
 	assert.Assert(t, err != nil || learned, "counted as an answer, learned nothing")
 }
