--- /dev/null
+++ b/core/ownership/openflow_platform_test.go
@@ -0,0 +1,280 @@
+package ownership_test
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/relay"
+)
+
+// Intervals with which views spread, as in node/fleetsync and node/packetplane.
+const (
+	parentInterval      = 400 * ms
+	childNotifyInterval = 500 * ms
+	childTimeout        = 1300 * ms
+	childRetention      = 30 * time.Second
+	batchDelay          = 150 * ms
+	standbyDelay        = 700 * ms
+	idleCheckInterval   = 100 * ms
+	watchPoll           = 40 * ms
+)
+
+// Targets write their entry at this interval. The entry lapses after three.
+const (
+	entryInterval = 700 * ms
+	entryLease    = 3 * entryInterval
+)
+
+// platform is the store of entries and routes.
+type platform struct {
+	w *world
+	// log holds the changes after the revision compacted.
+	log                            []fleet.Change
+	revision, compacted            uint64
+	entries                        map[string]*storedEntry
+	config                         *fleet.Config
+	configRevision                 uint64
+	downUntil, slowUntil, lapsesAt time.Duration
+}
+
+type storedEntry struct {
+	target    fleet.Target
+	revision  uint64
+	expiresAt time.Duration
+}
+
+func (s *platform) down() bool { return s.w.now < s.downUntil }
+
+// write stores the state of a target. Only a change gets a revision.
+func (s *platform) write(t fleet.Target) {
+	e := s.entries[t.ID]
+	if e == nil || e.target != t {
+		s.revision++
+		e = &storedEntry{target: t, revision: s.revision}
+		s.entries[t.ID] = e
+		s.log = append(s.log, fleet.Change{ID: t.ID, Revision: s.revision, Target: &t})
+	}
+	e.expiresAt = s.w.now + entryLease
+}
+
+func (s *platform) remove(id string) {
+	if s.entries[id] == nil {
+		return
+	}
+	s.revision++
+	delete(s.entries, id)
+	s.log = append(s.log, fleet.Change{ID: id, Revision: s.revision})
+}
+
+// expire removes the entries whose lease has ended. In some outages leases do not
+// end.
+func (s *platform) expire() {
+	s.w.after(100*ms, s.expire)
+	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
+		switch e := s.entries[id]; {
+		case s.w.now < e.expiresAt:
+		case s.down() && s.w.now < s.lapsesAt:
+			e.expiresAt = s.downUntil + entryLease
+		default:
+			s.remove(id)
+		}
+	}
+}
+
+func (s *platform) compact() {
+	s.compacted, s.log = s.revision, nil
+}
+
+func (s *platform) configure(c fleet.Config) {
+	s.revision++
+	s.config, s.configRevision = &c, s.revision
+}
+
+// read returns the changes after a revision, or a listing.
+func (s *platform) read(after uint64) *fleet.Delta {
+	d := &fleet.Delta{Revision: s.revision, Full: after == 0 || after < s.compacted}
+	if after < s.configRevision {
+		d.Config, d.ConfigRevision = s.config, s.configRevision
+	}
+	if !d.Full {
+		i, _ := slices.BinarySearchFunc(s.log, after+1, func(c fleet.Change, r uint64) int { return int(int64(c.Revision) - int64(r)) })
+		d.Changes = slices.Clone(s.log[i:])
+		return d
+	}
+	d.ListingRevision = s.revision
+	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
+		t := s.entries[id].target
+		d.Changes = append(d.Changes, fleet.Change{ID: id, Revision: s.entries[id].revision, Target: &t})
+	}
+	return d
+}
+
+// syncState is how a process keeps its view up to date.
+type syncState struct {
+	// cursor is the revision from which the next read continues. reading and
+	// fetching say that a read of the platform or of a peer is in progress.
+	cursor            uint64
+	reading, fetching bool
+	failed            bool
+	refusedUntil      time.Duration
+	parentIndex       int
+	// children maps the processes that asked for the age of the view to the time
+	// of the last request.
+	children map[netip.Addr]time.Duration
+	pause    time.Duration
+}
+
+func (p *process) position() fleet.Position {
+	return p.view.Position(nil, fleet.Member{VM: p.ip, DataCentre: p.dataCentre})
+}
+
+// readPlatform reads the platform if the process is a reader, has no view, or has
+// an old one.
+func (p *process) readPlatform(now time.Duration) time.Duration {
+	w, s := p.w, &p.sync
+	position := p.position()
+	if s.reading || p.view.Usable() && !position.Reader && p.view.Age(now) < position.TakeoverAge {
+		return min(idleCheckInterval, watchPoll)
+	}
+	if pause := s.pause; pause > 0 {
+		s.pause = 0
+		return pause
+	}
+	s.reading = true
+	incarnation := p.incarnation
+	latency := w.between(2*ms, 8*ms)
+	if w.now < w.platform.slowUntil {
+		latency = w.between(50*ms, 1500*ms)
+	}
+	w.after(latency/2, func() {
+		failed := w.platform.down() || w.now < s.refusedUntil
+		var d *fleet.Delta
+		if !failed {
+			d = w.platform.read(s.cursor)
+		}
+		w.after(latency/2, func() {
+			if p.incarnation == incarnation {
+				p.step(func(now time.Duration) { p.endRead(now, d, latency) })
+			}
+		})
+	})
+	return watchPoll
+}
+
+func (p *process) endRead(now time.Duration, d *fleet.Delta, latency time.Duration) {
+	s := &p.sync
+	s.reading = false
+	if d == nil {
+		p.view.RecordDisturbance(now)
+		s.failed, s.pause = true, p.w.between(150*ms, 600*ms)
+		return
+	}
+	if s.failed || latency > 250*ms {
+		p.view.RecordDisturbance(now)
+	}
+	s.failed, s.cursor = false, d.Revision
+	d.ConfirmedMS = latency.Milliseconds()
+	d.Revision = max(d.Revision, p.view.Revision())
+	if p.apply(now, d) {
+		s.pause = batchDelay
+		if p.position().Standby {
+			s.pause = standbyDelay
+		}
+	}
+}
+
+// apply applies a delta, and tells the children of a change.
+func (p *process) apply(now time.Duration, d *fleet.Delta) bool {
+	targets, config := p.view.Apply(now, d)
+	if !targets && !config {
+		return false
+	}
+	if p.balancer != nil {
+		p.balancer.ViewChanged(now, &p.out)
+	}
+	for _, child := range slices.SortedFunc(maps.Keys(p.sync.children), netip.Addr.Compare) {
+		if now-p.sync.children[child] <= childTimeout {
+			p.out.Send(child, p.heartbeat(now, 0))
+		}
+	}
+	return true
+}
+
+func (p *process) askParent(now time.Duration) time.Duration {
+	if parents := p.position().Parents; len(parents) > 0 {
+		p.sync.parentIndex++
+		p.out.Send(parents[p.sync.parentIndex%len(parents)], p.heartbeat(now, relay.FlagReplyRequested))
+	}
+	return parentInterval
+}
+
+// notifySilentChildren tells processes that may have restarted of the view.
+func (p *process) notifySilentChildren(now time.Duration) time.Duration {
+	for _, child := range slices.SortedFunc(maps.Keys(p.sync.children), netip.Addr.Compare) {
+		silence := now - p.sync.children[child]
+		if p.view.Usable() && silence > childTimeout && silence < childRetention {
+			p.out.Send(child, p.heartbeat(now, 0))
+		}
+	}
+	return childNotifyInterval
+}
+
+// handleHeartbeat confirms the view, or fetches the newer view of the sender.
+func (p *process) handleHeartbeat(now time.Duration, from netip.Addr, m *relay.Message) {
+	if m.Load.Flags&relay.FlagReplyRequested != 0 {
+		if p.sync.children == nil {
+			p.sync.children = map[netip.Addr]time.Duration{}
+		}
+		p.sync.children[from] = now
+		p.out.Send(from, p.heartbeat(now, 0))
+	}
+	if !m.Progress.AheadOf(p.view.Progress()) {
+		p.view.Confirm(now, m.Age, m.Progress)
+		return
+	}
+	if peer := p.w.processes[from]; p.mayFetchFrom(now, peer, m.Progress) {
+		p.fetch(peer)
+	}
+}
+
+func (p *process) mayFetchFrom(now time.Duration, peer *process, progress fleet.Progress) bool {
+	position := p.position()
+	near := peer.dataCentre == p.dataCentre || slices.Contains(position.Parents, peer.ip)
+	return near || !progress.LaterThan(p.view.Progress()) || !p.view.Usable() || p.view.Age(now) > position.TakeoverAge-200*ms
+}
+
+func (p *process) fetch(peer *process) {
+	w := p.w
+	if p.sync.fetching {
+		return
+	}
+	p.sync.fetching = true
+	after := fleet.Progress{}
+	if p.view.Usable() {
+		after = p.view.Progress()
+	}
+	incarnation := p.incarnation
+	low, high := ms, 4*ms
+	if peer.dataCentre != p.dataCentre {
+		low, high = 8*ms, 20*ms
+	}
+	w.after(w.between(low, high), func() {
+		var d *fleet.Delta
+		if peer.up && w.now >= peer.frozenUntil && peer.view.Usable() {
+			delta := peer.view.Since(peer.now(), after)
+			d = &delta
+		}
+		w.after(w.between(low, high), func() {
+			if p.incarnation != incarnation {
+				return
+			}
+			p.sync.fetching = false
+			if d != nil {
+				p.step(func(now time.Duration) { p.apply(now, d) })
+			}
+		})
+	})
+}
