--- a/core/ownership/openflow_world_test.go
+++ b/core/ownership/openflow_world_test.go
@@ -320,6 +320,7 @@
 	for _, s := range out.Sends {
 		datagrams = append(datagrams, datagram{s.To, s.Message.Append(nil)})
 		w.countSent(s.Message.Kind)
+		w.traceSend(p, s)
 	}
 	slices.SortStableFunc(datagrams, func(a, b datagram) int { return cmp.Or(a.to.Compare(b.to), bytes.Compare(a.raw, b.raw)) })
 	for _, d := range datagrams {
@@ -346,6 +347,21 @@
 	}
 }
 
+// traceSend records a datagram about a flow.
+func (w *world) traceSend(from *process, s plane.Send) {
+	m := s.Message
+	if !w.tracing || m.Kind == relay.Heartbeat {
+		return
+	}
+	key := m.Flow
+	if p, err := (flowtest.Codec{}).FromCaller(m.Body); err == nil {
+		key = p.Key
+	}
+	w.trace(key, func() string {
+		return fmt.Sprintf("%s sends %s to %s %v %v", from.ip, m.Kind, s.To, m.MaybeOwners, m.Unanswered)
+	})
+}
+
 func (w *world) sendDatagram(from *process, to netip.Addr, raw []byte) {
 	p := w.processes[to]
 	if p == nil {
