--- a/core/ownership/openflow_platform_test.go
+++ b/core/ownership/openflow_platform_test.go
@@ -118,6 +118,7 @@
 	// fetching say that a read of the platform or of a peer is in progress.
 	cursor            uint64
 	reading, fetching bool
+	askingRemovals    bool
 	failed            bool
 	refusedUntil      time.Duration
 	parentIndex       int
@@ -278,3 +279,56 @@
 		})
 	})
 }
+
+// maxRemovalPeers and removalsRetryInterval are those of node/fleetsync.
+const (
+	maxRemovalPeers       = 3
+	removalsRetryInterval = 200 * ms
+)
+
+// learnRemovals asks peers which entries were removed before the process
+// started, once it has a view.
+func (p *process) learnRemovals(now time.Duration) time.Duration {
+	s := &p.sync
+	if !p.view.Usable() || s.askingRemovals || p.view.RemovalsKnown(now) {
+		return removalsRetryInterval
+	}
+	others := slices.DeleteFunc(slices.Clone(p.view.Agents()), func(a netip.Addr) bool { return a == p.ip })
+	peers := slices.DeleteFunc(slices.Clone(others), func(a netip.Addr) bool { return p.w.processes[a].dataCentre != p.dataCentre })
+	if len(peers) == 0 {
+		peers = others
+	}
+	p.w.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	s.askingRemovals = true
+	p.askForRemovals(peers[:min(len(peers), maxRemovalPeers)], len(peers) == 0 && !p.view.ExpectsTargets(now))
+	return removalsRetryInterval
+}
+
+func (p *process) askForRemovals(peers []netip.Addr, answered bool) {
+	if len(peers) == 0 || p.view.RemovalsKnown(p.now()) {
+		p.sync.askingRemovals = false
+		if answered {
+			p.view.SettleRemovals()
+		}
+		return
+	}
+	w, peer, incarnation := p.w, p.w.processes[peers[0]], p.incarnation
+	w.after(w.between(2*ms, 10*ms), func() {
+		var d *fleet.Delta
+		if peer.up && w.now >= peer.frozenUntil {
+			removals := peer.view.Removals(peer.now())
+			d = &removals
+		}
+		w.after(w.between(2*ms, 10*ms), func() {
+			if p.incarnation != incarnation {
+				return
+			}
+			p.step(func(now time.Duration) {
+				if d != nil && d.RemovalsKnownMS != nil {
+					p.apply(now, d)
+				}
+				p.askForRemovals(peers[1:], answered || d != nil)
+			})
+		})
+	})
+}
--- a/core/ownership/openflow_world_test.go
+++ b/core/ownership/openflow_world_test.go
@@ -222,12 +222,16 @@
 		p.agent = ownership.New(0, ownership.Options{Self: p.ip, DataCentre: p.dataCentre, Service: v.service, Target: netip.AddrPortFrom(v.ip, 80),
 			FirstStart: firstStart, StartedMS: w.unixMS(v), Codec: flowtest.Codec{}, View: p.view})
 		p.repeat(w.between(0, localLoadInterval), p.sendLoad())
+		p.repeat(0, p.learnRemovals)
 		if !firstStart {
 			p.checkTarget()
 		}
 	} else {
 		p.balancer = dispatch.New(p.ip, p.dataCentre, flowtest.Codec{}, p.view)
 	}
+	if firstStart {
+		p.view.NothingRemovedBefore(0)
+	}
 	p.repeat(idleTick, p.tick)
 	p.repeat(w.between(ms, 20*ms), p.readPlatform)
 	p.repeat(w.between(0, parentInterval), p.askParent)
