--- a/core/ownership/openflow_platform_test.go
+++ b/core/ownership/openflow_platform_test.go
@@ -327,7 +327,7 @@
 				if d != nil && d.RemovalsKnownMS != nil {
 					p.apply(now, d)
 				}
-				p.askForRemovals(peers[1:], answered || d != nil)
+				p.askForRemovals(peers[1:], answered || d != nil && d.RemovalsKnownMS != nil)
 			})
 		})
 	})
