--- a/core/ownership/openflow_platform_test.go
+++ b/core/ownership/openflow_platform_test.go
@@ -119,9 +119,11 @@
 	cursor            uint64
 	reading, fetching bool
 	askingRemovals    bool
-	failed            bool
-	refusedUntil      time.Duration
-	parentIndex       int
+	// removalAnswers counts the attempts to learn removals that had an answer.
+	removalAnswers int
+	failed         bool
+	refusedUntil   time.Duration
+	parentIndex    int
 	// children maps the processes that asked for the age of the view to the time
 	// of the last request.
 	children map[netip.Addr]time.Duration
@@ -280,9 +282,10 @@
 	})
 }
 
-// maxRemovalPeers and removalsRetryInterval are those of node/fleetsync.
+// Parameters with which a process learns of removals, as in node/fleetsync.
 const (
-	maxRemovalPeers       = 3
+	removalPeers          = 2
+	removalAttempts       = 3
 	removalsRetryInterval = 200 * ms
 )
 
@@ -300,7 +303,7 @@
 	}
 	p.w.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	s.askingRemovals = true
-	p.askForRemovals(peers[:min(len(peers), maxRemovalPeers)], len(peers) == 0 && !p.view.ExpectsTargets(now))
+	p.askForRemovals(peers[:min(len(peers), removalPeers)], len(peers) == 0 && !p.view.ExpectsTargets(now))
 	return removalsRetryInterval
 }
 
@@ -308,6 +311,9 @@
 	if len(peers) == 0 || p.view.RemovalsKnown(p.now()) {
 		p.sync.askingRemovals = false
 		if answered {
+			p.sync.removalAnswers++
+		}
+		if p.sync.removalAnswers >= removalAttempts {
 			p.view.SettleRemovals()
 		}
 		return
