ownership: a question on its way does not make an agent gone

Cause: the question that was just sent counted as silence. If one question was lost some seconds before, the second of two searches at the same moment took the agent for gone while its answer was on its way, and reset a flow.

Change: only questions that the agent has had 100 ms to answer count.

--- a/core/ownership/incomplete_test.go
+++ b/core/ownership/incomplete_test.go
@@ -190,3 +190,22 @@
 	f.peerAnswers(2, relay.NotOwner, 1)
 	assert.Equal(t, len(f.out.ToCaller), 0)
 }
+
+// Guards against an agent that counts as gone while its answer to the second
+// question is on its way: one question was lost 4 s ago, and two packets of other
+// flows come at the same moment.
+func TestQuestionOnItsWayDoesNotMakeAnAgentGone(t *testing.T) {
+	f := newFixture(t, true)
+	f.balancerSends(relay.Packet, unknownPacket)
+	f.peerAnswers(1, relay.Owner, 1)
+	f.removeTargets(2)
+	f.advance(4 * time.Second)
+	f.View.Confirm(f.now, 0, f.View.Progress())
+	for _, port := range []uint16{2, 3} {
+		p := unknownPacket
+		p.Key = fleettest.Key(port)
+		f.balancerSends(relay.Packet, p)
+		f.peerAnswers(1, relay.NotOwner, port)
+		assert.Equal(t, len(f.out.ToCaller), 0, "port %d", port)
+	}
+}
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -60,6 +60,8 @@
 	// the longest time between two questions of a series.
 	goneTimeout    = 3 * time.Second
 	maxQuestionGap = 5 * time.Second
+	// maxAnswerTime is the time within which an agent that runs answers.
+	maxAnswerTime = 100 * time.Millisecond
 	// goneRetryInterval is the interval at which an agent that counts as gone is
 	// asked again.
 	goneRetryInterval = time.Second
@@ -220,10 +222,11 @@
 	// progress is the progress of the peer's view in its last heartbeat.
 	progress fleet.Progress
 	// unanswered says that the peer has not answered a question. The first one
-	// was sent at askedAt, the last one at lastAsked.
-	unanswered         bool
-	askedAt, lastAsked time.Duration
-	suspectUntil       time.Duration
+	// was sent at askedAt, the last one at lastAsked, and the last one that the
+	// peer had the time to answer at ignoredAt.
+	unanswered                    bool
+	askedAt, lastAsked, ignoredAt time.Duration
+	suspectUntil                  time.Duration
 	// unreported counts the flows that this agent placed there and that the
 	// peer has not reported yet.
 	unreported int
--- a/core/ownership/peers.go
+++ b/core/ownership/peers.go
@@ -19,18 +19,25 @@
 // begins a new series, because one lost question says nothing.
 func (p *peer) asked(now time.Duration) {
 	if !p.unanswered || now-p.lastAsked > maxQuestionGap {
-		p.unanswered, p.askedAt = true, now
+		p.unanswered, p.askedAt, p.ignoredAt = true, now, now
+	}
+	if now-p.lastAsked >= maxAnswerTime && p.lastAsked > p.ignoredAt {
+		p.ignoredAt = p.lastAsked
 	}
 	p.lastAsked = now
 }
 
 // silentFor returns the time between the first and the last question of a series
-// that the peer has left unanswered.
+// that the peer has left unanswered. A question that it may still answer does not
+// count.
 func (p *peer) silentFor(now time.Duration) time.Duration {
-	if !p.unanswered || now-p.lastAsked > maxQuestionGap {
+	switch {
+	case !p.unanswered || now-p.lastAsked > maxQuestionGap:
 		return 0
+	case now-p.lastAsked >= maxAnswerTime:
+		return p.lastAsked - p.askedAt
 	}
-	return p.lastAsked - p.askedAt
+	return p.ignoredAt - p.askedAt
 }
 
 // acceptsFlows reports whether an agent and its target take new flows, as far
