ownership: a search ends only when all agents of the present view have denied

Cause: a target that was listed while a round went on was not asked, and its flow was reset. And the check whether a peer has a later view compared with the latest heartbeat: while the fleet changes all the time, some peer is always ahead, and a lost flow was not reset for 5 s.

Change: before a reset every agent that the view names at that moment must have denied the flow, by itself or through a survey of the data centre as it is listed. The view must be as late as any that a peer had told of when the round began.

--- a/core/ownership/holders.go
+++ b/core/ownership/holders.go
@@ -70,16 +70,36 @@
 	return cmp.Or(s.incomplete, m.incompleteReason(now))
 }
 
-// peerAhead reports whether a peer has told of a later view or version of the
-// routes, which may name more targets or services.
-func (m *Machine) peerAhead(now time.Duration) bool {
-	own := m.View.Progress()
+// latestPeerProgress returns the latest progress that a peer has told of lately.
+func (m *Machine) latestPeerProgress(now time.Duration) (latest fleet.Progress) {
 	for _, p := range m.peers {
-		if p.everHeard && now-p.lastHeard <= heartbeatTimeout && p.progress.AheadOf(own) {
-			return true
+		if p.everHeard && now-p.lastHeard <= heartbeatTimeout && p.progress.AheadOf(latest) {
+			latest = p.progress
 		}
 	}
-	return false
+	return latest
+}
+
+// allDenied reports whether every agent that may hold the flow by the present
+// view has denied it. A target may have been listed or removed since the round
+// began.
+func (m *Machine) allDenied(now time.Duration, s *search) bool {
+	for _, targets := range [][]*fleet.Target{m.View.Targets(m.Service), m.View.RemovedTargets(m.Service)} {
+		for _, t := range targets {
+			if a := t.Agent(); a != m.Self && !s.denied[a] && !m.deniedBySurvey(s, t) && !m.gone(now, a) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// deniedBySurvey reports whether a survey of the data centre of a target, as the
+// view lists it now, has denied the flow for its agent.
+func (m *Machine) deniedBySurvey(s *search, t *fleet.Target) bool {
+	roster, surveyed := s.deniedRosters[t.DataCentre]
+	_, unresolved := s.unresolved[t.Agent()]
+	return surveyed && !unresolved && roster == m.View.Roster(m.Service, t.DataCentre)
 }
 
 // conclude ends a search in which no agent that was asked holds the flow. It
@@ -87,8 +107,12 @@
 // search goes on.
 func (m *Machine) conclude(now time.Duration, key flow.Key, s *search, out *plane.Out) {
 	reason := m.unsureReason(now, s)
-	if reason == "" && m.peerAhead(now) {
+	switch {
+	case reason != "":
+	case s.peersKnow.AheadOf(m.View.Progress()):
 		reason = "peer_ahead"
+	case !m.allDenied(now, s):
+		reason = "not_asked"
 	}
 	if reason != "" {
 		out.Event(plane.Event{Kind: plane.EventUnresolved, Flow: key, Reason: reason, Value: int64(s.retries), Search: m.searchBasis(now, s)})
--- a/core/ownership/incomplete_test.go
+++ b/core/ownership/incomplete_test.go
@@ -209,3 +209,39 @@
 		assert.Equal(t, len(f.out.ToCaller), 0, "port %d", port)
 	}
 }
+
+// Guards against lost flows that are never reset because the fleet changes all
+// the time, so that some heartbeat is always ahead of the view.
+func TestSteadyChangesDoNotKeepALostFlow(t *testing.T) {
+	f := newFixture(t, true)
+	f.balancerSends(relay.Packet, unknownPacket)
+	resets := 0
+	for i := range 50 {
+		later := f.View.Progress()
+		later.Revision++
+		f.FromPeer(f.now, fleettest.Agent(1), &relay.Message{Kind: relay.Heartbeat, Service: tag, Load: relay.Load{Flags: relay.FlagAgent}, Progress: later}, &f.out)
+		f.peerAnswers(1, relay.NotOwner, 1)
+		f.peerAnswers(2, relay.NotOwner, 1)
+		resets += len(f.out.ToCaller)
+		f.advance(100 * time.Millisecond)
+		resets += len(f.out.ToCaller)
+		if i%4 == 0 {
+			f.balancerSends(relay.Packet, unknownPacket)
+			resets += len(f.out.ToCaller)
+		}
+		// The view follows 0.1 s later, and the next change is on its way.
+		f.View.Apply(f.now, &fleet.Delta{Revision: later.Revision, Changes: []fleet.Change{}})
+	}
+	assert.Assert(t, resets > 0, "no reset in 5 s")
+}
+
+// Guards against the reset of an open flow at a target that the view lists since
+// the round of the search has begun, so that it was not asked.
+func TestTargetListedDuringARoundIsAsked(t *testing.T) {
+	f := newFixture(t, true)
+	f.balancerSends(relay.Packet, unknownPacket)
+	f.View.Apply(f.now, &fleet.Delta{Revision: 200, Changes: []fleet.Change{{ID: "d", Revision: 200, Target: fleettest.Target(3, fleet.Ready)}}})
+	f.peerAnswers(1, relay.NotOwner, 1)
+	f.peerAnswers(2, relay.NotOwner, 1)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+}
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -47,8 +47,10 @@
 	// allAnswered says that all agents that may own the flow have answered.
 	done, found, allAnswered bool
 	// incomplete is why the round may not ask every agent that may own the flow,
-	// or an empty string.
+	// or an empty string. peersKnow is the latest progress that a peer had told of
+	// when it began.
 	incomplete string
+	peersKnow  fleet.Progress
 	// noOwner says that all agents have answered and no target holds the flow.
 	// It applies to packets with the acknowledgement ack.
 	noOwner bool
@@ -115,7 +117,7 @@
 		s.denied, s.deniedRosters, s.unresolved, s.retries = map[netip.Addr]bool{}, map[string]uint64{}, map[netip.Addr]string{}, 0
 	}
 	s.remote, s.found, s.allAnswered, s.noOwner, s.ack, s.declinedSurveys = false, false, false, false, p.Ack, 0
-	s.incomplete = m.incompleteReason(now)
+	s.incomplete, s.peersKnow = m.incompleteReason(now), m.latestPeerProgress(now)
 	local, _ := m.searchable()
 	m.sendSearches(now, local, p, msg, s, out)
 	if m.mayHold(now, p.Key) {
