ownership: drop a caller's reset that the target returned

Cause: a returned packet that matches a flow and does not acknowledge its target is always a caller's reset, and a search drops resets. So the function that was to search for its flow never did.

Change: the packet is dropped where this is found out.

Result: go test ./core/ownership ./core/dispatch passes, with TestFlowOnlyAcceptedHereIsNotReset unchanged.

--- a/core/ownership/flows.go
+++ b/core/ownership/flows.go
@@ -197,7 +197,9 @@
 	if f != nil && f.accepted && f.matches(p) && f.baseKnown {
 		m.forget(now, p.Key, f)
 		if !f.acknowledgedBy(p) {
-			m.searchReturned(now, f, p, out)
+			// It is a caller's reset, perhaps of a flow at another target that
+			// accepted a copy of the opening packet.
+			out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Peer: f.origin, Reason: "unknown_flow"})
 			return
 		}
 		// The target accepted the flow and no longer holds it, so it has
@@ -211,16 +213,6 @@
 	m.handleNotHeld(now, p, out)
 }
 
-// searchReturned searches for the owner of a flow whose packet the target
-// returned and that does not acknowledge what the target sent, as a caller's reset
-// may not. The caller may have opened the flow at another target, which accepted
-// a copy of the opening packet.
-func (m *Machine) searchReturned(now time.Duration, f *ownedFlow, p *flow.Packet, out *plane.Out) {
-	clean := *p
-	clean.Returned, clean.Raw = false, m.Codec.Clean(p.Raw)
-	m.handleUnknown(now, &clean, &relay.Message{Origin: f.origin, Home: m.Self}, out)
-}
-
 // reset aborts a flow that no target holds.
 func (m *Machine) reset(p *flow.Packet, reason string, out *plane.Out) {
 	seq := p.Ack
