ownership: the agent of a removed target counts as gone after 2 s

Cause: since a series of questions decides, a lost flow whose caller sends a packet every 1.6 s was reset after 6 s at the earliest when a VM was lost with its target.

Change: the series lasts 2 s. An agent that restarts in turn is back within a second.

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -58,7 +58,7 @@
 	// goneTimeout is how long the agent of a removed target must leave a series
 	// of questions unanswered to count as gone with its target. maxQuestionGap is
 	// the longest time between two questions of a series.
-	goneTimeout    = 3 * time.Second
+	goneTimeout    = 2 * time.Second
 	maxQuestionGap = 5 * time.Second
 	// maxAnswerTime is the time within which an agent that runs answers.
 	maxAnswerTime = 100 * time.Millisecond
