ownership: compare the roster of a data centre once for each search

Cause: before a reset, the roster of a data centre was computed once for each of its targets, so the cost of a reset grew with the square of the service.

Change: it is computed once for each data centre.

Result: go test ./core/ownership passes; no decision changes.

--- a/core/ownership/holders.go
+++ b/core/ownership/holders.go
@@ -84,9 +84,13 @@
 // view has denied it. A target may have been listed or removed since the round
 // began.
 func (m *Machine) allDenied(now time.Duration, s *search) bool {
+	surveyed := m.currentSurveys(s)
 	for _, targets := range [][]*fleet.Target{m.View.Targets(m.Service), m.View.RemovedTargets(m.Service)} {
 		for _, t := range targets {
-			if a := t.Agent(); a != m.Self && !s.denied[a] && !m.deniedBySurvey(s, t) && !m.gone(now, a) {
+			a := t.Agent()
+			_, unresolved := s.unresolved[a]
+			denied := s.denied[a] || surveyed[t.DataCentre] && !unresolved
+			if a != m.Self && !denied && !m.gone(now, a) {
 				return false
 			}
 		}
@@ -94,12 +98,14 @@
 	return true
 }
 
-// deniedBySurvey reports whether a survey of the data centre of a target, as the
-// view lists it now, has denied the flow for its agent.
-func (m *Machine) deniedBySurvey(s *search, t *fleet.Target) bool {
-	roster, surveyed := s.deniedRosters[t.DataCentre]
-	_, unresolved := s.unresolved[t.Agent()]
-	return surveyed && !unresolved && roster == m.View.Roster(m.Service, t.DataCentre)
+// currentSurveys returns the data centres in which a survey has denied the flow
+// and which the view lists as they were then.
+func (m *Machine) currentSurveys(s *search) map[string]bool {
+	current := make(map[string]bool, len(s.deniedRosters))
+	for dataCentre, roster := range s.deniedRosters {
+		current[dataCentre] = roster == m.View.Roster(m.Service, dataCentre)
+	}
+	return current
 }
 
 // conclude ends a search in which no agent that was asked holds the flow. It
