lab/platform: tests replace a file at once

The test wrote the file in place, which truncates it first, and the stand-in of the platform polls its files, so it published an empty manifest.

Change: the tests write a new file and rename it. Checks and waits stay.

--- a/lab/platform/platform_test.go
+++ b/lab/platform/platform_test.go
@@ -40,8 +40,12 @@
 	return s
 }
 
+// write replaces a file at once. The platform polls its files, and would read an
+// empty one between the truncation and the write.
 func (s *testPlatform) write(t *testing.T, name, content string) {
-	assert.NilError(t, os.WriteFile(filepath.Join(s.dir, name), []byte(content), 0o600))
+	path := filepath.Join(s.dir, name)
+	assert.NilError(t, os.WriteFile(path+".new", []byte(content), 0o600))
+	assert.NilError(t, os.Rename(path+".new", path))
 }
 
 func (s *testPlatform) read(key, query string) (platform.Value, error) {
