review: case 1 freezes an agent that does not watch the store

Cause: a watch that is pending while the agent stands still tells it each version, so a frozen reader misses none, and the case then held.

Change: the case chooses an agent that is no reader.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -118,6 +118,18 @@
 	return best
 }
 
+// notWatching returns a machine beside a server of a service in a zone whose agent
+// does not watch the store, or nil.
+func (w *world) notWatching(service, zone string) *machine {
+	watching := w.store.watchers()
+	for _, m := range w.of("side") {
+		if m.server.service == service && m.zone == zone && !watching[m.storeAddr] {
+			return m
+		}
+	}
+	return nil
+}
+
 // playMissingFields: a server drains, and another writer stores an entry that
 // lacks fields, at the address of that server.
 func playMissingFields(w *world, trouble bool) error {
@@ -297,8 +309,12 @@
 	if err != nil {
 		return err
 	}
-	// The first agent of booking in the zone of the clients.
-	x := w.of("side")[0]
+	// An agent of booking in the zone of the clients, and not one that watches the
+	// store: its pending watch would tell it each version.
+	x := w.notWatching("booking", w.zones[0])
+	if x == nil {
+		return fmt.Errorf("all agents of booking in a zone watch the store")
+	}
 	if trouble {
 		w.signal(x, syscall.SIGSTOP)
 	}
