fleet: versions of the routes carry services and allowed regions

Cause: drained data centres, warm-up limits and the check of entries need what op/config says of services, and the adapter dropped it.

--- a/core/fleet/patch.go
+++ b/core/fleet/patch.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net/netip"
 	"reflect"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // keptVersions is the number of earlier versions that a view keeps as the base
@@ -19,11 +22,33 @@
 	Set           []Route          `json:"set,omitempty"`
 	Removed       []netip.AddrPort `json:"removed,omitempty"`
 	IdleTimeoutMS int              `json:"idle_timeout_ms"`
+	// ServicesDigest identifies the services of the version that the patch leads
+	// to, 0 if the sender does not know them. Services is set only if they differ
+	// from those of the base, because there may be thousands.
+	ServicesDigest uint64    `json:"services_digest,omitempty"`
+	Services       []Service `json:"services,omitempty"`
+}
+
+// servicesDigest returns a digest of the services of a version, or 0 if they are
+// not known.
+func (c *Config) servicesDigest() uint64 {
+	if c.Services == nil {
+		return 0
+	}
+	d := xxhash.New()
+	for _, s := range c.Services {
+		// Names do not contain the separator.
+		fmt.Fprintf(d, "%s\x00%v\x00", s.Name, s.WarmupPerSecond)
+	}
+	return max(1, d.Sum64())
 }
 
 // Diff returns the patch between two versions.
 func Diff(from, to *Config) *ConfigPatch {
-	p := &ConfigPatch{Base: from.Version, Version: to.Version, IdleTimeoutMS: to.IdleTimeoutMS}
+	p := &ConfigPatch{Base: from.Version, Version: to.Version, IdleTimeoutMS: to.IdleTimeoutMS, ServicesDigest: to.servicesDigest()}
+	if p.ServicesDigest != from.servicesDigest() {
+		p.Services = to.Services
+	}
 	old := make(map[netip.AddrPort]*Route, len(from.Routes))
 	for i := range from.Routes {
 		old[from.Routes[i].Address] = &from.Routes[i]
@@ -62,6 +87,13 @@
 	for _, r := range routes {
 		out.Routes = append(out.Routes, r)
 	}
+	switch p.ServicesDigest {
+	case 0:
+	case c.servicesDigest():
+		out.Services = c.Services
+	default:
+		out.Services = p.Services
+	}
 	slices.SortFunc(out.Routes, func(a, b Route) int { return cmp.Or(a.Address.Compare(b.Address), cmp.Compare(a.Name, b.Name)) })
 	return out
 }
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -108,12 +108,26 @@
 	ObjectiveMS int `json:"objective_ms"`
 	// Priority 0 is the highest.
 	Priority int `json:"priority"`
+	// AllowedRegions has the regions whose targets may get new flows of the
+	// route. Empty means all regions.
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
+}
+
+// Service has the settings of one service.
+type Service struct {
+	Name string `json:"name"`
+	// WarmupPerSecond bounds the new flows that a target gets in any second while
+	// it is warming up. 0 means no limit.
+	WarmupPerSecond float64 `json:"warmup_per_second,omitempty"`
 }
 
 // Config is one version of the routes.
 type Config struct {
 	Version uint64  `json:"version"`
 	Routes  []Route `json:"routes"`
+	// Services has the services that the version names. It is nil if the sender
+	// is of a release that does not tell them.
+	Services []Service `json:"services,omitempty"`
 	// IdleTimeoutMS is the time after which an idle flow may be discarded, in
 	// milliseconds.
 	IdleTimeoutMS int `json:"idle_timeout_ms"`
--- a/core/ownership/holders.go
+++ b/core/ownership/holders.go
@@ -44,6 +44,19 @@
 	return t == nil || t.Service != m.Service
 }
 
+// ask records a question to an agent. It returns whether to send it, and whether
+// to wait for the answer: an agent that counts as gone is asked from time to
+// time, and nobody waits for it.
+func (m *Machine) ask(now time.Duration, a netip.Addr) (send, wait bool) {
+	p := m.peer(a)
+	wait = !m.gone(now, a)
+	send = wait || now-p.lastAsked >= goneRetryInterval
+	if send {
+		p.asked(now)
+	}
+	return send, wait
+}
+
 // notGone returns the agents that do not count as gone.
 func (m *Machine) notGone(now time.Duration, agents []netip.Addr) []netip.Addr {
 	return slices.DeleteFunc(slices.Clone(agents), func(a netip.Addr) bool { return m.gone(now, a) })
@@ -87,10 +100,7 @@
 	surveyed := m.currentSurveys(s)
 	for _, targets := range [][]*fleet.Target{m.View.Targets(m.Service), m.View.RemovedTargets(m.Service)} {
 		for _, t := range targets {
-			a := t.Agent()
-			_, unresolved := s.unresolved[a]
-			denied := s.denied[a] || surveyed[t.DataCentre] && !unresolved
-			if a != m.Self && !denied && !m.gone(now, a) {
+			if a := t.Agent(); a != m.Self && !s.hasDenied(t, surveyed) && !m.gone(now, a) {
 				return false
 			}
 		}
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -139,12 +139,13 @@
 	if s.denied[a] {
 		return
 	}
-	if !m.gone(now, a) {
+	send, wait := m.ask(now, a)
+	if wait {
 		s.asked[a] = searchScope{}
-	} else if now-m.peer(a).lastAsked < goneRetryInterval {
+	}
+	if !send {
 		return
 	}
-	m.peer(a).asked(now)
 	m.forward(a, relay.Search, p, msg, out)
 }
 
@@ -218,16 +219,16 @@
 // searchBasis returns what the agent knows at the end of a search, for the log.
 func (m *Machine) searchBasis(now time.Duration, s *search) *plane.SearchBasis {
 	b := &plane.SearchBasis{Service: m.Service, SinceStart: now - m.startedAt}
-	known := map[netip.Addr]bool{m.Self: true}
+	known, surveyed := map[netip.Addr]bool{m.Self: true}, m.currentSurveys(s)
 	for _, t := range m.View.Targets(m.Service) {
 		known[t.Agent()] = true
-		if s.hasDenied(t) {
+		if s.hasDenied(t, surveyed) {
 			b.Denied++
 		}
 	}
 	b.Listed = len(known) - 1
 	for _, t := range m.View.RemovedTargets(m.Service) {
-		if !known[t.Agent()] && !s.hasDenied(t) {
+		if !known[t.Agent()] && !s.hasDenied(t, surveyed) {
 			b.NotAsked++
 		}
 		known[t.Agent()] = true
@@ -236,11 +237,10 @@
 }
 
 // hasDenied reports whether the agent of a target has denied the flow, by itself
-// or through a survey of its data centre.
-func (s *search) hasDenied(t *fleet.Target) bool {
-	_, surveyed := s.deniedRosters[t.DataCentre]
+// or through a survey of one of the data centres in surveyed.
+func (s *search) hasDenied(t *fleet.Target, surveyed map[string]bool) bool {
 	_, unresolved := s.unresolved[t.Agent()]
-	return s.denied[t.Agent()] || surveyed && !unresolved
+	return s.denied[t.Agent()] || surveyed[t.DataCentre] && !unresolved
 }
 
 // advanceSearch continues with the other data centres once all agents of the
--- a/core/ownership/survey.go
+++ b/core/ownership/survey.go
@@ -49,12 +49,13 @@
 	}
 	local, _ := m.searchable()
 	for _, a := range local {
-		if !m.gone(now, a) {
+		send, wait := m.ask(now, a)
+		if wait {
 			s.asked[a] = true
-		} else if now-m.peer(a).lastAsked < goneRetryInterval {
+		}
+		if !send {
 			continue
 		}
-		m.peer(a).asked(now)
 		m.forward(a, relay.Search, p, &relay.Message{Origin: msg.Origin, Home: from, Hops: msg.Hops}, out)
 	}
 	m.surveys[p.Key] = append(slices.DeleteFunc(m.surveys[p.Key], func(o *survey) bool { return o.asker == from }), s)
--- a/core/plane/out.go
+++ b/core/plane/out.go
@@ -142,7 +142,8 @@
 	// Listed counts the agents of the listed targets, and Denied those that have
 	// denied the flow, by themselves or through a survey of their data centre.
 	Listed, Denied int
-	// NotAsked counts the agents of removed targets that were not asked.
+	// NotAsked counts the agents of removed targets that have not denied the
+	// flow: they count as gone.
 	NotAsked int
 	// SinceStart is the time since the agent started.
 	SinceStart time.Duration
