fleet: requests to drain a data centre are part of the view

Cause: nothing reads the key op/evacuate/ZONE of the platform's store, so new flows reach the targets of drained data centres.

Change: the adapter reads the key in listings and watches, and lists the prefix alone. A view keeps the requests with the revision up to which it knows them; a delta carries all of them (field drains), and the later revision wins within an epoch. A delta of an old build carries none and leaves the known requests; the view then knows that it may lack some (DrainsComplete), and its process lists the requests itself, every 1 to 3 s while this lasts. After the platform returned from an older copy, a known state that the copy lacks stays for 30 s, or until its key changes in the new epoch. A request that the copy still has counts as the copy's if the view has known it, otherwise as a new one. A name that no data centre can have is ignored, logged and counted. Drains and undrains are logged and counted, and status lists the drained data centres. Placement does not use them yet.

--- a/core/fleet/delta.go
+++ b/core/fleet/delta.go
@@ -14,7 +14,7 @@
 	if full {
 		after = 0
 	}
-	d := Delta{Epoch: v.epoch, Revision: v.revision, Full: full, ConfirmedMS: int64(min(v.Age(now), time.Hour) / time.Millisecond)}
+	d := Delta{Epoch: v.epoch, Revision: v.revision, Full: full, Drains: v.drains.stated(), ConfirmedMS: int64(min(v.Age(now), time.Hour) / time.Millisecond)}
 	if v.wasDisturbed {
 		ms := int64((now - v.disturbedAt) / time.Millisecond)
 		d.DisturbedMS = &ms
--- a/core/fleet/fuzz_test.go
+++ b/core/fleet/fuzz_test.go
@@ -16,6 +16,7 @@
 		`{"revision":3,"patch":{"base":1,"version":2,"set":[{"address":"198.18.0.1:1"}],"removed":["198.18.0.1:1","x"]},"disturbed_ms":5}`,
 		`{"revision":20,"config":{"version":3},"past_services":[{"address":"198.18.0.1:1","service":"s","ago_ms":9223372036854775807},{"address":"198.18.0.1:1","service":"t","ago_ms":5}]}`,
 		`{"changes":[{"id":"a","revision":1,"target":{"address":""}}]}`,
+		`{"epoch":2,"revision":9,"drains":{"epoch":2,"revision":9,"requests":[{"data_centre":"dc","revision":4},{"data_centre":"dc","revision":12}]}}`,
 		`{"confirmed_ms":-1}`, `null`, `[]`,
 	} {
 		f.Add([]byte(seed))
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -16,6 +16,8 @@
 //     that gets changes from another data centre.
 //   - The parents of a process are those from which it requests the age of their
 //     views. The process is their child.
+//   - A drain request asks that targets of a data centre get no new flows. The
+//     data centre is drained.
 //   - The platform is disturbed when a reader cannot reach it, or not in time.
 //
 // Invariants:
@@ -25,6 +27,8 @@
 //     different epochs are not compared.
 //   - A new epoch replaces a known state of a target only by a later one, or by
 //     its removal.
+//   - A drain request that is known stays in force until a later state of the
+//     platform lacks it. A new epoch does not undo it before DrainGrace.
 //   - Deltas made from one view lead another view to the same content, in any
 //     order and with repetitions.
 package fleet
@@ -162,6 +166,14 @@
 	// version of the routes. With a Patch there are none, because the view that
 	// it applies to has its own.
 	PastServices []PastService `json:"past_services,omitempty"`
+	// Drains has the requests to drain data centres. It is nil if the sender does
+	// not know them, or is of a release that does not tell them. DrainChanges has
+	// their changes if the delta is the answer to a watch at the platform.
+	Drains       *Drains       `json:"drains,omitempty"`
+	DrainChanges *DrainChanges `json:"-"`
+	// UnreadableDrains counts the drain requests at the platform that name no data
+	// centre. They are ignored.
+	UnreadableDrains int `json:"-"`
 	// ConfirmedMS is the time since the sender's revision was last known to be
 	// the newest, in milliseconds.
 	ConfirmedMS int64 `json:"confirmed_ms"`
--- a/core/fleet/validate.go
+++ b/core/fleet/validate.go
@@ -23,6 +23,9 @@
 	if d.RemovalsKnownMS != nil && *d.RemovalsKnownMS < 0 {
 		return fmt.Errorf("removals_known_ms: %d is negative", *d.RemovalsKnownMS)
 	}
+	if err := d.Drains.validate(); err != nil {
+		return fmt.Errorf("drains.%w", err)
+	}
 	for i := range d.Changes {
 		if err := d.Changes[i].validate(); err != nil {
 			return fmt.Errorf("changes[%d].%w", i, err)
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -63,7 +63,8 @@
 	// removalHistory says from when on the view knows the entries that were removed.
 	removalHistory removalHistory
 
-	index index
+	drains drains
+	index  index
 }
 
 type retiredRoute struct {
@@ -73,7 +74,7 @@
 
 // New returns an empty view.
 func New() *View {
-	return &View{entries: map[string]*entry{}, routes: map[netip.AddrPort]*Route{}, retired: map[netip.AddrPort]retiredRoute{}, pastServices: map[netip.AddrPort][]pastService{}, index: newIndex()}
+	return &View{entries: map[string]*entry{}, routes: map[netip.AddrPort]*Route{}, retired: map[netip.AddrPort]retiredRoute{}, pastServices: map[netip.AddrPort][]pastService{}, drains: newDrains(), index: newIndex()}
 }
 
 // Revision returns the revision up to which the view is complete.
@@ -89,6 +90,7 @@
 		v.RecordDisturbance(now - time.Duration(*d.DisturbedMS)*time.Millisecond)
 	}
 	v.addToldServices(now, d.PastServices)
+	v.applyDrains(now, d)
 	if d.Full && d.Epoch > v.epoch {
 		v.startEpoch(now, d.Epoch)
 	}
@@ -277,7 +279,7 @@
 }
 
 // Expire discards removed entries, retired routes and earlier services whose
-// retention time has passed.
+// retention time has passed, and drain requests that the platform has lost.
 func (v *View) Expire(now time.Duration) {
 	v.retainLapsed(now)
 	for len(v.removals) > 0 && now-v.removals[0].removedAt > RemovedEntryRetention {
@@ -296,4 +298,5 @@
 		}
 	}
 	v.expirePastServices(now)
+	v.drains.expire(now)
 }
--- a/node/fleetsync/calls.go
+++ b/node/fleetsync/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -27,7 +28,7 @@
 	if err != nil {
 		return false, false, err
 	}
-	return s.apply(d, "platform"), len(d.Changes) > 0 || d.Config != nil, nil
+	return s.apply(d, "platform"), len(d.Changes) > 0 || d.Config != nil || d.DrainChanges != nil && len(d.DrainChanges.Changes) > 0, nil
 }
 
 func (s *Sync) watch(ctx context.Context, wait time.Duration) (*fleet.Delta, error) {
@@ -120,7 +121,8 @@
 func (s *Sync) apply(d *fleet.Delta, from string) bool {
 	s.Lock.Lock()
 	defer s.Lock.Unlock()
-	before, progress := s.View.Version(), s.View.Progress()
+	before, progress, drained := s.View.Version(), s.View.Progress(), s.View.DrainedDataCentres()
+	s.unreadableDrains.Add(d.UnreadableDrains)
 	if from == "platform" && d.Epoch == progress.Epoch {
 		// An answer without newer changes confirms the view's revision.
 		d.Revision = max(d.Revision, progress.Revision)
@@ -130,6 +132,8 @@
 	if s.View.Usable() {
 		s.firstViewOnce.Do(func() { close(s.firstView) })
 	}
+	// A drain changes which targets get new flows.
+	targets = targets || !slices.Equal(drained, s.View.DrainedDataCentres())
 	if targets || config {
 		s.Log.Info("view changed", zap.String("from", from), zap.Uint64("epoch", s.View.Progress().Epoch), zap.Uint64("revision", s.View.Revision()), telemetry.Version(s.View.Version()),
 			zap.Uint64("previous_version", before), zap.Bool("targets", targets), zap.Bool("config", config), zap.Int("changes", len(d.Changes)))
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -116,7 +116,8 @@
 	// earlier epoch than the view.
 	platformEarlier bool
 
-	calls, failed, pulls *metrics.Counter
+	calls, failed, pulls         *metrics.Counter
+	drainReads, unreadableDrains *metrics.Counter
 }
 
 // New returns a Sync.
@@ -132,6 +133,9 @@
 		calls:  o.Metrics.GetOrCreateCounter("trefoilweir_platform_calls_total"),
 		failed: o.Metrics.GetOrCreateCounter("trefoilweir_platform_errors_total"),
 		pulls:  o.Metrics.GetOrCreateCounter("trefoilweir_fleet_pulls_total"),
+
+		drainReads:       o.Metrics.GetOrCreateCounter("trefoilweir_drain_reads_total"),
+		unreadableDrains: o.Metrics.GetOrCreateCounter("trefoilweir_drain_requests_unreadable_total"),
 	}
 }
 
--- a/node/packetplane/plane.go
+++ b/node/packetplane/plane.go
@@ -111,9 +111,11 @@
 	clockErrorLogged  bool
 	lastParentRequest time.Duration
 	parentIndex       int
-	stopping          bool
-	stopStart         time.Duration
-	events            *eventLog
+	// drained has the drained data centres that were logged.
+	drained   []string
+	stopping  bool
+	stopStart time.Duration
+	events    *eventLog
 }
 
 func newProcess(o Options, name string) (*Process, error) {
@@ -163,6 +165,7 @@
 	p.sendParentRequest(now)
 	p.notifySilentChildren(now)
 	p.view.Expire(now)
+	p.logDrains()
 }
 
 // checkSuspension adds the time in which the VM was suspended to the age of the
@@ -216,7 +219,7 @@
 		part{"relay", p.receiveLoop(p.peerConn, p.handlePeerDatagram)},
 		part{"peer_http", serveHTTP(netip.AddrPortFrom(p.Settings.IP, p.Settings.PeerPort), mux)},
 		part{"ready_http", serveHTTP(p.Settings.ReadyAddr, http.HandlerFunc(p.serveReady))},
-		part{"platform", p.sync.ReadPlatform}, part{"follow", p.sync.FetchFromPeers}, part{"tick", p.tickLoop},
+		part{"platform", p.sync.ReadPlatform}, part{"follow", p.sync.FetchFromPeers}, part{"drains", p.sync.ReadDrains}, part{"tick", p.tickLoop},
 	)
 	if p.Settings.MetricsPort != 0 {
 		parts = append(parts, part{"metrics_http", serveHTTP(netip.AddrPortFrom(p.Settings.IP, p.Settings.MetricsPort), p.operatorHandler())})
--- a/node/packetplane/status.go
+++ b/node/packetplane/status.go
@@ -32,6 +32,10 @@
 	Revision  uint64 `json:"revision"`
 	ViewAgeMS int64  `json:"view_age_ms"`
 	Reader    bool   `json:"reader"`
+	// Drained has the drained data centres. DrainsComplete says whether the process
+	// knows the drain requests up to Revision.
+	Drained        []string `json:"drained"`
+	DrainsComplete bool     `json:"drains_complete"`
 	// Sizes has the number of entries of each table.
 	Sizes map[string]int `json:"sizes"`
 	// Targets has the number of listed targets of each service.
@@ -97,7 +101,8 @@
 	s := Status{
 		Name: p.Settings.Name, Role: p.roleName, DataCentre: p.Settings.DataCentre, Service: p.Settings.Service, Stopping: p.stopping,
 		UptimeMS: now.Milliseconds(), Version: p.view.Version(), Epoch: p.view.Progress().Epoch, Revision: p.view.Revision(), ViewAgeMS: viewAgeMS(p.view, now),
-		Reader: p.sync.Position().Reader, Sizes: p.role.tableSizes(), Targets: map[string]int{}, Peers: peerStatuses(p.role.peers(now)),
+		Reader: p.sync.Position().Reader, Sizes: p.role.tableSizes(), Targets: map[string]int{},
+		Drained: p.view.DrainedDataCentres(), DrainsComplete: p.view.DrainsComplete(), Peers: peerStatuses(p.role.peers(now)),
 	}
 	for _, service := range p.view.Services() {
 		s.Targets[service] = len(p.view.Targets(service))
@@ -138,6 +143,7 @@
 	p.Metrics.NewGauge("trefoilweir_view_epoch", locked(func() float64 { return float64(p.view.Progress().Epoch) }))
 	p.Metrics.NewGauge("trefoilweir_view_revision", locked(func() float64 { return float64(p.view.Revision()) }))
 	p.Metrics.NewGauge("trefoilweir_view_version", locked(func() float64 { return float64(p.view.Version()) }))
+	p.Metrics.NewGauge("trefoilweir_drained_data_centres", locked(func() float64 { return float64(len(p.view.DrainedDataCentres())) }))
 	for name := range p.role.tableSizes() {
 		p.Metrics.NewGauge(`trefoilweir_table_entries{table="`+name+`"}`, locked(func() float64 { return float64(p.role.tableSizes()[name]) }))
 	}
