ownership, dispatch: no new flow goes to a drained data centre

Cause: the drain requests are known, and placement does not use them.

Change: a home skips targets of drained data centres. An agent whose data centre is drained hands over new flows that arrive and that wait, and reports itself as draining, so that agents of old builds and late ones skip it. A flow that no target may get is refused at once (reason drained), by the home, the agent or the balancer. It is not refused if a target may have got a copy of its opening packet: the caller has sent copies, the target of this agent holds the flow, or another home or target was tried before. For the last, homes and balancers name the one that they tried in the field RefusedBy, which exists. Balancers prefer homes outside drained data centres for new flows; packets of open flows take the homes that they took.

An agent that has restarted keeps new flows waiting until its first view, at most 400 ms, as balancers do. TestAgentWithoutViewServes expected it to serve at once; then a restarted agent gives flows to a drained target in its first 50 ms. The test now checks the bound, and that the first start serves at once.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -77,6 +77,9 @@
 	sentAt     time.Duration
 	homes      []netip.Addr
 	nextHome   int
+	// failedHome is the home that did not report in time, or the zero Addr. It may
+	// have given the flow to a target.
+	failedHome netip.Addr
 	// waiting says that the flow is queued at an agent, so no home is suspected.
 	waiting bool
 }
@@ -211,13 +214,19 @@
 	out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: "no_target"})
 }
 
-// homes returns the homes of a flow in order, suspects last. It uses the ready
-// targets, or all listed targets if none is ready, or fallback if none is
+// homes returns the homes of an open flow in order, suspects last. It uses the
+// ready targets, or all listed targets if none is ready, or fallback if none is
 // listed.
 func (m *Machine) homes(now time.Duration, service string, key flow.Key, fallback []*fleet.Target) []netip.Addr {
+	return m.firstHomes(now, key, m.view.ReadyTargets(service), m.view.Targets(service), fallback)
+}
+
+// firstHomes returns the agents of the first non-empty list of targets, in the
+// order in which they are homes of a flow, suspects last.
+func (m *Machine) firstHomes(now time.Duration, key flow.Key, lists ...[]*fleet.Target) []netip.Addr {
 	hash := key.Hash()
 	m.homesBuffer = m.homesBuffer[:0]
-	for _, targets := range [][]*fleet.Target{m.view.ReadyTargets(service), m.view.Targets(service), fallback} {
+	for _, targets := range lists {
 		if m.homesBuffer = fleet.Homes(m.homesBuffer, targets, hash, m.dataCentre); len(m.homesBuffer) > 0 {
 			break
 		}
--- a/core/dispatch/opening.go
+++ b/core/dispatch/opening.go
@@ -16,13 +16,17 @@
 		return
 	}
 	service := r.ServiceOf(p.Key.Hash())
-	homes := m.homes(now, service, p.Key, m.view.LapsedTargets(now, service))
+	if m.allDrained(now, service) && m.openings[p.Key] == nil && m.owners[p.Key] == nil {
+		m.refuseWithoutTarget(p, "drained", out)
+		return
+	}
+	homes := m.openingHomes(now, service, p.Key)
 	if len(homes) == 0 {
 		if m.view.ExpectsTargets(now) {
 			m.hold(now, p.Raw)
 			return
 		}
-		m.refuseWithoutTarget(p, out)
+		m.refuseWithoutTarget(p, "no_target", out)
 		return
 	}
 	delete(m.owners, p.Key)
@@ -45,7 +49,7 @@
 	home := o.homes[o.nextHome%len(o.homes)]
 	o.nextHome++
 	o.sentAt = now
-	out.Send(home, relay.Message{Kind: relay.Open, Service: relay.ServiceTag(o.service), Origin: m.self, Home: home, Body: o.raw})
+	out.Send(home, relay.Message{Kind: relay.Open, Service: relay.ServiceTag(o.service), Origin: m.self, Home: home, RefusedBy: o.failedHome, Body: o.raw})
 }
 
 // refuseUnknownRoute refuses an opening packet for an address without a route.
@@ -64,15 +68,15 @@
 	m.refuse(p, "no_route", out)
 }
 
-// refuseWithoutTarget refuses an opening packet for a service without targets. A
-// copy is dropped without an answer, because an earlier copy may have reached a
+// refuseWithoutTarget refuses an opening packet for a service without targets that
+// may get a new flow. A copy is dropped without an answer, because an earlier copy may have reached a
 // target of the service that the route had then.
-func (m *Machine) refuseWithoutTarget(p *flow.Packet, out *plane.Out) {
+func (m *Machine) refuseWithoutTarget(p *flow.Packet, reason string, out *plane.Out) {
 	if p.Ack > 0 {
-		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: "copy_no_target", Value: int64(m.view.Version())})
+		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: "copy_" + reason, Value: int64(m.view.Version())})
 		return
 	}
-	m.refuse(p, "no_target", out)
+	m.refuse(p, reason, out)
 }
 
 // refuse answers an opening packet with a reset. The packet has reached no
@@ -98,6 +102,7 @@
 			out.Event(plane.Event{Kind: plane.EventSuspected, Flow: key, Peer: failed, Reason: "no_owner_reported", Value: (now - o.sentAt).Milliseconds()})
 		}
 		m.suspects[failed] = now + suspectDuration
+		o.failedHome = failed
 		m.reportTimes.TimedOut()
 		if o.nextHome >= len(o.homes) {
 			delete(m.openings, key)
--- /dev/null
+++ b/core/ownership/eligible.go
@@ -0,0 +1,63 @@
+package ownership
+
+import (
+	"time"
+
+	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/relay"
+)
+
+// Reasons why a target gets no new flow although it takes some.
+const (
+	reasonDrained = "drained"
+)
+
+// viewWait is how long after a restart an agent without a view keeps new flows
+// waiting, because its target may be in a drained data centre. The first view
+// usually comes within 50 ms. A balancer without a view waits as long.
+const viewWait = 400 * time.Millisecond
+
+// eligible reports whether a target may get a new flow.
+func (m *Machine) eligible(t *fleet.Target) bool {
+	return t.State == fleet.Ready && !m.View.Drained(t.DataCentre)
+}
+
+// ownDrained reports whether the data centre of the agent's target is drained.
+func (m *Machine) ownDrained() bool {
+	t := m.View.TargetAt(m.Self)
+	return m.View.Drained(m.DataCentre) || t != nil && m.View.Drained(t.DataCentre)
+}
+
+// noTargetReason returns why no target can get a new flow.
+func (m *Machine) noTargetReason() string {
+	for _, t := range m.View.Targets(m.Service) {
+		if t.State == fleet.Ready && m.View.Drained(t.DataCentre) {
+			return reasonDrained
+		}
+	}
+	return "no_target"
+}
+
+// awaitsView reports whether the agent has restarted and has no view yet.
+func (m *Machine) awaitsView(now time.Duration) bool {
+	return !m.FirstStart && !m.View.Usable() && now-m.startedAt < viewWait
+}
+
+// mayBeElsewhere reports whether a target may have got a copy of an opening packet
+// before, through another agent: the caller has sent several, or the agent in
+// RefusedBy left the flow unanswered. Such a flow must not be refused.
+func mayBeElsewhere(p *flow.Packet, msg *relay.Message) bool {
+	return p.Ack > 0 || msg.RefusedBy.IsValid()
+}
+
+// isWithheld reports whether a reason withholds new flows from a target that could
+// serve them.
+func isWithheld(reason string) bool { return reason == reasonDrained }
+
+// isOffered reports whether the target has accepted the flow of an opening packet,
+// or has got the packet and may still accept it.
+func (m *Machine) isOffered(p *flow.Packet) bool {
+	f := m.flows[p.Key]
+	return f != nil && f.openSeqKnown && f.openSeq == p.Seq && (f.accepted || f.phase == phaseOffered)
+}
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -316,13 +316,28 @@
 }
 
 // Guards against an agent without a view that refuses flows which its own
-// target can take.
+// target can take. An agent that has restarted waits for a view for a bounded time,
+// because the target may be in a drained data centre.
 func TestAgentWithoutViewServes(t *testing.T) {
-	m := New(0, Options{Self: fleettest.Agent(0), Service: "booking", Target: netip.AddrPortFrom(fleettest.Agent(0), 80), Codec: flowtest.Codec{}, View: fleet.New()})
-	var out plane.Out
-	m.FromPeer(0, balancer, &relay.Message{Kind: relay.Open, Service: tag, Origin: balancer,
-		Body: flowtest.Encode(flow.Packet{Key: fleettest.Key(1), Open: true, Seq: 1})}, &out)
-	assert.Equal(t, len(out.ToTarget), 1)
+	for _, firstStart := range []bool{false, true} {
+		m := New(0, Options{Self: fleettest.Agent(0), Service: "booking", Target: netip.AddrPortFrom(fleettest.Agent(0), 80), FirstStart: firstStart, Codec: flowtest.Codec{}, View: fleet.New()})
+		var out plane.Out
+		open := func(now time.Duration, port uint16) {
+			m.FromPeer(now, balancer, &relay.Message{Kind: relay.Open, Service: tag, Origin: balancer,
+				Body: flowtest.Encode(flow.Packet{Key: fleettest.Key(port), Open: true, Seq: 1})}, &out)
+		}
+		open(0, 1)
+		if !firstStart {
+			m.Tick(viewWait-ms, &out)
+			assert.Equal(t, len(out.ToTarget), 0)
+			assert.Assert(t, m.HasTimeouts())
+			m.Tick(viewWait, &out)
+		}
+		assert.Equal(t, len(out.ToTarget), 1)
+		assert.Equal(t, len(out.ToCaller), 0)
+		open(viewWait, 2)
+		assert.Equal(t, len(out.ToTarget), 2)
+	}
 }
 
 // Guards against load counts that stay above zero after flows end in unusual
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -48,13 +48,13 @@
 func (m *Machine) place(now time.Duration, p *flow.Packet, msg *relay.Message, tried []netip.Addr, out *plane.Out) {
 	to, ok := m.choose(now, p.Key, tried)
 	switch {
-	case !ok && (len(tried) > 0 || p.Ack > 0):
+	case !ok && (len(tried) > 0 || mayBeElsewhere(p, msg)):
 		// An agent in tried may have accepted the flow, and its report was lost. An
 		// earlier copy may have been accepted through another home.
 		m.giveUp(p, msg, "no_other_target", out)
 		return
 	case !ok:
-		m.refuse(p, msg, "no_target", out)
+		m.refuse(p, msg, m.noTargetReason(), out)
 		return
 	}
 	if len(m.records) < maxFlows || m.records[p.Key] != nil {
@@ -67,6 +67,9 @@
 	out.Event(plane.Event{Kind: plane.EventPlaced, Flow: p.Key, PacketSeq: p.Seq, Peer: to, Reason: reason, Value: int64(m.View.Age(now) / time.Millisecond)})
 	placed := *msg
 	placed.Home = m.Self
+	if len(tried) > 0 {
+		placed.RefusedBy = tried[len(tried)-1]
+	}
 	if to == m.Self {
 		m.offer(now, p, &placed, out)
 		return
@@ -100,7 +103,7 @@
 // offer gives an opening packet to the target, queues it, or hands it over to
 // another agent.
 func (m *Machine) offer(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
-	if reason := m.refusalReason(now); reason != "" {
+	if reason := m.refusalReason(now); reason != "" && !(isWithheld(reason) && m.isOffered(p)) {
 		m.handOver(now, p, msg, reason, out)
 		return
 	}
@@ -156,6 +159,10 @@
 // refuses the flow if there is none.
 func (m *Machine) handOver(now time.Duration, p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
 	to, ok := m.handOverTo(now, p, msg)
+	if !ok && isWithheld(reason) && mayBeElsewhere(p, msg) {
+		m.giveUp(p, msg, reason, out)
+		return
+	}
 	if !ok {
 		m.refuse(p, msg, reason, out)
 		return
--- a/core/ownership/stats.go
+++ b/core/ownership/stats.go
@@ -252,7 +252,8 @@
 	if m.outcomes.failing {
 		l.Flags |= relay.FlagFailing
 	}
-	if t := m.View.TargetAt(m.Self); t != nil && t.State == fleet.Draining {
+	// Agents that have not learned of a drain request yet skip the target as well.
+	if t := m.View.TargetAt(m.Self); t != nil && t.State == fleet.Draining || m.ownDrained() {
 		l.Flags |= relay.FlagDraining
 	}
 	return l
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -86,6 +86,20 @@
 	return ahead
 }
 
+// mustWait reports whether a new flow that the target may get has to wait.
+func (m *Machine) mustWait(now time.Duration) bool { return m.waitReason(now) != "" }
+
+// waitReason returns why a new flow has to wait, or an empty string.
+func (m *Machine) waitReason(now time.Duration) string {
+	switch {
+	case m.awaitsView(now):
+		return "no_view"
+	case m.full():
+		return "target_busy"
+	}
+	return ""
+}
+
 // queueIfFull queues a new flow if the target is full. It reports whether the
 // flow is queued or was refused. In both cases the target does not get it now.
 func (m *Machine) queueIfFull(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) bool {
@@ -94,7 +108,7 @@
 		v := m.queue.Value(p.Key)
 		v.copies = max(v.copies, p.Ack)
 	} else {
-		if !m.full() {
+		if !m.mustWait(now) {
 			return false
 		}
 		it := waitqueue.Item[flow.Key, queuedFlow]{
@@ -113,7 +127,7 @@
 				return true
 			}
 		}
-		out.Event(plane.Event{Kind: plane.EventQueued, Flow: p.Key, PacketSeq: p.Seq, Reason: "target_busy", Value: int64(m.queue.Len())})
+		out.Event(plane.Event{Kind: plane.EventQueued, Flow: p.Key, PacketSeq: p.Seq, Reason: m.waitReason(now), Value: int64(m.queue.Len())})
 	}
 	m.notify(relay.Waiting, p.Key, msg, out)
 	return true
@@ -133,7 +147,7 @@
 		m.refuseQueued(now, &it, "overload", out)
 	}
 	reason := m.refusalReason(now)
-	for m.queue.Len() > 0 && (reason != "" || !m.full()) {
+	for m.queue.Len() > 0 && (reason != "" || !m.mustWait(now)) {
 		it, _ := m.queue.Pop(now, answer)
 		p, err := m.Codec.FromCaller(it.Value.raw)
 		if err != nil {
@@ -157,7 +171,7 @@
 	if err != nil {
 		return
 	}
-	if copiesElsewhere(now, it) {
+	if copiesElsewhere(now, it) || isWithheld(reason) && it.Value.msg.RefusedBy.IsValid() {
 		m.giveUp(&p, &it.Value.msg, "copy_elsewhere", out)
 		return
 	}
