ownership: a limit on new flows while a target is warming up

Cause: warmup-per-s of a service is known and not used.

An agent gives its target at most that many new flows a second while the target is cold; each delivery of an opening packet to a target that does not have the flow counts. Flows beyond the limit go to a target that is not cold, at most once, otherwise they wait in the queue. An agent that restarts takes the limit of the second before for used up, unless the target has started with it. A target that is not listed counts as cold.

A target is cold for warmup-left-ms from the latest time at which its entry may have been written. Deltas between processes tell the age of the state (age_ms), so views that get it later agree; an old build does not tell it, and then the target counts as cold for longer. Too long is the safe side: it costs capacity, too short breaks the limit.

Copies of the opening packet for a target that has the flow do not wait any more: a full target queued them, and the flow could be refused after it was accepted.

--- a/core/fleet/index.go
+++ b/core/fleet/index.go
@@ -173,16 +173,21 @@
 }
 
 func (x *index) targetAt(vm netip.Addr) *Target {
+	if e := x.entryAt(vm); e != nil {
+		return e.target
+	}
+	return nil
+}
+
+// entryAt returns the newest listed entry on a VM, or nil.
+func (x *index) entryAt(vm netip.Addr) *entry {
 	var best *entry
 	for e := x.byVM[vm.As4()]; e != nil; e = e.nextOnVM {
 		if best == nil || e.newerThan(best) {
 			best = e
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	return best.target
+	return best
 }
 
 func (x *index) allAgents() []netip.Addr {
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -75,6 +75,9 @@
 	ID       string  `json:"id"`
 	Revision uint64  `json:"revision"`
 	Target   *Target `json:"target,omitempty"`
+	// AgeMS is the time since the sender learned the state, in milliseconds. It is 0
+	// unless the target is warming up.
+	AgeMS int64 `json:"age_ms,omitempty"`
 	// Last is the state of a removed entry before its removal, and RemovedMS is
 	// the time since then, in milliseconds. The target may still run and hold
 	// flows. Last is nil if the sender does not know it.
--- a/core/fleet/validate.go
+++ b/core/fleet/validate.go
@@ -53,6 +53,8 @@
 	switch {
 	case c.ID == "":
 		return fmt.Errorf("id: %w", errEmpty)
+	case c.AgeMS < 0:
+		return fmt.Errorf("age_ms: %d is negative", c.AgeMS)
 	case c.RemovedMS < 0:
 		return fmt.Errorf("removed_ms: %d is negative", c.RemovedMS)
 	}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -16,6 +16,9 @@
 	target    *Target
 	removed   bool
 	removedAt time.Duration
+	// writtenAt is the latest time at which target may have been written. It is set
+	// only while the target is warming up.
+	writtenAt time.Duration
 	// nextOnVM links to another listed entry on the same VM.
 	nextOnVM *entry
 }
@@ -43,6 +46,8 @@
 
 	config         *Config
 	configRevision uint64
+	// warmupLimits has the services of config with a limit while a target warms up.
+	warmupLimits map[string]float64
 	// pastConfigs holds the versions before config, newest last.
 	pastConfigs []*Config
 	routes      map[netip.AddrPort]*Route
@@ -171,6 +176,7 @@
 	}
 	v.index.remove(e)
 	e.target, e.removed = v.index.intern(c.Target, e.id), false
+	e.writtenAt = now - min(time.Duration(c.AgeMS), maxStateAge/time.Millisecond)*time.Millisecond
 	v.index.add(e)
 	return true
 }
@@ -211,6 +217,7 @@
 }
 
 func (v *View) setConfig(now time.Duration, c *Config, revision uint64) {
+	v.warmupLimits = c.warmupLimits()
 	routes := make(map[netip.AddrPort]*Route, len(c.Routes))
 	for i := range c.Routes {
 		routes[c.Routes[i].Address] = &c.Routes[i]
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -35,6 +35,7 @@
 	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/plane"
+	"trefoilweir.example/core/ratelimit"
 	"trefoilweir.example/core/relay"
 	"trefoilweir.example/core/rto"
 	"trefoilweir.example/core/waitqueue"
@@ -172,6 +173,11 @@
 	// reportTimes estimates how long agents take to report a flow placed at
 	// their target.
 	reportTimes *rto.Estimator
+	// given limits the new flows that the target gets while it is warming up.
+	// coldUntil is until when it is, by its last listed entry, if there was one.
+	given     *ratelimit.Limiter
+	coldUntil time.Duration
+	coldKnown bool
 	// firstAnswerTimes estimates the time from the admission of a flow to the
 	// first answer of the target.
 	firstAnswerTimes *rto.Estimator
@@ -239,8 +245,11 @@
 		flows: map[flow.Key]*ownedFlow{}, records: map[flow.Key]*record{}, placements: map[flow.Key]*placement{},
 		searches: map[flow.Key]*search{}, surveys: map[flow.Key][]*survey{}, peers: map[netip.Addr]*peer{}, queue: waitqueue.New[flow.Key, queuedFlow](maxQueued), reportTimes: rto.New(minOwnerTimeout, maxOwnerTimeout),
 		firstAnswerTimes: rto.New(0, openingTimeout), roundTripTimes: rto.New(minHalfOpenTimeout, maxHalfOpenTimeout), stats: newStats(now),
+		given: ratelimit.New(now),
 	}
-	if !o.FirstStart {
+	if o.FirstStart {
+		m.given.NothingBefore()
+	} else {
 		m.unknownFlowsUntil = now + cmp.Or(o.FlowTTL, defaultFlowTTL)
 	}
 	return m
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -111,6 +111,10 @@
 		m.handOver(now, p, msg, "failing", out)
 		return
 	}
+	if to, ok := m.insteadOfWarmingUp(now, p, msg); ok {
+		m.forwardOpening(now, to, p, msg, reasonWarmingUp, out)
+		return
+	}
 	if m.queueIfFull(now, p, msg, out) {
 		return
 	}
@@ -148,6 +152,7 @@
 	if !f.accepted && f.phase != phaseOffered {
 		f.openRaw = slices.Clone(p.Raw)
 		m.stats.setPhase(now, p.Key, f, phaseOffered)
+		m.given.Record(now)
 	}
 	if m.silent {
 		m.retryAt = now + silentRetryInterval
@@ -167,6 +172,11 @@
 		m.refuse(p, msg, reason, out)
 		return
 	}
+	m.forwardOpening(now, to, p, msg, reason, out)
+}
+
+// forwardOpening forwards an opening packet to the agent of another target.
+func (m *Machine) forwardOpening(now time.Duration, to netip.Addr, p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
 	forwarded := *msg
 	forwarded.RefusedBy = m.Self
 	m.records[p.Key] = &record{owner: to, seq: p.Seq, lastSeen: now}
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -57,6 +57,7 @@
 		return
 	}
 	m.unknownFlowsUntil = 0
+	m.given.NothingBefore()
 	out.Event(plane.Event{Kind: plane.EventTargetFresh, Reason: "started_with_agent", Value: age.Milliseconds()})
 }
 
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -96,6 +96,8 @@
 		return "no_view"
 	case m.full():
 		return "target_busy"
+	case m.atWarmupLimit(now):
+		return reasonWarmingUp
 	}
 	return ""
 }
@@ -108,7 +110,8 @@
 		v := m.queue.Value(p.Key)
 		v.copies = max(v.copies, p.Ack)
 	} else {
-		if !m.mustWait(now) {
+		if !m.mustWait(now) || m.isOffered(p) {
+			// A copy for the target that has the flow is no load.
 			return false
 		}
 		it := waitqueue.Item[flow.Key, queuedFlow]{
