fleet, ownership, dispatch: new flows only in the allowed regions of a route

Cause: allowed-regions of a route is parsed and not used.

Change: zones of the settings (and region for the own zone) give the region of each data centre; the view checks a data centre against the route of an address. Homes, hand-overs and waiting flows keep to it like to a drain, and a flow whose allowed regions have no target is refused at once (region_not_allowed). A data centre without a known region is not allowed for such a route. Open flows stay.

--- a/core/dispatch/drained_test.go
+++ b/core/dispatch/drained_test.go
@@ -117,3 +117,29 @@
 	assert.Equal(t, len(out.ToCaller), 0)
 	assert.Equal(t, len(out.Sends), 1)
 }
+
+// Guards against new flows of a route whose allowed regions have no target that may
+// get them, and that wait for an answer.
+func TestNoTargetInAllowedRegions(t *testing.T) {
+	v := drainedView()
+	regions := func(version uint64, allowed ...string) {
+		v.Apply(0, &fleet.Delta{Revision: v.Revision() + 1, ConfigRevision: v.Revision() + 1, Config: &fleet.Config{Version: version,
+			Routes: []fleet.Route{{Name: "r", Address: fleettest.Address, Service: fleettest.Service, AllowedRegions: allowed}}}})
+	}
+	v.SetRegions(map[string]string{"dc": "north", "east": "south"})
+	m := New(self, "dc", flowtest.Codec{}, v)
+	outcome := func(port uint16) []string {
+		var out plane.Out
+		m.FromCaller(0, openPacket(port, 0), &out)
+		assert.Equal(t, len(out.Sends)+len(out.ToCaller), 1)
+		return refusals(&out)
+	}
+	regions(10, "south")
+	assert.Equal(t, len(outcome(1)), 0)
+	drain(v, "east")
+	assert.DeepEqual(t, outcome(2), []string{"drained"})
+	regions(11, "elsewhere")
+	assert.DeepEqual(t, outcome(3), []string{"region_not_allowed"})
+	regions(12, "elsewhere", "north")
+	assert.Equal(t, len(outcome(4)), 0)
+}
--- a/core/dispatch/eligible.go
+++ b/core/dispatch/eligible.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -9,8 +10,8 @@
 	"trefoilweir.example/core/flow"
 )
 
-// eligible returns those of the targets that may get new flows.
-func (m *Machine) eligible(targets []*fleet.Target) []*fleet.Target {
+// outsideDrained returns the targets that are not in drained data centres.
+func (m *Machine) outsideDrained(targets []*fleet.Target) []*fleet.Target {
 	if len(m.view.DrainedDataCentres()) == 0 {
 		return targets
 	}
@@ -22,16 +23,28 @@
 // learned of the drain request would give the flow to its own target.
 func (m *Machine) openingHomes(now time.Duration, service string, key flow.Key) []netip.Addr {
 	ready, lapsed := m.view.ReadyTargets(service), m.view.LapsedTargets(now, service)
-	return m.firstHomes(now, key, m.eligible(ready), ready, m.view.Targets(service), lapsed)
+	return m.firstHomes(now, key, m.outsideDrained(ready), ready, m.view.Targets(service), lapsed)
 }
 
-// allDrained reports whether the service has targets that would take new flows, and
-// all of them are in drained data centres. A view that may be out of date does not
-// tell.
-func (m *Machine) allDrained(now time.Duration, service string) bool {
+// withheldReason returns why no target of a service may get a new flow for an
+// address although there are targets that would take it, or an empty string. A view
+// that may be out of date does not tell.
+func (m *Machine) withheldReason(now time.Duration, address netip.AddrPort, service string) string {
 	if m.view.Age(now) > maxFreshAge {
-		return false
+		return ""
 	}
-	targets := append(m.view.ReadyTargets(service), m.view.LapsedTargets(now, service)...)
-	return len(targets) > 0 && len(m.eligible(targets)) == 0
+	reason := ""
+	for _, targets := range [][]*fleet.Target{m.view.ReadyTargets(service), m.view.LapsedTargets(now, service)} {
+		for _, t := range targets {
+			switch {
+			case !m.view.RegionAllowed(address, t.DataCentre):
+				reason = cmp.Or(reason, "region_not_allowed")
+			case m.view.Drained(t.DataCentre):
+				reason = "drained"
+			default:
+				return ""
+			}
+		}
+	}
+	return reason
 }
--- a/core/dispatch/opening.go
+++ b/core/dispatch/opening.go
@@ -16,8 +16,8 @@
 		return
 	}
 	service := r.ServiceOf(p.Key.Hash())
-	if m.allDrained(now, service) && m.openings[p.Key] == nil && m.owners[p.Key] == nil {
-		m.refuseWithoutTarget(p, "drained", out)
+	if reason := m.withheldReason(now, p.Key.Service(), service); reason != "" && m.openings[p.Key] == nil && m.owners[p.Key] == nil {
+		m.refuseWithoutTarget(p, reason, out)
 		return
 	}
 	homes := m.openingHomes(now, service, p.Key)
--- a/core/fleet/drains.go
+++ b/core/fleet/drains.go
@@ -140,8 +140,12 @@
 	return names
 }
 
-// HasDataCentre reports whether a target of a data centre is listed.
+// HasDataCentre reports whether a target of a data centre is listed, or its region
+// is known.
 func (v *View) HasDataCentre(name string) bool {
+	if v.regions[name] != "" {
+		return true
+	}
 	for _, e := range v.index.byVM {
 		if e.target.DataCentre == name {
 			return true
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -69,7 +69,9 @@
 	removalHistory removalHistory
 
 	drains drains
-	index  index
+	// regions has the region of each data centre.
+	regions map[string]string
+	index   index
 }
 
 type retiredRoute struct {
--- a/core/ownership/choose.go
+++ b/core/ownership/choose.go
@@ -21,12 +21,12 @@
 	listed := m.View.Targets(m.Service)
 	for _, class := range []func(*fleet.Target) bool{
 		func(t *fleet.Target) bool {
-			return m.eligible(t) && m.healthy(now, key, t.Agent()) && !slices.Contains(tried, t.Agent())
+			return m.eligible(key, t) && m.healthy(now, key, t.Agent()) && !slices.Contains(tried, t.Agent())
 		},
 		func(t *fleet.Target) bool {
-			return m.eligible(t) && m.acceptsFlows(t.Agent()) && !slices.Contains(tried, t.Agent())
+			return m.eligible(key, t) && m.acceptsFlows(t.Agent()) && !slices.Contains(tried, t.Agent())
 		},
-		func(t *fleet.Target) bool { return m.eligible(t) && m.acceptsFlows(t.Agent()) },
+		func(t *fleet.Target) bool { return m.eligible(key, t) && m.acceptsFlows(t.Agent()) },
 	} {
 		if to, ok := m.chooseAmong(key, listed, class); ok {
 			return to, true
@@ -35,7 +35,7 @@
 	// Entries may lapse because the platform is disturbed. The heartbeats of
 	// their agents then show whether such targets are alive.
 	return m.chooseAmong(key, m.View.LapsedTargets(now, m.Service), func(t *fleet.Target) bool {
-		return m.eligible(t) && m.healthy(now, key, t.Agent()) && !slices.Contains(tried, t.Agent())
+		return m.eligible(key, t) && m.healthy(now, key, t.Agent()) && !slices.Contains(tried, t.Agent())
 	})
 }
 
@@ -75,7 +75,7 @@
 		return false
 	}
 	for _, t := range m.View.Targets(m.Service) {
-		if t.Agent() != m.Self && t.Agent() != msg.RefusedBy && m.eligible(t) && m.healthy(now, p.Key, t.Agent()) {
+		if t.Agent() != m.Self && t.Agent() != msg.RefusedBy && m.eligible(p.Key, t) && m.healthy(now, p.Key, t.Agent()) {
 			return true
 		}
 	}
--- a/core/ownership/drained_test.go
+++ b/core/ownership/drained_test.go
@@ -318,3 +318,61 @@
 	assert.Equal(t, f.Queued(), 0)
 	assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.Place})
 }
+
+// allowRegions publishes a version whose route allows some regions.
+func (f *fixture) allowRegions(version uint64, regions ...string) {
+	f.View.SetRegions(map[string]string{"dc": "north", "east": "south", "west": "south"})
+	f.View.Apply(f.now, &fleet.Delta{Revision: f.View.Revision() + 1, ConfigRevision: f.View.Revision() + 1, Config: &fleet.Config{Version: version,
+		Routes: []fleet.Route{{Name: "r", Address: fleettest.Address, Service: "booking", AllowedRegions: regions}}}})
+}
+
+// Guards against a new flow that is placed outside the allowed regions of its route,
+// by its home or by a home that does not know them, and against one that waits
+// although the allowed regions have no target that may get it.
+func TestAllowedRegions(t *testing.T) {
+	f := drainedFixture(t)
+	f.allowRegions(10, "south")
+	for port := range uint16(20) {
+		f.opening(relay.Open, port, 0)
+		assert.Equal(t, len(f.out.ToTarget), 0)
+		assert.Assert(t, f.out.Sends[0].To == fleettest.Agent(2) || f.out.Sends[0].To == fleettest.Agent(3))
+	}
+	f.opening(relay.Place, 50, 0)
+	assert.Equal(t, len(f.out.ToTarget), 0)
+	assert.Equal(t, f.out.Sends[0].Message.Kind, relay.Place)
+	f.drain("east")
+	f.opening(relay.Open, 51, 0)
+	assert.Equal(t, f.out.Sends[0].To, fleettest.Agent(3))
+	f.drain("east", "west")
+	f.opening(relay.Open, 52, 0)
+	assert.DeepEqual(t, f.refusals(), []string{"drained"})
+	f.drain()
+	f.allowRegions(11, "elsewhere")
+	for _, kind := range []relay.Kind{relay.Open, relay.Place} {
+		f.opening(kind, 60+uint16(kind), 0)
+		assert.DeepEqual(t, f.refusals(), []string{"region_not_allowed"})
+		f.opening(kind, 70+uint16(kind), 1)
+		assert.Equal(t, len(f.out.ToCaller), 0)
+	}
+	f.allowRegions(12)
+	f.opening(relay.Place, 80, 0)
+	assert.Equal(t, len(f.out.ToTarget), 1)
+}
+
+// Guards against a version of the routes that ends open flows outside the allowed
+// regions, and against a waiting flow that such a target gets later.
+func TestAllowedRegionsOfWaitingAndOpenFlows(t *testing.T) {
+	f := drainedFixture(t)
+	for port := uint16(100); !f.full(); port++ {
+		f.openFlow(port)
+	}
+	f.opening(relay.Place, 1, 0)
+	assert.Equal(t, f.Queued(), 1)
+	f.allowRegions(10, "south")
+	f.balancerSends(relay.Packet, flow.Packet{Key: fleettest.Key(100), Seq: 111, Ack: 5001, Len: 10})
+	assert.Equal(t, len(f.out.ToTarget), 1)
+	f.targetSends(flow.Packet{Key: fleettest.Key(100), Reset: true, Seq: 5001})
+	assert.Equal(t, f.Queued(), 0)
+	assert.Equal(t, len(f.out.ToTarget), 0)
+	assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.Place})
+}
--- a/core/ownership/eligible.go
+++ b/core/ownership/eligible.go
@@ -11,6 +11,7 @@
 // Reasons why a target gets no new flow although it takes some.
 const (
 	reasonDrained = "drained"
+	reasonRegion  = "region_not_allowed"
 )
 
 // viewWait is how long after a restart an agent without a view keeps new flows
@@ -19,24 +20,46 @@
 const viewWait = 400 * time.Millisecond
 
 // eligible reports whether a target may get a new flow.
-func (m *Machine) eligible(t *fleet.Target) bool {
-	return t.State == fleet.Ready && !m.View.Drained(t.DataCentre)
+func (m *Machine) eligible(key flow.Key, t *fleet.Target) bool {
+	return t.State == fleet.Ready && !m.View.Drained(t.DataCentre) && m.View.RegionAllowed(key.Service(), t.DataCentre)
 }
 
-// ownDrained reports whether the data centre of the agent's target is drained.
-func (m *Machine) ownDrained() bool {
-	t := m.View.TargetAt(m.Self)
-	return m.View.Drained(m.DataCentre) || t != nil && m.View.Drained(t.DataCentre)
+// ownDataCentre returns the data centre of the target, as other agents know it.
+func (m *Machine) ownDataCentre() string {
+	if t := m.View.TargetAt(m.Self); t != nil {
+		return t.DataCentre
+	}
+	return m.DataCentre
+}
+
+// ownDrained reports whether the data centre of the target is drained.
+func (m *Machine) ownDrained() bool { return m.View.Drained(m.ownDataCentre()) }
+
+// flowRefusalReason returns why the target does not take a new flow, or an empty
+// string if it takes it.
+func (m *Machine) flowRefusalReason(now time.Duration, key flow.Key) string {
+	if reason := m.refusalReason(now); reason != "" {
+		return reason
+	}
+	if !m.View.RegionAllowed(key.Service(), m.ownDataCentre()) {
+		return reasonRegion
+	}
+	return ""
 }
 
 // noTargetReason returns why no target can get a new flow.
-func (m *Machine) noTargetReason() string {
+func (m *Machine) noTargetReason(key flow.Key) string {
+	reason := "no_target"
 	for _, t := range m.View.Targets(m.Service) {
-		if t.State == fleet.Ready && m.View.Drained(t.DataCentre) {
+		switch {
+		case t.State != fleet.Ready:
+		case !m.View.RegionAllowed(key.Service(), t.DataCentre):
+			reason = reasonRegion
+		case m.View.Drained(t.DataCentre):
 			return reasonDrained
 		}
 	}
-	return "no_target"
+	return reason
 }
 
 // awaitsView reports whether the agent has restarted and has no view yet.
@@ -53,7 +76,7 @@
 
 // isWithheld reports whether a reason withholds new flows from a target that could
 // serve them.
-func isWithheld(reason string) bool { return reason == reasonDrained }
+func isWithheld(reason string) bool { return reason == reasonDrained || reason == reasonRegion }
 
 // isOffered reports whether the target has accepted the flow of an opening packet,
 // or has got the packet and may still accept it.
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -54,7 +54,7 @@
 		m.giveUp(p, msg, "no_other_target", out)
 		return
 	case !ok:
-		m.refuse(p, msg, m.noTargetReason(), out)
+		m.refuse(p, msg, m.noTargetReason(p.Key), out)
 		return
 	}
 	if len(m.records) < maxFlows || m.records[p.Key] != nil {
@@ -103,7 +103,7 @@
 // offer gives an opening packet to the target, queues it, or hands it over to
 // another agent.
 func (m *Machine) offer(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
-	if reason := m.refusalReason(now); reason != "" && !(isWithheld(reason) && m.isOffered(p)) {
+	if reason := m.flowRefusalReason(now, p.Key); reason != "" && !(isWithheld(reason) && m.isOffered(p)) {
 		m.handOver(now, p, msg, reason, out)
 		return
 	}
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -156,7 +156,7 @@
 		if err != nil {
 			continue
 		}
-		if reason != "" {
+		if reason := m.flowRefusalReason(now, it.Key); reason != "" {
 			m.handOverQueued(now, &it, &p, reason, out)
 			continue
 		}
--- a/core/ownership/warmup.go
+++ b/core/ownership/warmup.go
@@ -39,6 +39,6 @@
 	}
 	return m.chooseAmong(p.Key, m.View.Targets(m.Service), func(t *fleet.Target) bool {
 		until, _ := m.View.ColdUntil(t.Agent())
-		return t.Agent() != m.Self && now >= until && m.eligible(t) && m.healthy(now, p.Key, t.Agent())
+		return t.Agent() != m.Self && now >= until && m.eligible(p.Key, t) && m.healthy(now, p.Key, t.Agent())
 	})
 }
--- a/core/plane/settings.go
+++ b/core/plane/settings.go
@@ -14,6 +14,8 @@
 	// Name is the name of the process, DataCentre the data centre in which it
 	// runs.
 	Name, DataCentre string
+	// Regions has the region of each data centre.
+	Regions map[string]string
 	// IP is the address of the VM.
 	IP netip.Addr
 	// PacketAddr is where a balancer receives callers' packets. Packets for
--- a/node/packetplane/plane.go
+++ b/node/packetplane/plane.go
@@ -123,6 +123,7 @@
 		Options: o, roleName: name, serviceTag: relay.ServiceTag(o.Settings.Service), start: time.Now(), view: fleet.New(),
 		children: newChildren(), suspensions: suspensionDetector{bootClock: bootTime}, sendBuffer: make([]byte, 0, maxDatagramLen),
 	}
+	p.view.SetRegions(o.Settings.Regions)
 	p.events = newEventLog(o.Log, o.Metrics)
 	p.sync = fleetsync.New(fleetsync.Options{
 		Self: o.Settings.IP, DataCentre: o.Settings.DataCentre, Source: o.Source, PeerPort: o.Settings.PeerPort, Seeds: o.Settings.Seeds, FirstStart: o.Settings.FirstStart, Lock: &p.mu,
--- a/node/packetplane/signals.go
+++ b/node/packetplane/signals.go
@@ -1,6 +1,7 @@
 package packetplane
 
 import (
+	"maps"
 	"os"
 	"slices"
 	"syscall"
@@ -24,7 +25,7 @@
 }
 
 // reload reads the settings and applies those that may change while the process
-// runs: the seeds and the grace period. Addresses and the service stay until the
+// runs: the seeds, the regions and the grace period. Addresses and the service stay until the
 // next start.
 func (p *Process) reload(cause string) {
 	s, err := p.Reload()
@@ -34,7 +35,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s.StopGrace == p.Settings.StopGrace && slices.Equal(s.Seeds, p.sync.Seeds) {
+	if s.StopGrace == p.Settings.StopGrace && slices.Equal(s.Seeds, p.sync.Seeds) && maps.Equal(s.Regions, p.Settings.Regions) {
 		if cause == reloadSignal {
 			p.Log.Info("settings have no change that applies before the next start")
 		}
@@ -42,7 +43,9 @@
 	}
 	p.Settings.StopGrace = s.StopGrace
 	p.sync.Seeds = s.Seeds
-	p.Log.Info("settings reloaded", telemetry.Reason(cause), zap.Int("seeds", len(s.Seeds)), zap.Duration("grace", s.StopGrace))
+	p.Settings.Regions = s.Regions
+	p.view.SetRegions(s.Regions)
+	p.Log.Info("settings reloaded", telemetry.Reason(cause), zap.Int("seeds", len(s.Seeds)), zap.Int("regions", len(s.Regions)), zap.Duration("grace", s.StopGrace))
 }
 
 // stopComplete reports whether a planned stop is complete.
