--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -16,6 +16,9 @@
 	target    *Target
 	removed   bool
 	removedAt time.Duration
+	// writtenAt is the latest time at which target may have been written. It is set
+	// only while the target is warming up.
+	writtenAt time.Duration
 	// nextOnVM links to another listed entry on the same VM.
 	nextOnVM *entry
 }
@@ -43,6 +46,8 @@
 
 	config         *Config
 	configRevision uint64
+	// warmupLimits has the services of config with a limit while a target warms up.
+	warmupLimits map[string]float64
 	// pastConfigs holds the versions before config, newest last.
 	pastConfigs []*Config
 	routes      map[netip.AddrPort]*Route
@@ -63,7 +68,10 @@
 	// removalHistory says from when on the view knows the entries that were removed.
 	removalHistory removalHistory
 
-	index index
+	drains drains
+	// regions has the region of each data centre.
+	regions map[string]string
+	index   index
 }
 
 type retiredRoute struct {
@@ -73,7 +81,7 @@
 
 // New returns an empty view.
 func New() *View {
-	return &View{entries: map[string]*entry{}, routes: map[netip.AddrPort]*Route{}, retired: map[netip.AddrPort]retiredRoute{}, pastServices: map[netip.AddrPort][]pastService{}, index: newIndex()}
+	return &View{entries: map[string]*entry{}, routes: map[netip.AddrPort]*Route{}, retired: map[netip.AddrPort]retiredRoute{}, pastServices: map[netip.AddrPort][]pastService{}, drains: newDrains(), index: newIndex()}
 }
 
 // Revision returns the revision up to which the view is complete.
@@ -89,6 +97,7 @@
 		v.RecordDisturbance(now - time.Duration(*d.DisturbedMS)*time.Millisecond)
 	}
 	v.addToldServices(now, d.PastServices)
+	v.applyDrains(now, d)
 	if d.Full && d.Epoch > v.epoch {
 		v.startEpoch(now, d.Epoch)
 	}
@@ -169,6 +178,7 @@
 	}
 	v.index.remove(e)
 	e.target, e.removed = v.index.intern(c.Target, e.id), false
+	e.writtenAt = now - min(time.Duration(c.AgeMS), maxStateAge/time.Millisecond)*time.Millisecond
 	v.index.add(e)
 	return true
 }
@@ -209,6 +219,7 @@
 }
 
 func (v *View) setConfig(now time.Duration, c *Config, revision uint64) {
+	v.warmupLimits = c.warmupLimits()
 	routes := make(map[netip.AddrPort]*Route, len(c.Routes))
 	for i := range c.Routes {
 		routes[c.Routes[i].Address] = &c.Routes[i]
@@ -277,7 +288,7 @@
 }
 
 // Expire discards removed entries, retired routes and earlier services whose
-// retention time has passed.
+// retention time has passed, and drain requests that the platform has lost.
 func (v *View) Expire(now time.Duration) {
 	v.retainLapsed(now)
 	for len(v.removals) > 0 && now-v.removals[0].removedAt > RemovedEntryRetention {
@@ -296,4 +307,5 @@
 		}
 	}
 	v.expirePastServices(now)
+	v.drains.expire(now)
 }
