ownership: the flow table of an agent survives its planned restart

Cause: an agent that restarts does not know which flows its target holds, so it answers searches with "may be" and packets of other flows reach its target as probes. During restarts in turn, probe budgets are forgotten as well, and three packets of a flow reach other targets.

Change: core/flowtable has the transferred table with its encoding (CBOR, fields that a decoder does not know are ignored), the tables that an agent keeps for others (at most 64, 16 MB, 60 s), the choice of the keepers by rendezvous hash, and the decision which table a starting agent may use. Runs of an agent have random numbers, and a table names the earlier ones, so no clock decides which of two runs is the later one: a run uses a table only if no keeper knows another run that the table does not name. core/ownership exports a machine's table and imports it at the start. Until then it holds messages about flows that it does not know (at most 2,048, 300 ms after the first view, 1.5 s without one) and declines surveys. Doubt, probes and offered flows travel too. TestOpenFlowsInModelTime plays the transfer with calls that are delayed, refused or left unanswered.

--- a/core/ownership/flows.go
+++ b/core/ownership/flows.go
@@ -128,10 +128,12 @@
 // for example because the agent restarted.
 func (m *Machine) learnFlow(now time.Duration, key flow.Key) *ownedFlow {
 	f := &ownedFlow{accepted: true, opened: true, lastSeen: now}
-	if len(m.flows) < maxFlows {
-		m.flows[key] = f
-		m.stats.setPhase(now, key, f, phaseIdle)
+	if len(m.flows) >= maxFlows {
+		m.flowsOmitted = true
+		return f
 	}
+	m.flows[key] = f
+	m.stats.setPhase(now, key, f, phaseIdle)
 	return f
 }
 
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -152,8 +152,13 @@
 	// after a restart, the agent assumes that its target may hold flows that
 	// the agent does not know.
 	FlowTTL time.Duration
-	Codec   flow.Codec
-	View    *fleet.View
+	// Run is the random number of this run of the agent. AwaitTable says that the
+	// agent may get the flow table of its last run. Until then, or until it learns
+	// that there is none, it does not answer for flows that it does not know.
+	Run        uint64
+	AwaitTable bool
+	Codec      flow.Codec
+	View       *fleet.View
 }
 
 // Machine is the state of one agent. It is not safe for concurrent use.
@@ -187,8 +192,12 @@
 	retryAt   time.Duration
 	startedAt time.Duration
 	// unknownFlowsUntil is until when the target may hold flows that the agent
-	// does not know.
-	unknownFlowsUntil time.Duration
+	// does not know. The agent has observed the target since unknownFlowsSince.
+	unknownFlowsUntil, unknownFlowsSince time.Duration
+	// flowsOmitted says that the target holds flows for which the table had no
+	// room.
+	flowsOmitted bool
+	restore      restore
 	// longestIdleTimeout is the longest idle timeout of the versions so far.
 	longestIdleTimeout time.Duration
 	// targetHeard says that the target has sent a packet since the start of the
@@ -241,7 +250,8 @@
 		firstAnswerTimes: rto.New(0, openingTimeout), roundTripTimes: rto.New(minHalfOpenTimeout, maxHalfOpenTimeout), stats: newStats(now),
 	}
 	if !o.FirstStart {
-		m.unknownFlowsUntil = now + cmp.Or(o.FlowTTL, defaultFlowTTL)
+		m.unknownFlowsUntil, m.unknownFlowsSince = now+cmp.Or(o.FlowTTL, defaultFlowTTL), now
+		m.restore.waiting = o.AwaitTable
 	}
 	return m
 }
@@ -257,7 +267,7 @@
 
 // HasTimeouts reports whether there are short timeouts that Tick must check.
 func (m *Machine) HasTimeouts() bool {
-	return len(m.placements) > 0 || len(m.searches) > 0 || len(m.surveys) > 0 || m.queue.Len() > 0 || m.hasOffers()
+	return m.restore.waiting || len(m.placements) > 0 || len(m.searches) > 0 || len(m.surveys) > 0 || m.queue.Len() > 0 || m.hasOffers()
 }
 
 func (m *Machine) hasOffers() bool { return m.stats.count[phaseOffered] > 0 }
@@ -292,6 +302,9 @@
 		out.Event(plane.Event{Kind: plane.EventDropped, Peer: from, Reason: "malformed"})
 		return
 	}
+	if m.restore.waiting && m.hold(from, &p, msg, out) {
+		return
+	}
 	switch msg.Kind {
 	case relay.Open:
 		m.handleOpening(now, &p, msg, out)
--- a/core/ownership/openflow_world_test.go
+++ b/core/ownership/openflow_world_test.go
@@ -14,6 +14,7 @@
 	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/flow/flowtest"
+	"trefoilweir.example/core/flowtable"
 	"trefoilweir.example/core/ownership"
 	"trefoilweir.example/core/plane"
 	"trefoilweir.example/core/relay"
@@ -120,6 +121,7 @@
 	inRotation   bool
 	missedProbes int
 	sync         syncState
+	tables       tableState
 }
 
 func (w *world) after(d time.Duration, run func()) {
@@ -167,7 +169,7 @@
 // process run when it goes on.
 func (p *process) step(run func(now time.Duration)) {
 	switch {
-	case !p.up:
+	case !p.up || p.tables.exported:
 	case p.w.now < p.frozenUntil:
 		p.backlog = append(p.backlog, func() { p.step(run) })
 	default:
@@ -182,7 +184,7 @@
 	incarnation := p.incarnation
 	var next func()
 	next = func() {
-		if !p.up || p.incarnation != incarnation {
+		if !p.up || p.incarnation != incarnation || p.tables.exported {
 			return
 		}
 		if p.w.now < p.frozenUntil {
@@ -215,14 +217,16 @@
 	w := p.w
 	p.incarnation++
 	p.up, p.stopping, p.startedAt, p.frozenUntil, p.backlog = true, false, w.now, 0, nil
-	p.view, p.sync = fleet.New(), syncState{}
+	p.view, p.sync, p.tables = fleet.New(), syncState{}, tableState{}
 	if v := p.vm; v != nil {
+		p.tables.kept, p.tables.run = flowtable.NewRetention(), w.Uint64()
 		p.agent = ownership.New(0, ownership.Options{Self: p.ip, DataCentre: p.dataCentre, Service: v.service, Target: netip.AddrPortFrom(v.ip, 80),
-			FirstStart: firstStart, StartedMS: w.unixMS(v), Codec: flowtest.Codec{}, View: p.view})
+			FirstStart: firstStart, StartedMS: w.unixMS(v), Run: p.tables.run, AwaitTable: !firstStart, Codec: flowtest.Codec{}, View: p.view})
 		p.repeat(w.between(0, localLoadInterval), p.sendLoad())
 		p.repeat(0, p.learnRemovals)
 		if !firstStart {
 			p.checkTarget()
+			p.repeat(0, p.restoreTable)
 		}
 	} else {
 		p.balancer = dispatch.New(p.ip, p.dataCentre, flowtest.Codec{}, p.view)
@@ -251,12 +255,18 @@
 		if p.balancer != nil {
 			quiet = waited > balancerStopTime && p.w.now-p.lastPacket > balancerQuietTime
 		}
-		if quiet {
+		end := func() {
 			p.kill()
 			if gone > 0 {
 				p.w.after(gone, func() { p.start(false) })
 			}
 		}
+		switch {
+		case quiet && p.agent != nil:
+			p.handOverTables(end)
+		case quiet:
+			end()
+		}
 		return idleTick
 	})
 }
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -154,7 +154,7 @@
 // neither end has sent anything for that time since the start of the agent.
 func (m *Machine) mayHoldUnknownFlows(now time.Duration) bool {
 	idle := m.idleTimeout()
-	return now < m.unknownFlowsUntil && (idle == 0 || now < m.startedAt+idle+idleMargin)
+	return now < m.unknownFlowsUntil && (idle == 0 || now < m.unknownFlowsSince+idle+idleMargin)
 }
 
 // handleSearch answers a search of another agent.
--- a/core/ownership/survey.go
+++ b/core/ownership/survey.go
@@ -28,7 +28,8 @@
 
 // handleSurvey searches the local data centre for the owner of a flow. The owner
 // answers the asker itself. An agent that may not know all agents that the
-// asker knows cannot answer for the data centre, so it declines.
+// asker knows cannot answer for the data centre, so it declines. So does one that
+// does not know yet which flows its own target holds.
 func (m *Machine) handleSurvey(now time.Duration, from netip.Addr, p *flow.Packet, msg *relay.Message, out *plane.Out) {
 	if f := m.flows[p.Key]; f != nil && f.matches(p) {
 		m.deliver(now, f, p, out)
@@ -37,7 +38,7 @@
 		return
 	}
 	outdated := msg.Progress.LaterThan(m.View.Progress()) && msg.Roster != m.View.Roster(m.Service, m.DataCentre)
-	if outdated || m.incompleteReason(now) != "" || len(m.surveys) >= maxSurveys {
+	if outdated || m.restore.waiting || m.incompleteReason(now) != "" || len(m.surveys) >= maxSurveys {
 		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Peer: from, Reason: "survey_not_possible"})
 		out.Send(from, relay.Message{Kind: relay.MaybeOwner, Service: m.serviceTag, Flow: p.Key, Load: m.Load(), Origin: msg.Origin})
 		return
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -19,6 +19,7 @@
 	m.checkSearches(now, out)
 	m.checkSurveys(now, out)
 	m.checkIncarnation(now, out)
+	m.checkRestore(now, out)
 	m.admit(now, out)
 	if now-m.lastSweep >= sweepInterval {
 		m.sweep(now)
--- a/core/plane/out.go
+++ b/core/plane/out.go
@@ -114,6 +114,10 @@
 	// EventNextService says that no target of the agent's service holds a flow,
 	// so its packet goes to another service of its address.
 	EventNextService EventKind = "next_service"
+	// EventRestored says that an agent has the flow table of its last run, or goes
+	// on without one, for the given reason. The value is the number of messages
+	// that it held until then.
+	EventRestored EventKind = "restored"
 )
 
 // Event is one decision with the values that it was based on.
