packetplane: agents send their flow tables to two others when they stop

Cause: the flow table of a stopping agent ended with its process.

Change: when a planned stop is complete, the agent handles no packets any more and sends its table, and those that it keeps for agents that are down, to two other agents (PUT /flows on the peer port, 0.7 s at most in all, 0.3 s for each attempt, and no later than 0.2 s before the end of the grace period). An agent that starts claims its table from the first eight agents of the same order (POST /flows), all at once after its first view, until it has a table or for 300 ms. It repeats the claim for 10 s at agents that have not answered. An earlier release answers 404, which counts as "no table".

An open flow takes 46 bytes: 20,000 flows 0.92 MB, two copies of them per stop; a keeper has at most 12 MB.

--- a/core/flowtable/retention.go
+++ b/core/flowtable/retention.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// maxTables and maxBytes bound the tables that a keeper holds. 16 MB hold the
-	// tables of 18 agents with 20,000 flows each. An agent whose table is refused
+	// maxTables and maxBytes bound the tables that a keeper holds. 12 MB hold the
+	// tables of 13 agents with 20,000 flows each. An agent whose table is refused
 	// offers it to the next keeper.
 	maxTables = 64
-	maxBytes  = 16 << 20
+	maxBytes  = 12 << 20
 	// claimedRetention is how long a claimed table is kept for the run that claimed
 	// it, because the answer to its claim may be lost.
 	claimedRetention = 3 * time.Second
--- a/core/flowtable/table.go
+++ b/core/flowtable/table.go
@@ -31,7 +31,7 @@
 	MaxFlows = 50_000
 	// MaxTableBytes bounds the encoded size of a table. An open flow takes 46
 	// bytes.
-	MaxTableBytes = 6 << 20
+	MaxTableBytes = 4 << 20
 	// MaxAge is how long after its export a table is kept.
 	MaxAge = 60 * time.Second
 )
--- a/core/ownership/table.go
+++ b/core/ownership/table.go
@@ -44,8 +44,8 @@
 
 // ImportTable takes over the table of the last run, which was exported an age ago,
 // and ends the wait for it. It returns why the table cannot be used, or an empty
-// string. The agent may have seen flows since its start; the table does not know
-// these.
+// string. The agent may have seen flows since its start, which the table does not
+// have. The table may come after the wait, because the first view came late.
 func (m *Machine) ImportTable(now time.Duration, t *flowtable.Table, age time.Duration, out *plane.Out) (refused string) {
 	if refused = m.tableRefusal(t); refused != "" {
 		m.EndRestore(now, refused, out)
@@ -62,6 +62,9 @@
 		// Packets that came while the agent was down were not observed.
 		m.unknownFlowsUntil, m.unknownFlowsSince = now+t.DoubtLeft, now-t.DoubtFor
 	}
+	if !m.restore.waiting {
+		out.Event(plane.Event{Kind: plane.EventRestored, Reason: "table_came_late"})
+	}
 	m.EndRestore(now, "table", out)
 	return ""
 }
--- a/node/packetplane/agent.go
+++ b/node/packetplane/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"net/netip"
 	"syscall"
 	"time"
@@ -41,6 +42,7 @@
 	localPeers, remotePeers []netip.Addr
 	// checkRequests holds a pending request to check whether the target runs.
 	checkRequests chan struct{}
+	tables        *flowTables
 }
 
 // RunAgent runs an agent until it is stopped.
@@ -49,10 +51,14 @@
 	if err != nil {
 		return err
 	}
-	s := o.Settings
+	s, run := o.Settings, newRun()
 	a := &agent{Process: p, checkRequests: make(chan struct{}, 1), machine: ownership.New(p.now(), ownership.Options{
-		Self: s.IP, DataCentre: s.DataCentre, Service: s.Service, Target: s.TargetAddr, FirstStart: s.FirstStart, StartedMS: p.start.UnixMilli(), FlowTTL: s.FlowTTL, Codec: o.Codec, View: p.view,
+		Self: s.IP, DataCentre: s.DataCentre, Service: s.Service, Target: s.TargetAddr, FirstStart: s.FirstStart, StartedMS: p.start.UnixMilli(), FlowTTL: s.FlowTTL, Run: run, AwaitTable: !s.FirstStart,
+		Codec: o.Codec, View: p.view,
 	})}
+	a.tables = newFlowTables(a, run)
+	p.peerHandlers = map[string]http.Handler{PathFlows: a.tables}
+	p.beforeExit = a.tables.handOver
 	var fromTarget *net.UDPConn
 	if fromTarget, err = listen(s.FromTargetAddr); err != nil {
 		return err
@@ -60,6 +66,7 @@
 	p.role, p.callerConn = a, fromTarget
 	return p.run(ctx, []part{
 		{"from_target", p.receiveLoop(fromTarget, a.fromTarget)}, {"target_check", a.targetCheckLoop}, {"removals", p.sync.LearnRemovals},
+		{"flow_tables", a.tables.restoreLoop},
 	})
 }
 
@@ -76,6 +83,7 @@
 		a.machine.Leave()
 	}
 	a.machine.Tick(now, &a.out)
+	a.tables.expire(now)
 	if a.machine.TargetCheckDue(now) {
 		select {
 		case a.checkRequests <- struct{}{}:
@@ -114,12 +122,14 @@
 func (a *agent) load() relay.Load { return a.machine.Load() }
 
 func (a *agent) onViewChange(time.Duration) {
+	a.tables.noteView()
 	s := a.Settings
 	a.localPeers, a.remotePeers = fleet.LoadReceivers(a.view.Targets(s.Service), s.IP, s.DataCentre)
 }
 
 func (a *agent) tableSizes() map[string]int {
-	return map[string]int{"flows": a.machine.Flows(), "records": a.machine.Records(), "queued": a.machine.Queued()}
+	kept, _ := a.tables.size()
+	return map[string]int{"flows": a.machine.Flows(), "records": a.machine.Records(), "queued": a.machine.Queued(), "kept_tables": kept}
 }
 
 func (a *agent) peers(now time.Duration) []plane.Peer { return a.machine.Peers(now) }
--- a/node/packetplane/plane.go
+++ b/node/packetplane/plane.go
@@ -113,7 +113,14 @@
 	parentIndex       int
 	stopping          bool
 	stopStart         time.Duration
-	events            *eventLog
+	// halted says that the process handles no datagrams and no timeouts any more,
+	// because it has handed over its state.
+	halted bool
+	events *eventLog
+	// peerHandlers serve further paths on the peer port.
+	peerHandlers map[string]http.Handler
+	// beforeExit, if it is set, runs when a planned stop is complete.
+	beforeExit func(context.Context)
 }
 
 func newProcess(o Options, name string) (*Process, error) {
@@ -212,6 +219,9 @@
 	supervisor := suture.New("trefoilweir", suture.Spec{EventHook: p.logSupervisorEvent, FailureBackoff: partBackoff})
 	mux := http.NewServeMux()
 	mux.Handle(fleetsync.PathFleet, p.sync)
+	for path, handler := range p.peerHandlers {
+		mux.Handle(path, handler)
+	}
 	parts = append(parts,
 		part{"relay", p.receiveLoop(p.peerConn, p.handlePeerDatagram)},
 		part{"peer_http", serveHTTP(netip.AddrPortFrom(p.Settings.IP, p.Settings.PeerPort), mux)},
@@ -246,6 +256,9 @@
 			return nil
 		case <-stopCheck.C:
 			if p.stopComplete() {
+				if p.beforeExit != nil {
+					p.beforeExit(ctx)
+				}
 				p.Log.Info("process stopped")
 				return nil
 			}
--- a/node/packetplane/status.go
+++ b/node/packetplane/status.go
@@ -36,6 +36,8 @@
 	Sizes map[string]int `json:"sizes"`
 	// Targets has the number of listed targets of each service.
 	Targets map[string]int `json:"targets"`
+	// FlowTables is the state of the transfer of flow tables, nil at a balancer.
+	FlowTables *FlowTableStatus `json:"flow_tables,omitempty"`
 	// Peers are other agents: at an agent those of its service that it knows, at
 	// a balancer the suspected homes.
 	Peers []PeerStatus `json:"peers"`
@@ -99,6 +101,9 @@
 		UptimeMS: now.Milliseconds(), Version: p.view.Version(), Epoch: p.view.Progress().Epoch, Revision: p.view.Revision(), ViewAgeMS: viewAgeMS(p.view, now),
 		Reader: p.sync.Position().Reader, Sizes: p.role.tableSizes(), Targets: map[string]int{}, Peers: peerStatuses(p.role.peers(now)),
 	}
+	if a, ok := p.role.(*agent); ok {
+		s.FlowTables = a.tables.tableStatus()
+	}
 	for _, service := range p.view.Services() {
 		s.Targets[service] = len(p.view.Targets(service))
 	}
--- a/node/packetplane/step.go
+++ b/node/packetplane/step.go
@@ -14,10 +14,14 @@
 const eventPanicked plane.EventKind = "panicked"
 
 // step runs a decision with the lock held and recovers from its panic: an
-// unexpected datagram must not stop all other flows.
+// unexpected datagram must not stop all other flows. A process that has handed over
+// its state decides nothing more.
 func (p *Process) step(name string, decide func(now time.Duration)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.halted {
+		return
+	}
 	defer p.recoverStep(name)
 	decide(p.now())
 }
