fleet: an entry removed just before a listing is known as removed

Cause: a process that starts reads a listing without the entry of a target that was removed a moment before. A peer then tells it all removals, but has not seen this one and lists the entry.

Change: an entry that only a view behind this one lists is known as removed. It is listed again by any later change, or by a later view with the same state.

Result: TestEntryRemovedJustBeforeTheListing fails before and passes now.

--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -79,3 +79,16 @@
 	e.removedAt = now - time.Duration(c.RemovedMS)*time.Millisecond
 	v.index.add(e)
 }
+
+// learnGone adds the entry of a change from a view that is behind this one, in
+// which the entry is listed. Otherwise an entry that was removed just before a
+// process read the platform would be missing from its view, although a peer tells
+// it all removals. A later view that lists the entry unchanged lists it here too.
+func (v *View) learnGone(now time.Duration, c *Change) {
+	if c.Target == nil || c.Revision == 0 || v.entries[c.ID] != nil {
+		return
+	}
+	e := &entry{id: c.ID, unseen: true}
+	v.entries[c.ID] = e
+	v.learnRemoved(now, e, &Change{ID: c.ID, Revision: c.Revision - 1, Last: c.Target})
+}
--- /dev/null
+++ b/core/fleet/removals_test.go
@@ -0,0 +1,42 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against resets of open flows by an agent that starts just after the entry
+// of their target was removed: its listing lacks the entry, and the peer that tells
+// it all removals has not seen the removal yet. The entry must be known as removed,
+// whichever of the two comes first.
+func TestEntryRemovedJustBeforeTheListing(t *testing.T) {
+	const now = 5 * time.Second
+	peer := New()
+	peer.NothingRemovedBefore(0)
+	listed := Change{ID: "a", Revision: 3, Target: target("a", 1, Ready, 1)}
+	peer.Apply(0, &Delta{Revision: 4, Full: true, ListingRevision: 4, Changes: []Change{listed}, Config: &Config{Version: 1}, ConfigRevision: 2})
+	told := peer.Since(now, Progress{})
+	listing := Delta{Revision: 9, Full: true, ListingRevision: 9, Config: &Config{Version: 1}, ConfigRevision: 2}
+	for _, deltas := range [][]*Delta{{&listing, &told}, {&told, &listing}, {&listing, &told, &told}} {
+		v := New()
+		for _, d := range deltas {
+			v.Apply(now, d)
+		}
+		assert.Assert(t, v.RemovalsKnown(now))
+		assert.Equal(t, len(v.Targets("booking")), 0)
+		assert.Equal(t, len(v.RemovedTargets("booking")), 1)
+		// Others that fetch from this view learn of it too.
+		other := New()
+		since := v.Since(now, Progress{})
+		other.Apply(now, &since)
+		assert.Equal(t, len(other.RemovedTargets("booking")), 1)
+		// The target writes its entry again.
+		v.Apply(now, &Delta{Revision: 12, Changes: []Change{{ID: "a", Revision: 12, Target: listed.Target}}})
+		assert.Equal(t, len(v.Targets("booking")), 1)
+		assert.Equal(t, len(v.RemovedTargets("booking")), 0)
+		v.Apply(now, &told)
+		assert.Equal(t, len(v.Targets("booking")), 1)
+	}
+}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -16,6 +16,8 @@
 	target    *Target
 	removed   bool
 	removedAt time.Duration
+	// unseen says that the view has the entry only from a view that was behind it.
+	unseen bool
 	// nextOnVM links to another listed entry on the same VM.
 	nextOnVM *entry
 }
@@ -99,9 +101,11 @@
 	behind := d.Revision < v.revision
 	for i := range d.Changes {
 		c := &d.Changes[i]
-		if behind && c.Revision <= v.revision && v.entries[c.ID] == nil && c.Last == nil {
-			// The view is complete up to its revision, so the entry was removed
-			// and has expired.
+		if known := v.entries[c.ID]; behind && c.Revision <= v.revision && (known == nil || known.unseen) && c.Last == nil {
+			// The view is complete up to its revision, so the entry was removed.
+			// The sender may not know that yet, and this view may not have seen
+			// the entry, so its target may run and hold flows.
+			v.learnGone(now, c)
 			continue
 		}
 		targets = v.applyChange(now, c) || targets
@@ -164,6 +168,7 @@
 	}
 	ofEarlierEpoch := e.revision == 0
 	v.setRevision(e, c.Revision)
+	e.unseen = false
 	if ofEarlierEpoch && e.target != nil && c.Target.precedes(e.target) {
 		return false
 	}
