--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -51,6 +51,10 @@
 // SettleRemovals records that the peers that were asked know no more removals.
 func (v *View) SettleRemovals() { v.removalHistory.settled = true }
 
+// RemovalsSettled reports whether the removals count as known because the peers
+// that were asked know no more.
+func (v *View) RemovalsSettled() bool { return v.removalHistory.settled }
+
 // Removals returns a delta with what a listing at the platform does not name: the
 // entries that were removed within RemovedEntryRetention, and the earlier
 // services of the addresses.
--- a/core/ownership/fresh_test.go
+++ b/core/ownership/fresh_test.go
@@ -55,6 +55,69 @@
 	}
 }
 
+// Guards against probes for seconds after a loss of all VMs, if the target writes
+// its entry before its agent has a view. The entry counts only together with peers
+// that have started with the agent too, because the time of day may have jumped.
+func TestEntryOfFirstViewCountsIfAllStartedTogether(t *testing.T) {
+	const started = 1_000_000
+	for name, c := range map[string]struct {
+		startUnixMS int64
+		warmup      int
+		settled     bool
+		fresh       bool
+	}{
+		"all started together":           {started - 20, 1500, true, true},
+		"a peer knows the time before":   {started - 20, 1500, false, false},
+		"target is older":                {started - maxStartSkew.Milliseconds() - 1, 1500, true, false},
+		"target is not warming up":       {started - 20, 0, true, false},
+		"start lies in the future":       {started + 2000, 1500, true, false},
+		"start time of the entry is 0":   {0, 1500, true, false},
+		"target started after its agent": {started + 30, 1500, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := fleettest.Target(0, fleet.Ready)
+			target.StartUnixMS, target.WarmupMS = c.startUnixMS, c.warmup
+			v := fleet.New()
+			f := &fixture{T: t, Machine: New(0, Options{Self: fleettest.Agent(0), DataCentre: fleettest.DataCentre, Service: fleettest.Service,
+				Target: netip.AddrPortFrom(fleettest.Agent(0), 80), StartedMS: started, Codec: flowtest.Codec{}, View: v})}
+			v.Apply(0, &fleet.Delta{Revision: 9, Full: true, Config: &fleet.Config{Version: 1}, ConfigRevision: 1, Changes: []fleet.Change{{ID: "a", Revision: 3, Target: target}}})
+			f.advance(50 * ms)
+			assert.Assert(t, f.mayHoldUnknownFlows(f.now))
+			if c.settled {
+				v.SettleRemovals()
+			}
+			f.advance(50 * ms)
+			assert.Equal(t, f.mayHoldUnknownFlows(f.now), !c.fresh)
+			assert.Equal(t, f.Load().Flags&relay.FlagFresh != 0, c.fresh)
+		})
+	}
+}
+
+// Guards against an agent that doubts its target although the VM has just
+// started, and against one that trusts a target because it does not know when the
+// VM started, or because the VM has run for longer than an agent needs to restart.
+func TestAgentThatStartedWithItsVM(t *testing.T) {
+	for since, fresh := range map[time.Duration]bool{0: false, ms: true, maxStartSkew: true, maxStartSkew + ms: false} {
+		m := New(0, Options{Self: fleettest.Agent(0), Service: fleettest.Service, SinceBoot: since, Codec: flowtest.Codec{}, View: fleet.New()})
+		assert.Equal(t, m.mayHoldUnknownFlows(0), !fresh, "%v", since)
+		var out plane.Out
+		m.Tick(ms, &out)
+		m.Tick(2*ms, &out)
+		assert.Equal(t, len(out.Events) == 1, fresh, "%v", since)
+	}
+}
+
+// Guards against an agent that goes on to say that its target may hold a flow,
+// because it has said so before it knew that the target is fresh.
+func TestFreshTargetEndsDoubt(t *testing.T) {
+	f := restartedFixture(t)
+	f.balancerSends(relay.Search, unknownPacket)
+	assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.MaybeOwner})
+	f.recordFresh(f.now, "test", 0, &f.out)
+	f.balancerSends(relay.Search, unknownPacket)
+	assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.NotOwner})
+}
+
 // Guards against an agent that takes its target for new because the agent's
 // first view was older than the agent: the target was listed only after that
 // view, and had flows before the agent restarted.
--- a/core/ownership/holders.go
+++ b/core/ownership/holders.go
@@ -14,8 +14,9 @@
 // searchable returns the other agents whose targets may hold flows of the
 // service: those in the local data centre, and the others by data centre, those
 // of listed targets first. A removed target may still run: its entry lapses or
-// is withdrawn if it cannot reach the platform.
-func (m *Machine) searchable() (local []netip.Addr, remote map[string][]netip.Addr) {
+// is withdrawn if it cannot reach the platform. An agent that is heard and not
+// in the view counts as local, as its data centre is not known.
+func (m *Machine) searchable(now time.Duration) (local []netip.Addr, remote map[string][]netip.Addr) {
 	remote = map[string][]netip.Addr{}
 	seen := map[netip.Addr]bool{m.Self: true}
 	for _, targets := range [][]*fleet.Target{m.View.Targets(m.Service), m.View.RemovedTargets(m.Service)} {
@@ -31,7 +32,20 @@
 			seen[a] = true
 		}
 	}
-	return local, remote
+	return append(local, m.unlistedAgents(now, seen)...), remote
+}
+
+// unlistedAgents returns the agents of the service that were heard lately and are
+// not in seen, sorted. After a loss of all other VMs no view names a target whose
+// entry was removed before, and its agent knows the others.
+func (m *Machine) unlistedAgents(now time.Duration, seen map[netip.Addr]bool) (unlisted []netip.Addr) {
+	for a, p := range m.peers {
+		if !seen[a] && p.everHeard && now-p.lastHeard <= heartbeatTimeout {
+			unlisted = append(unlisted, a)
+		}
+	}
+	slices.SortFunc(unlisted, netip.Addr.Compare)
+	return unlisted
 }
 
 // gone reports whether an agent counts as gone with its target: the entry of the
@@ -97,15 +111,16 @@
 // view has denied it. A target may have been listed or removed since the round
 // began.
 func (m *Machine) allDenied(now time.Duration, s *search) bool {
-	surveyed := m.currentSurveys(s)
+	surveyed, seen := m.currentSurveys(s), map[netip.Addr]bool{m.Self: true}
 	for _, targets := range [][]*fleet.Target{m.View.Targets(m.Service), m.View.RemovedTargets(m.Service)} {
 		for _, t := range targets {
 			if a := t.Agent(); a != m.Self && !s.hasDenied(t, surveyed) && !m.gone(now, a) {
 				return false
 			}
+			seen[t.Agent()] = true
 		}
 	}
-	return true
+	return !slices.ContainsFunc(m.unlistedAgents(now, seen), func(a netip.Addr) bool { return !s.denied[a] })
 }
 
 // currentSurveys returns the data centres in which a survey has denied the flow
--- a/core/ownership/incomplete_test.go
+++ b/core/ownership/incomplete_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,6 +104,51 @@
 	assert.Equal(t, f.out.Events[len(f.out.Events)-1].Reason, "peer_ahead")
 }
 
+// Guards against the reset of an open flow whose agent no view names, but which
+// is heard: after a loss of all other VMs nobody knows that its entry was removed.
+func TestAgentThatIsHeardIsAsked(t *testing.T) {
+	f := newFixture(t, true)
+	f.heartbeats(7)
+	f.balancerSends(relay.Packet, unknownPacket)
+	assert.Assert(t, slices.Contains(f.searchedAgents(), fleettest.Agent(7)))
+	f.peerAnswers(1, relay.NotOwner, 1)
+	f.peerAnswers(2, relay.NotOwner, 1)
+	f.advance(searchTimeout)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+	f.peerAnswers(7, relay.Owner, 1)
+	assert.Equal(t, f.records[unknownPacket.Key].owner, fleettest.Agent(7))
+	// One that was first heard while the search went on is asked in the next round.
+	f.now += searchResultTTL
+	f.heartbeats(1, 2)
+	p := flow.Packet{Key: fleettest.Key(2), Seq: 111, Ack: 5001, Len: 10}
+	f.balancerSends(relay.Packet, p)
+	f.peerAnswers(1, relay.NotOwner, 2)
+	f.heartbeats(8)
+	f.peerAnswers(2, relay.NotOwner, 2)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+	f.advance(searchRetryDelay)
+	f.peerAnswers(8, relay.NotOwner, 2)
+	assert.Equal(t, len(f.out.ToCaller), 1)
+}
+
+// Guards against callers of dead flows that wait for the next round of a search,
+// which comes later each time, when the agent knows at last what was removed.
+func TestSearchGoesOnOnceRemovalsAreKnown(t *testing.T) {
+	f := restartedFixture(t)
+	f.View.Apply(0, &fleet.Delta{Revision: 9, Full: true, Config: &fleet.Config{Version: 1}, ConfigRevision: 1, Changes: []fleet.Change{
+		{ID: "a", Revision: 3, Target: fleettest.Target(0, fleet.Ready)}, {ID: "b", Revision: 4, Target: fleettest.Target(1, fleet.Ready)}}})
+	f.recordFresh(f.now, "test", 0, &f.out)
+	f.balancerSends(relay.Packet, unknownPacket)
+	f.peerAnswers(1, relay.NotOwner, 1)
+	for range 3 {
+		f.advance(searchRetryDelay)
+		assert.Equal(t, len(f.out.ToCaller), 0)
+	}
+	f.View.SettleRemovals()
+	f.advance(10 * ms)
+	assert.Equal(t, len(f.out.ToCaller), 1)
+}
+
 // Guards against lost flows that are never reset for a minute after a VM was
 // lost together with its target.
 func TestSearchDoesNotWaitForGoneAgent(t *testing.T) {
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -126,6 +126,9 @@
 	// So no other agent has seen a target that started at most this long before
 	// its agent.
 	maxStartSkew = 250 * time.Millisecond
+	// maxJointStart is how long after its start an agent counts the entry of its
+	// target in its first view as evidence that all VMs have restarted.
+	maxJointStart = 2 * time.Second
 	// idleMargin is added to the idle timeout, because a packet may have been
 	// in flight when the agent restarted.
 	idleMargin = time.Second
@@ -148,6 +151,9 @@
 	FirstStart bool
 	// StartedMS is the start time of the agent, in Unix milliseconds.
 	StartedMS int64
+	// SinceBoot is the time from the start of the VM to that of the agent, or 0 if
+	// it is not known.
+	SinceBoot time.Duration
 	// FlowTTL is the age after which a flow may be discarded. For that long
 	// after a restart, the agent assumes that its target may hold flows that
 	// the agent does not know.
@@ -199,6 +205,9 @@
 	targetProbedAt, nextTargetCheck time.Duration
 	lastSweep                       time.Duration
 	targetStartUnixMS               int64
+	// startedWithVM says that the agent started with its VM, which is not logged
+	// yet.
+	startedWithVM bool
 	// sawCurrentView says that a view was known at a tick that was confirmed since
 	// the start of the agent.
 	sawCurrentView bool
@@ -240,7 +249,11 @@
 		searches: map[flow.Key]*search{}, surveys: map[flow.Key][]*survey{}, peers: map[netip.Addr]*peer{}, queue: waitqueue.New[flow.Key, queuedFlow](maxQueued), reportTimes: rto.New(minOwnerTimeout, maxOwnerTimeout),
 		firstAnswerTimes: rto.New(0, openingTimeout), roundTripTimes: rto.New(minHalfOpenTimeout, maxHalfOpenTimeout), stats: newStats(now),
 	}
-	if !o.FirstStart {
+	switch {
+	case o.FirstStart:
+	case o.SinceBoot > 0 && o.SinceBoot <= maxStartSkew:
+		m.startedWithVM = true
+	default:
 		m.unknownFlowsUntil = now + cmp.Or(o.FlowTTL, defaultFlowTTL)
 	}
 	return m
--- a/core/ownership/openflow_ends_test.go
+++ b/core/ownership/openflow_ends_test.go
@@ -105,13 +105,23 @@
 	// lost says that the rule was broken for the flow.
 	lost  bool
 	lines []string
+	// sentAt has the times at which the caller sent a packet. resetAt is when it
+	// got a reset that ended the flow.
+	sentAt  []time.Duration
+	resetAt time.Duration
 }
 
 func (v *vm) startTarget(id string) *target {
+	t := v.startUnlistedTarget(id)
+	t.writeEntry()
+	return t
+}
+
+// startUnlistedTarget starts a target that has not written its entry yet.
+func (v *vm) startUnlistedTarget(id string) *target {
 	w := v.agent.w
 	t := &target{w: w, vm: v, id: id, alive: true, bornMS: w.unixMS(v), bornAt: w.now, flows: map[flow.Key]*heldFlow{}}
 	v.target = t
-	t.writeEntry()
 	return t
 }
 
@@ -284,6 +294,7 @@
 
 func (c *caller) send(p flow.Packet) {
 	c.active()
+	c.sentAt = append(c.sentAt, c.w.now)
 	c.w.fromCaller(c.dataCentre, p)
 }
 
--- a/core/ownership/openflow_judge_test.go
+++ b/core/ownership/openflow_judge_test.go
@@ -96,6 +96,7 @@
 		return
 	}
 	w.resets++
+	c.resetAt = w.now
 	if counts && (from.vm.disturbed(w.now) || c.target.vm.disturbed(w.now)) {
 		w.excused++
 	} else if counts {
--- a/core/ownership/openflow_platform_test.go
+++ b/core/ownership/openflow_platform_test.go
@@ -121,9 +121,11 @@
 	askingRemovals    bool
 	// removalAnswers counts the attempts to learn removals that had an answer.
 	removalAnswers int
-	failed         bool
-	refusedUntil   time.Duration
-	parentIndex    int
+	// removalsAsked has the agents that were asked for removals.
+	removalsAsked map[netip.Addr]int
+	failed        bool
+	refusedUntil  time.Duration
+	parentIndex   int
 	// children maps the processes that asked for the age of the view to the time
 	// of the last request.
 	children map[netip.Addr]time.Duration
@@ -286,7 +288,9 @@
 const (
 	removalPeers          = 2
 	removalAttempts       = 3
-	removalsRetryInterval = 200 * ms
+	maxRemovalsWait       = 10 * time.Second
+	startSpread           = time.Second
+	removalsRetryInterval = 60 * ms
 )
 
 // learnRemovals asks peers which entries were removed before the process
@@ -297,23 +301,34 @@
 		return removalsRetryInterval
 	}
 	others := slices.DeleteFunc(slices.Clone(p.view.Agents()), func(a netip.Addr) bool { return a == p.ip })
-	peers := slices.DeleteFunc(slices.Clone(others), func(a netip.Addr) bool { return p.w.processes[a].dataCentre != p.dataCentre })
-	if len(peers) == 0 {
-		peers = others
+	p.w.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	slices.SortStableFunc(others, func(a, b netip.Addr) int { return s.removalsAsked[a] - s.removalsAsked[b] })
+	isFar := func(a netip.Addr) bool { return p.w.processes[a].dataCentre != p.dataCentre }
+	near := slices.DeleteFunc(slices.Clone(others), isFar)
+	far := slices.DeleteFunc(slices.Clone(others), func(a netip.Addr) bool { return !isFar(a) })
+	far = far[:min(len(far), max(1, removalPeers-len(near)))]
+	peers := slices.Concat(near[:min(len(near), removalPeers-min(1, len(far)))], far)
+	if s.removalsAsked == nil {
+		s.removalsAsked = map[netip.Addr]int{}
+	}
+	for _, a := range peers {
+		s.removalsAsked[a] = 1
 	}
-	p.w.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	s.askingRemovals = true
-	p.askForRemovals(peers[:min(len(peers), removalPeers)], len(peers) == 0 && !p.view.ExpectsTargets(now))
+	alone := len(peers) == 0 && !p.view.ExpectsTargets(now)
+	p.askForRemovals(peers, alone, alone, 0)
 	return removalsRetryInterval
 }
 
-func (p *process) askForRemovals(peers []netip.Addr, answered bool) {
+// askForRemovals asks peers one after the other. answered says that one has
+// answered, and longest for how long before now it knew all removals.
+func (p *process) askForRemovals(peers []netip.Addr, alone, answered bool, longest time.Duration) {
 	if len(peers) == 0 || p.view.RemovalsKnown(p.now()) {
 		p.sync.askingRemovals = false
-		if answered {
+		if alone || answered && longest <= p.now()+startSpread {
 			p.sync.removalAnswers++
 		}
-		if p.sync.removalAnswers >= removalAttempts {
+		if p.sync.removalAnswers >= removalAttempts || p.now() > maxRemovalsWait {
 			p.view.SettleRemovals()
 		}
 		return
@@ -332,8 +347,9 @@
 			p.step(func(now time.Duration) {
 				if d != nil && d.RemovalsKnownMS != nil {
 					p.apply(now, d)
+					answered, longest = true, max(longest, time.Duration(*d.RemovalsKnownMS)*ms)
 				}
-				p.askForRemovals(peers[1:], answered || d != nil && d.RemovalsKnownMS != nil)
+				p.askForRemovals(peers[1:], alone, answered, longest)
 			})
 		})
 	})
--- a/core/ownership/openflow_world_test.go
+++ b/core/ownership/openflow_world_test.go
@@ -116,6 +116,9 @@
 	lastPacket           time.Duration
 	frozenUntil          time.Duration
 	backlog              []func()
+	// sinceBoot is the time from the start of the VM to that of the agent, if the
+	// agent knows it.
+	sinceBoot time.Duration
 	// inRotation and missedProbes are what the routers know of a balancer.
 	inRotation   bool
 	missedProbes int
@@ -218,7 +221,7 @@
 	p.view, p.sync = fleet.New(), syncState{}
 	if v := p.vm; v != nil {
 		p.agent = ownership.New(0, ownership.Options{Self: p.ip, DataCentre: p.dataCentre, Service: v.service, Target: netip.AddrPortFrom(v.ip, 80),
-			FirstStart: firstStart, StartedMS: w.unixMS(v), Codec: flowtest.Codec{}, View: p.view})
+			FirstStart: firstStart, StartedMS: w.unixMS(v), SinceBoot: p.sinceBoot, Codec: flowtest.Codec{}, View: p.view})
 		p.repeat(w.between(0, localLoadInterval), p.sendLoad())
 		p.repeat(0, p.learnRemovals)
 		if !firstStart {
--- a/core/ownership/probe.go
+++ b/core/ownership/probe.go
@@ -40,26 +40,6 @@
 	return true
 }
 
-// TargetNotRunning records that no process listens at the address of the
-// target. The target then holds no flows, and the agent sees every flow of a
-// target that starts later.
-func (m *Machine) TargetNotRunning(now time.Duration, out *plane.Out) {
-	if m.targetHeard || !m.mayHoldUnknownFlows(now) {
-		return
-	}
-	m.unknownFlowsUntil = 0
-	out.Event(plane.Event{Kind: plane.EventTargetFresh, Reason: "not_running"})
-	for key, s := range m.searches {
-		s.doubted = false
-		switch {
-		case s.onlySelfAsked:
-			m.searchOthers(now, s, out)
-		case s.prober.IsValid():
-			m.answerNotHeld(now, key, s, out)
-		}
-	}
-}
-
 // probeMaybeOwners sends probes to the agents whose targets may hold the flow.
 // At most probeBudget probes are on their way at a time, so few packets reach
 // other targets after the one that holds the flow. Unless all agents have
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -118,7 +118,7 @@
 	}
 	s.remote, s.found, s.allAnswered, s.noOwner, s.ack, s.declinedSurveys = false, false, false, false, p.Ack, 0
 	s.incomplete, s.peersKnow = m.incompleteReason(now), m.latestPeerProgress(now)
-	local, _ := m.searchable()
+	local, _ := m.searchable(now)
 	m.sendSearches(now, local, p, msg, s, out)
 	if m.mayHold(now, p.Key) {
 		s.maybeOwners = append(s.maybeOwners, m.Self)
@@ -269,8 +269,13 @@
 // retrySearch begins another round of an incomplete search, in which an agent
 // did not answer or a probe was not returned. After an outage agents and
 // targets come back one by one, and the caller's next packet may come too late.
+// A round that began without a sufficient view is followed by another as soon as
+// the view is sufficient.
 func (m *Machine) retrySearch(now time.Duration, s *search, out *plane.Out) {
-	if !s.done || s.found || s.noOwner || len(s.raw) == 0 || s.retries >= maxSearchRetries || now-s.roundStart < searchRetryDelay<<(s.retries/2) {
+	if !s.done || s.found || s.noOwner || len(s.raw) == 0 || s.retries >= maxSearchRetries {
+		return
+	}
+	if viewSuffices := s.incomplete != "" && m.incompleteReason(now) == ""; !viewSuffices && now-s.roundStart < searchRetryDelay<<(s.retries/2) {
 		return
 	}
 	p, err := m.Codec.FromCaller(s.raw)
--- a/core/ownership/searchremote.go
+++ b/core/ownership/searchremote.go
@@ -28,10 +28,10 @@
 	if err != nil {
 		return
 	}
-	_, remote := m.searchable()
+	_, remote := m.searchable(now)
 	for _, dataCentre := range slices.Sorted(maps.Keys(remote)) {
 		agents := remote[dataCentre]
-		if surveyable := m.notGone(now, agents); len(surveyable) > maxDirectSearches {
+		if surveyable := m.notGone(now, agents); len(surveyable) > m.maxDirectSearches() {
 			m.sendSurvey(now, dataCentre, surveyable, &p, s, out)
 			continue
 		}
@@ -39,6 +39,16 @@
 	}
 }
 
+// maxDirectSearches is the number of agents of another data centre up to which a
+// search asks each of them. If no process knew which entries were removed before a
+// loss of all VMs, the agents of the data centre may hear one that no view names.
+func (m *Machine) maxDirectSearches() int {
+	if m.View.RemovalsSettled() {
+		return 0
+	}
+	return maxDirectSearches
+}
+
 // sendSurvey asks an agent to search its data centre. Each survey of a search
 // goes to another agent.
 func (m *Machine) sendSurvey(now time.Duration, dataCentre string, agents []netip.Addr, p *flow.Packet, s *search, out *plane.Out) {
@@ -88,7 +98,7 @@
 		s.asked[from] = asked
 		return
 	}
-	_, remote := m.searchable()
+	_, remote := m.searchable(now)
 	agents := m.notGone(now, remote[asked.dataCentre])
 	if len(agents) == 0 {
 		// The view has lost the agents of the data centre since the survey.
@@ -103,6 +113,9 @@
 // the round stays incomplete.
 func (m *Machine) handleSurveyResult(now time.Duration, asked searchScope, msg *relay.Message, s *search, out *plane.Out) {
 	s.deniedRosters[asked.dataCentre] = asked.roster
+	// An agent that an earlier survey left unresolved has denied the flow unless
+	// this one lists it again.
+	maps.DeleteFunc(s.unresolved, func(_ netip.Addr, dataCentre string) bool { return dataCentre == asked.dataCentre })
 	for _, a := range slices.Concat(msg.MaybeOwners, msg.Unanswered) {
 		s.unresolved[a] = asked.dataCentre
 	}
--- a/core/ownership/stats.go
+++ b/core/ownership/stats.go
@@ -249,6 +249,9 @@
 	if m.silent {
 		l.Flags |= relay.FlagSilent
 	}
+	if m.unknownFlowsUntil == 0 {
+		l.Flags |= relay.FlagFresh
+	}
 	if m.outcomes.failing {
 		l.Flags |= relay.FlagFailing
 	}
--- a/core/ownership/survey.go
+++ b/core/ownership/survey.go
@@ -47,7 +47,7 @@
 		m.recordDoubt(now, p.Key)
 		s.maybeOwners = append(s.maybeOwners, m.Self)
 	}
-	local, _ := m.searchable()
+	local, _ := m.searchable(now)
 	for _, a := range local {
 		send, wait := m.ask(now, a)
 		if wait {
--- a/core/ownership/survey_test.go
+++ b/core/ownership/survey_test.go
@@ -259,3 +259,37 @@
 		assert.Check(t, !s.agents[fleettest.Agent(home)].peer(fleettest.Agent(n)).unanswered, "agent %d", n)
 	}
 }
+
+// Guards against a search that never ends because a survey has once found an agent
+// that may hold the flow. A later survey, of other agents, finds that it does not.
+func TestLaterSurveyResolvesAgents(t *testing.T) {
+	f := newFixture(t, true)
+	add := func(n byte) {
+		revision := f.View.Revision() + 1
+		target := fleettest.Target(n, fleet.Ready)
+		target.DataCentre = "dc-1"
+		f.View.Apply(f.now, &fleet.Delta{Revision: revision, Changes: []fleet.Change{{ID: target.ID, Revision: revision, Target: target}}})
+	}
+	answerSurvey := func(maybeOwners ...netip.Addr) {
+		for _, sent := range slices.Clone(f.out.Sends) {
+			if sent.Message.Kind == relay.Survey {
+				f.out.Clear()
+				f.FromPeer(f.now, sent.To, &relay.Message{Kind: relay.SurveyResult, Service: tag, Flow: unknownPacket.Key, MaybeOwners: maybeOwners}, &f.out)
+				return
+			}
+		}
+		t.Fatal("no survey was sent")
+	}
+	for n := byte(3); n < 6; n++ {
+		add(n)
+	}
+	f.balancerSends(relay.Packet, unknownPacket)
+	f.peerAnswers(1, relay.NotOwner, 1)
+	f.peerAnswers(2, relay.NotOwner, 1)
+	answerSurvey(fleettest.Agent(3))
+	assert.Equal(t, f.probedAgents(), 1)
+	add(6)
+	f.advance(searchRetryDelay)
+	answerSurvey()
+	assert.Equal(t, len(f.out.ToCaller), 1)
+}
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"time"
 
-	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/plane"
 )
@@ -30,8 +29,18 @@
 func (m *Machine) checkIncarnation(now time.Duration, out *plane.Out) {
 	sawCurrentView := m.sawCurrentView
 	m.sawCurrentView = m.sawCurrentView || m.View.Usable() && m.View.Age(now) <= now-m.startedAt
+	if m.startedWithVM {
+		m.startedWithVM = false
+		out.Event(plane.Event{Kind: plane.EventTargetFresh, Reason: "started_with_vm", Value: m.SinceBoot.Milliseconds()})
+	}
 	t := m.View.TargetAt(m.Self)
-	if t == nil || t.Address != m.Target || t.StartUnixMS == m.targetStartUnixMS {
+	if t == nil || t.Address != m.Target {
+		return
+	}
+	if t.StartUnixMS == m.targetStartUnixMS {
+		if m.unknownFlowsUntil != 0 && m.View.RemovalsSettled() {
+			m.checkJointStart(now, t, out)
+		}
 		return
 	}
 	if m.targetStartUnixMS != 0 {
@@ -40,24 +49,8 @@
 	}
 	m.targetStartUnixMS = t.StartUnixMS
 	if sawCurrentView {
-		m.checkFreshTarget(t, out)
-	}
-}
-
-// checkFreshTarget detects that the target started no earlier than the agent.
-// All its flows then came through this agent, so it holds none that the agent
-// does not know. Otherwise, after the loss of all VMs, every packet of a lost
-// flow would go to every target of the service as a probe. The time of day may
-// have jumped by seconds between the two starts. So it counts only for a target
-// that is warming up and whose entry appeared after the agent had a view that
-// was current at its start or later.
-func (m *Machine) checkFreshTarget(t *fleet.Target, out *plane.Out) {
-	age := time.Duration(m.StartedMS-t.StartUnixMS) * time.Millisecond
-	if m.unknownFlowsUntil == 0 || t.WarmupMS <= 0 || age > maxStartSkew {
-		return
+		m.checkFreshTarget(now, t, out)
 	}
-	m.unknownFlowsUntil = 0
-	out.Event(plane.Event{Kind: plane.EventTargetFresh, Reason: "started_with_agent", Value: age.Milliseconds()})
 }
 
 // sweep drops idle and closed flows and idle records.
--- a/core/plane/settings.go
+++ b/core/plane/settings.go
@@ -37,6 +37,9 @@
 	Seeds []netip.AddrPort
 	// FirstStart says that the whole system starts for the first time.
 	FirstStart bool
+	// BootClock says that the clock that counts suspensions starts with the VM. An
+	// agent that starts with it knows that its target has no earlier flows.
+	BootClock bool
 	// StoreAddr is the network address of the platform's store.
 	StoreAddr string
 	// StopGrace is the time between a request to stop the process and its
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -86,7 +86,10 @@
 	FlagSilent
 	// FlagDraining says that the target takes no new flows.
 	FlagDraining
-	_ // reserved
+	// FlagFresh says that the target has started with the sender or later, so
+	// that the sender knows every flow that the target holds. It applies to the
+	// run of the sender that sends it.
+	FlagFresh
 	// FlagReplyRequested asks for a Heartbeat in return.
 	FlagReplyRequested
 	// FlagFailing says that the target accepts flows and fails them.
--- a/node/cmd/trefoilweir/packet.go
+++ b/node/cmd/trefoilweir/packet.go
@@ -21,6 +21,7 @@
 func packetCommand() *cli.Command {
 	flags := []cli.Flag{
 		&cli.Uint16Flag{Name: "metrics-port", Usage: "`PORT` on the VM's address that serves metrics and status, 0 for none"},
+		&cli.BoolFlag{Name: "boot-clock", Usage: "CLOCK_BOOTTIME starts with the VM, so that an agent knows whether its target started with it"},
 		&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error", Value: "info"},
 	}
 	return &cli.Command{
@@ -58,7 +59,7 @@
 		if err != nil {
 			return invalidInput(err)
 		}
-		s.MetricsPort = c.Uint16("metrics-port")
+		s.MetricsPort, s.BootClock = c.Uint16("metrics-port"), c.Bool("boot-clock")
 		metrics := telemetry.NewMetrics()
 		out := telemetry.NewAsyncWriter(os.Stdout, metrics)
 		log, err := telemetry.NewLogger(telemetry.Options{Out: out, Level: c.String("log-level"), Role: role, Name: s.Name})
--- a/node/fleetsync/removals.go
+++ b/node/fleetsync/removals.go
@@ -1,6 +1,7 @@
 package fleetsync
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -19,6 +20,8 @@
 	queryRemovals = "removals"
 	// removalPeers is how many peers a starting process asks in one attempt for
 	// removed entries, until one of them knows those of the whole retention time.
+	// One of them is in another data centre if there is one: if all processes of a
+	// data centre have restarted, those elsewhere still know.
 	removalPeers = 2
 	// removalAttempts is the number of attempts in which all peers that answer
 	// have started with the process, after which it takes it that all processes
@@ -26,8 +29,10 @@
 	// the process count as started with it.
 	removalAttempts = 3
 	startSpread     = time.Second
-	// removalsRetryInterval is the pause between two attempts.
-	removalsRetryInterval = 200 * time.Millisecond
+	// removalsRetryInterval is the pause between two attempts. After a loss of all
+	// VMs no search ends before the last attempt: with pauses of 200 ms the first
+	// resets of dead flows came 0.5 s after the first view.
+	removalsRetryInterval = 60 * time.Millisecond
 	// maxRemovalsWait is how long the process looks for a peer that knows the
 	// removals of the whole retention time, if others know only a part.
 	maxRemovalsWait = 10 * time.Second
@@ -48,8 +53,9 @@
 	case <-ctx.Done():
 	case <-s.firstView:
 	}
+	asked := map[netip.Addr]bool{}
 	for together := 0; ctx.Err() == nil && !s.removalsKnown(); {
-		if s.askForRemovals(ctx) {
+		if s.askForRemovals(ctx, asked) {
 			together++
 		}
 		if together >= removalAttempts || s.Now() > maxRemovalsWait {
@@ -67,11 +73,13 @@
 
 // askForRemovals asks some peers for removed entries, until one of them knows
 // those of the whole retention time. It reports whether the peers that have
-// answered started with this process, or there is no peer.
-func (s *Sync) askForRemovals(ctx context.Context) (together bool) {
-	peers, alone := s.removalCandidates()
+// answered started with this process, or there is no peer. It records in asked
+// whom it has asked, and prefers others.
+func (s *Sync) askForRemovals(ctx context.Context, asked map[netip.Addr]bool) (together bool) {
+	peers, alone := s.removalCandidates(asked)
 	answered, longest := false, time.Duration(0)
 	for _, peer := range peers {
+		asked[peer] = true
 		from := netip.AddrPortFrom(peer, s.PeerPort)
 		known, err := s.pullRemovals(ctx, from)
 		if err != nil {
@@ -98,20 +106,37 @@
 	return s.View.RemovalsKnown(s.Now())
 }
 
-// removalCandidates returns the peers to ask: agents of the local data centre, or of
-// others if there is none, at random. alone reports that there is no other agent
-// in the fleet.
-func (s *Sync) removalCandidates() (peers []netip.Addr, alone bool) {
+// removalCandidates returns the peers to ask: agents of the local data centre and
+// one of another, at random, those first that have not been asked. alone reports
+// that there is no other agent in the fleet.
+func (s *Sync) removalCandidates(asked map[netip.Addr]bool) (peers []netip.Addr, alone bool) {
 	s.Lock.Lock()
 	expected := s.View.ExpectsTargets(s.Now())
-	agents := slices.Clone(s.View.Agents())
-	near := slices.DeleteFunc(slices.Clone(agents), func(a netip.Addr) bool { return !s.isLocal(a) || a == s.Self })
+	var near, far []netip.Addr
+	for _, a := range s.View.Agents() {
+		switch {
+		case a == s.Self:
+		case s.isLocal(a):
+			near = append(near, a)
+		default:
+			far = append(far, a)
+		}
+	}
 	s.Lock.Unlock()
-	if len(near) == 0 {
-		near = slices.DeleteFunc(agents, func(a netip.Addr) bool { return a == s.Self })
+	for _, list := range [][]netip.Addr{near, far} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		slices.SortStableFunc(list, func(a, b netip.Addr) int { return cmp.Compare(btoi(asked[a]), btoi(asked[b])) })
+	}
+	elsewhere := far[:min(len(far), max(1, removalPeers-len(near)))]
+	peers = slices.Concat(near[:min(len(near), removalPeers-min(1, len(elsewhere)))], elsewhere)
+	return peers, len(peers) == 0 && !expected
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
 	}
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	return near[:min(len(near), removalPeers)], len(near) == 0 && !expected
+	return 0
 }
 
 // pullRemovals fetches the removed entries of a peer, and returns for how long
--- a/node/fleetsync/removals_test.go
+++ b/node/fleetsync/removals_test.go
@@ -76,9 +76,9 @@
 func TestProcessWithoutPeersSettles(t *testing.T) {
 	f := startedProcess(t)
 	f.Self = fleettest.Agent(0)
-	assert.Assert(t, !f.askForRemovals(context.Background()), "targets may be listed soon")
+	assert.Assert(t, !f.askForRemovals(context.Background(), map[netip.Addr]bool{}), "targets may be listed soon")
 	f.now = fleet.ReturnGrace + time.Millisecond
-	assert.Assert(t, f.askForRemovals(context.Background()))
+	assert.Assert(t, f.askForRemovals(context.Background(), map[netip.Addr]bool{}))
 }
 
 // Guards against a process that takes the first peers' ignorance for knowledge,
@@ -121,9 +121,9 @@
 	target.Address = netip.AddrPortFrom(address.Addr(), 80)
 	f.View.Apply(0, &fleet.Delta{Revision: 10, Changes: []fleet.Change{{ID: "peer", Revision: 10, Target: &target}}})
 	f.PeerPort, f.DataCentre, f.Self = address.Port(), fleettest.DataCentre, fleettest.Agent(0)
-	assert.Assert(t, !f.askForRemovals(context.Background()))
+	assert.Assert(t, !f.askForRemovals(context.Background(), map[netip.Addr]bool{}))
 	peer.now = startSpread - 100*time.Millisecond
-	assert.Assert(t, f.askForRemovals(context.Background()))
+	assert.Assert(t, f.askForRemovals(context.Background(), map[netip.Addr]bool{}))
 }
 
 // Guards against a process that takes a peer without a view for one that knows
@@ -153,3 +153,29 @@
 	learned := len(f.View.RemovedTargets(fleettest.Service)) == 1
 	assert.Assert(t, err != nil || learned, "counted as an answer, learned nothing")
 }
+
+// Guards against a process that takes it that all processes have restarted,
+// because all those of its data centre have, and against one that asks the same
+// peers again while others have not been asked.
+func TestRemovalsAreAskedOfSeveralDataCentres(t *testing.T) {
+	f := newFixture(0)
+	f.DataCentre, f.Self = "dc-0", fleettest.Agent(0)
+	targets := fleettest.Ready(8)
+	for n, target := range targets {
+		target.DataCentre = []string{"dc-0", "dc-1"}[n/4]
+	}
+	f.View = fleettest.View(0, targets...)
+	asked := map[netip.Addr]bool{}
+	for range removalAttempts {
+		peers, alone := f.removalCandidates(asked)
+		assert.Assert(t, !alone)
+		assert.Equal(t, len(peers), removalPeers)
+		for i, peer := range peers {
+			assert.Assert(t, !asked[peer] && peer != f.Self)
+			assert.Equal(t, f.isLocal(peer), i == 0)
+			asked[peer] = true
+		}
+	}
+	peers, _ := f.removalCandidates(asked)
+	assert.Equal(t, len(peers), removalPeers)
+}
--- a/node/packetplane/agent.go
+++ b/node/packetplane/agent.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
 	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/ownership"
 	"trefoilweir.example/core/plane"
@@ -39,19 +40,27 @@
 	lastLocalLoad, lastRemoteLoad time.Duration
 	// localPeers and remotePeers are the agents to which the load is sent.
 	localPeers, remotePeers []netip.Addr
+	// refusedAtStart gets the result of the first check whether the target runs.
+	refusedAtStart <-chan bool
 	// checkRequests holds a pending request to check whether the target runs.
 	checkRequests chan struct{}
 }
 
 // RunAgent runs an agent until it is stopped.
 func RunAgent(ctx context.Context, o Options) error {
+	s := o.Settings
+	// A target that starts with the agent may listen a moment later, so the first
+	// check comes before anything else.
+	refused := make(chan bool, 1)
+	if !s.FirstStart {
+		go func() { refused <- targetRefuses(ctx, s.TargetAddr, o.Log) }()
+	}
 	p, err := newProcess(o, "agent")
 	if err != nil {
 		return err
 	}
-	s := o.Settings
-	a := &agent{Process: p, checkRequests: make(chan struct{}, 1), machine: ownership.New(p.now(), ownership.Options{
-		Self: s.IP, DataCentre: s.DataCentre, Service: s.Service, Target: s.TargetAddr, FirstStart: s.FirstStart, StartedMS: p.start.UnixMilli(), FlowTTL: s.FlowTTL, Codec: o.Codec, View: p.view,
+	a := &agent{Process: p, refusedAtStart: refused, checkRequests: make(chan struct{}, 1), machine: ownership.New(p.now(), ownership.Options{
+		Self: s.IP, DataCentre: s.DataCentre, Service: s.Service, Target: s.TargetAddr, FirstStart: s.FirstStart, StartedMS: p.start.UnixMilli(), SinceBoot: p.sinceBoot(), FlowTTL: s.FlowTTL, Codec: o.Codec, View: p.view,
 	})}
 	var fromTarget *net.UDPConn
 	if fromTarget, err = listen(s.FromTargetAddr); err != nil {
@@ -133,33 +142,47 @@
 // agent that restarted alone does not know which flows its target has. If the
 // target does not run, it has none.
 func (a *agent) checkTarget(ctx context.Context) {
-	conn, err := (&net.Dialer{Timeout: targetCheckTimeout}).DialContext(ctx, "tcp4", a.Settings.TargetAddr.String())
+	if targetRefuses(ctx, a.Settings.TargetAddr, a.Log) {
+		a.recordNotRunning()
+	}
+}
+
+// targetRefuses reports whether the VM refuses a connection to the address of the
+// target.
+func targetRefuses(ctx context.Context, target netip.AddrPort, log *zap.Logger) bool {
+	conn, err := (&net.Dialer{Timeout: targetCheckTimeout}).DialContext(ctx, "tcp4", target.String())
 	if err == nil {
 		if err := conn.Close(); err != nil {
-			a.Log.Debug("cannot close the connection to the target", telemetry.Error(err))
+			log.Debug("cannot close the connection to the target", telemetry.Error(err))
 		}
-		return
+		return false
 	}
 	if !errors.Is(err, syscall.ECONNREFUSED) {
-		a.Log.Info("cannot check whether the target runs", telemetry.Error(err))
-		return
+		log.Info("cannot check whether the target runs", telemetry.Error(err))
+		return false
 	}
+	return true
+}
+
+func (a *agent) recordNotRunning() {
 	a.step("target_check", func(now time.Duration) {
 		a.machine.TargetNotRunning(now, &a.out)
 		a.flush(now)
 	})
 }
 
-// targetCheckLoop checks the target at the start of the agent, unless the whole
-// system starts for the first time, and when the state machine requests it.
+// targetCheckLoop records the check at the start of the agent, which there is
+// unless the whole system starts for the first time, and checks the target when
+// the state machine requests it.
 func (a *agent) targetCheckLoop(ctx context.Context) error {
-	if !a.Settings.FirstStart {
-		a.checkTarget(ctx)
-	}
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case refused := <-a.refusedAtStart:
+			if refused {
+				a.recordNotRunning()
+			}
 		case <-a.checkRequests:
 			a.checkTarget(ctx)
 		}
--- a/node/packetplane/suspend.go
+++ b/node/packetplane/suspend.go
@@ -5,6 +5,7 @@
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sys/unix"
+	"trefoilweir.example/node/telemetry"
 )
 
 // minSuspension is the smallest change of the difference between the clocks that
@@ -32,6 +33,20 @@
 	return time.Duration(t.Nano()), nil
 }
 
+// sinceBoot returns the time from the start of the VM to now, or 0 if the clock
+// does not tell it.
+func (p *Process) sinceBoot() time.Duration {
+	if !p.Settings.BootClock {
+		return 0
+	}
+	boot, err := p.suspensions.bootClock()
+	if err != nil {
+		p.Log.Warn("cannot read the boot clock; the start of the VM is not known", telemetry.Error(err))
+		return 0
+	}
+	return boot
+}
+
 // sinceLastCall returns for how long the VM was suspended since the last call.
 // now is the monotonic time.
 func (s *suspensionDetector) sinceLastCall(now time.Duration) (time.Duration, error) {
