--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -127,6 +127,9 @@
 	// So no other agent has seen a target that started at most this long before
 	// its agent.
 	maxStartSkew = 250 * time.Millisecond
+	// maxJointStart is how long after its start an agent counts the entry of its
+	// target in its first view as evidence that all VMs have restarted.
+	maxJointStart = 2 * time.Second
 	// idleMargin is added to the idle timeout, because a packet may have been
 	// in flight when the agent restarted.
 	idleMargin = time.Second
@@ -149,6 +152,9 @@
 	FirstStart bool
 	// StartedMS is the start time of the agent, in Unix milliseconds.
 	StartedMS int64
+	// SinceBoot is the time from the start of the VM to that of the agent, or 0 if
+	// it is not known.
+	SinceBoot time.Duration
 	// FlowTTL is the age after which a flow may be discarded. For that long
 	// after a restart, the agent assumes that its target may hold flows that
 	// the agent does not know.
@@ -214,6 +220,9 @@
 	targetProbedAt, nextTargetCheck time.Duration
 	lastSweep                       time.Duration
 	targetStartUnixMS               int64
+	// startedWithVM says that the agent started with its VM, which is not logged
+	// yet.
+	startedWithVM bool
 	// sawCurrentView says that a view was known at a tick that was confirmed since
 	// the start of the agent.
 	sawCurrentView bool
@@ -256,9 +265,13 @@
 		firstAnswerTimes: rto.New(0, openingTimeout), roundTripTimes: rto.New(minHalfOpenTimeout, maxHalfOpenTimeout), stats: newStats(now),
 		given: ratelimit.New(now),
 	}
-	if o.FirstStart {
+	switch {
+	case o.FirstStart:
 		m.given.NothingBefore()
-	} else {
+	case o.SinceBoot > 0 && o.SinceBoot <= maxStartSkew:
+		m.startedWithVM = true
+		m.given.NothingBefore()
+	default:
 		m.unknownFlowsUntil, m.unknownFlowsSince = now+cmp.Or(o.FlowTTL, defaultFlowTTL), now
 		m.restore.waiting = o.AwaitTable
 	}
