--- a/core/fleet/delta.go
+++ b/core/fleet/delta.go
@@ -30,13 +30,33 @@
 	slices.SortFunc(d.Changes, func(a, b Change) int { return cmp.Compare(a.ID, b.ID) })
 	if v.config != nil && p.Version < v.config.Version {
 		d.ConfigRevision = v.configRevision
-		if d.Patch = v.patchFrom(p.Version); d.Patch == nil {
+		if base := v.pastVersion(p.Version); base != nil {
+			d.Patch, d.PastServices = Diff(base, v.config), v.pastServicesBetween(now, base)
+		} else {
 			d.Config, d.PastServices = v.config, v.pastServicesAt(now)
 		}
 	}
+	if full {
+		// The peer may have missed versions as well as entries.
+		d.PastServices = v.pastServicesAt(now)
+	}
 	return d
 }
 
+// configVersion returns the version of the routes that a delta leads to, or 0.
+func (d *Delta) configVersion() uint64 {
+	switch {
+	case d.Patch != nil:
+		return d.Patch.Version
+	case d.Config != nil:
+		return d.Config.Version
+	}
+	return 0
+}
+
+// listedAt returns the revision of the state that a full delta lists.
+func (d *Delta) listedAt() uint64 { return cmp.Or(d.ListingRevision, d.Revision) }
+
 // entriesAfter returns the entries whose revision is above after. After 0, these
 // are all entries of the epoch.
 func (v *View) entriesAfter(after uint64) []*entry {
@@ -65,10 +85,12 @@
 	return c
 }
 
-func (v *View) patchFrom(version uint64) *ConfigPatch {
+// pastVersion returns an earlier version of the routes, or nil if the view does not
+// have it.
+func (v *View) pastVersion(version uint64) *Config {
 	for _, c := range v.pastConfigs {
 		if c.Version == version {
-			return Diff(c, v.config)
+			return c
 		}
 	}
 	return nil
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -270,3 +270,79 @@
 	v.Apply(now, &Delta{Revision: 50, Full: true, ListingRevision: 50})
 	assert.Assert(t, !v.RemovalsKnown(now), "revisions 6 to 50 were not seen")
 }
+
+// gapView returns a view that knew everything up to revision 5 and epoch 1 at
+// 10 s, and got a full delta at 20 s.
+func gapView(d *Delta) *View {
+	v := New()
+	v.NothingRemovedBefore(0)
+	v.Apply(10*time.Second, &Delta{Epoch: 1, Revision: 5, Full: true, ListingRevision: 5, Config: &Config{Version: 1}, ConfigRevision: 1})
+	v.Apply(20*time.Second, d)
+	return v
+}
+
+func msAgo(d time.Duration) *int64 {
+	ms := d.Milliseconds()
+	return &ms
+}
+
+// Guards against a full delta of a peer that skips changes unnoticed, and against
+// one that makes a process search in vain although it names all removed entries.
+func TestFullDeltaThatLeavesAGap(t *testing.T) {
+	for name, c := range map[string]struct {
+		delta Delta
+		gap   bool
+	}{
+		"listing":                        {Delta{Epoch: 1, Revision: 50, ListingRevision: 50}, true},
+		"listing of what is known":       {Delta{Epoch: 1, Revision: 5, ListingRevision: 5}, false},
+		"listing of a new epoch":         {Delta{Epoch: 2, Revision: 3, ListingRevision: 3}, true},
+		"peer that has started":          {Delta{Epoch: 1, Revision: 50, RemovalsKnownMS: msAgo(9 * time.Second)}, true},
+		"peer of an old release":         {Delta{Epoch: 1, Revision: 50}, true},
+		"peer that knows the time":       {Delta{Epoch: 1, Revision: 50, RemovalsKnownMS: msAgo(10 * time.Second)}, false},
+		"peer of a new epoch":            {Delta{Epoch: 2, Revision: 1, RemovalsKnownMS: msAgo(time.Minute)}, false},
+		"peer of an old epoch":           {Delta{Epoch: 0, Revision: 90, RemovalsKnownMS: msAgo(0)}, false},
+		"version of an old epoch":        {Delta{Epoch: 0, Revision: 90, Config: &Config{Version: 3}, RemovalsKnownMS: msAgo(0)}, true},
+		"version and the time before it": {Delta{Epoch: 0, Revision: 90, Config: &Config{Version: 3}, RemovalsKnownMS: msAgo(time.Minute)}, false},
+	} {
+		c.delta.Full = true
+		v := gapView(&c.delta)
+		_, gap := v.HistoryGap(20 * time.Second)
+		assert.Equal(t, gap, c.gap, name)
+		assert.Equal(t, v.RemovalsKnown(20*time.Second), !c.gap, name)
+	}
+}
+
+// Guards against a gap that stays open although a peer or a watch has told what the
+// view had missed, and against one that closes although they have not.
+func TestGapIsFilled(t *testing.T) {
+	listing := &Delta{Epoch: 1, Full: true, Revision: 50, ListingRevision: 50}
+	known := func(v *View, at time.Duration) bool { return v.RemovalsKnown(at) }
+	for name, c := range map[string]struct {
+		delta  Delta
+		filled bool
+	}{
+		"peer that knows the gap":        {Delta{Epoch: 1, RemovalsKnownMS: msAgo(11 * time.Second)}, true},
+		"peer that started in the gap":   {Delta{Epoch: 1, RemovalsKnownMS: msAgo(10 * time.Second)}, false},
+		"watch from the gap's beginning": {Delta{Epoch: 1, Revision: 50, WatchedAfter: 5}, true},
+		"watch from a later revision":    {Delta{Epoch: 1, Revision: 50, WatchedAfter: 6}, false},
+		"watch of another epoch":         {Delta{Epoch: 2, Revision: 50, WatchedAfter: 5}, false},
+		"changes":                        {Delta{Epoch: 1, Revision: 51}, false},
+	} {
+		v := gapView(listing)
+		assert.Equal(t, v.CompleteTo(20*time.Second), Progress{Epoch: 1, Revision: 5, Version: 1})
+		v.Apply(21*time.Second, &c.delta)
+		assert.Equal(t, known(v, 21*time.Second), c.filled, name)
+		assert.Equal(t, v.CompleteTo(21*time.Second) == v.Progress(), c.filled, name)
+	}
+	// A second gap before the first one is filled extends it.
+	v := gapView(listing)
+	v.Apply(25*time.Second, &Delta{Epoch: 1, Full: true, Revision: 60, ListingRevision: 60})
+	v.Apply(26*time.Second, &Delta{Epoch: 1, RemovalsKnownMS: msAgo(10 * time.Second)})
+	assert.Assert(t, !known(v, 26*time.Second))
+	v.Apply(26*time.Second, &Delta{Epoch: 1, RemovalsKnownMS: msAgo(16 * time.Second)})
+	assert.Assert(t, known(v, 26*time.Second))
+	// What a view does not know is of no use after the retention time.
+	v = gapView(listing)
+	assert.Assert(t, !known(v, 20*time.Second+RemovedEntryRetention-1))
+	assert.Assert(t, known(v, 20*time.Second+RemovedEntryRetention))
+}
--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -2,28 +2,125 @@
 
 import "time"
 
-// removalHistory says how far back a view knows which entries were removed. A
-// listing at the platform does not name them, so a process that starts knows
-// none until a peer has told it.
+// gapTolerance is the age of its view at which a process takes a full delta that
+// skips changes. A standby reader names them within its pause of 0.7 s.
+const gapTolerance = 900 * time.Millisecond
+
+// removalHistory says how far back a view knows which entries were removed and to
+// which services the addresses led. A listing at the platform does not name them,
+// so a process that starts knows none until a peer has told it.
 type removalHistory struct {
-	// since is from when on all removals are known. It is not valid before the
-	// view has begun.
+	// since is from when on all removals and earlier services are known. It is not
+	// valid before the view has begun.
 	since time.Duration
 	begun bool
 	// settled says that the peers that were asked know no more.
 	settled bool
+	// start is the state that began the history, or ended the last gap, at the time
+	// startedAt. The view itself has followed the changes since.
+	start     Progress
+	startedAt time.Duration
+	// gap is the time before since that a full delta has skipped, or nil.
+	gap *historyGap
+}
+
+// historyGap is a time in which a view may have missed entries that were added and
+// removed, and services to which an address led.
+type historyGap struct {
+	// startedAt is up to when the view knew all changes, after its progress then.
+	startedAt time.Duration
+	after     Progress
+	// since and settled are those of the history before the gap.
+	since   time.Duration
+	settled bool
+	// toStart says that the history before the gap is that of a peer, and that the
+	// gap ends with the start of the process.
+	toStart bool
 }
 
-// begin records that the view has its first state, and the history of the sender
-// of a delta.
-func (h *removalHistory) begin(now time.Duration, d *Delta) {
-	since := now
+// recordHistory records what a delta says about the time before it. The delta is
+// not applied yet.
+func (v *View) recordHistory(now time.Duration, d *Delta) {
+	h, since, skips := &v.removalHistory, now, v.skipsChanges(d)
 	if d.RemovalsKnownMS != nil {
 		since -= time.Duration(*d.RemovalsKnownMS) * time.Millisecond
 	}
-	if !h.begun || since < h.since {
-		h.since, h.begun = since, true
+	switch {
+	case d.RemovalsRevision > 0:
+		h.recordPart(now, since, d)
+	case !h.begun || !v.everConfirmed:
+		if !h.begun {
+			h.since, h.begun = since, true
+		}
+		h.since = min(h.since, since)
+		h.begin(now, v, d)
+	case skips && since > v.confirmedAt:
+		if h.gap == nil || h.gap.toStart || v.RemovalsKnown(now) {
+			h.gap = &historyGap{startedAt: v.confirmedAt, after: v.Progress(), since: h.since, settled: h.settled}
+		}
+		h.since, h.settled = since, false
+		h.begin(now, v, d)
+	case d.Epoch >= v.epoch && h.isCoveredBy(now, d):
+		h.since = min(h.since, since)
+		if h.gap != nil && (since <= h.gap.startedAt || h.gap.isWatchedBy(d)) {
+			h.since, h.settled, h.gap = min(h.since, h.gap.since), h.settled || h.gap.settled, nil
+		}
+	}
+}
+
+func (h *removalHistory) begin(now time.Duration, v *View, d *Delta) {
+	h.start, h.startedAt = Progress{d.Epoch, d.listedAt(), max(v.Version(), d.configVersion())}, now
+}
+
+// recordPart records that a peer has told what it knows since a time up to a
+// revision that is below the start of the history.
+func (h *removalHistory) recordPart(now, since time.Duration, d *Delta) {
+	if !h.begun || d.Epoch != h.start.Epoch || since >= h.since {
+		return
 	}
+	g := h.gap
+	part := historyGap{startedAt: now - time.Duration(d.ConfirmedMS)*time.Millisecond, after: Progress{d.Epoch, d.RemovalsRevision, 0}, since: since, toStart: g == nil || g.toStart}
+	switch {
+	case g == nil, g.toStart && since < g.since:
+	case since <= g.startedAt && part.after.LaterThan(g.after):
+		part.since, part.settled = min(since, g.since), g.settled
+	default:
+		return
+	}
+	h.gap = &part
+}
+
+// isCoveredBy reports whether a delta names the removals up to the start of the
+// history, so that the view knows those since then itself. A peer whose view is
+// older than that may list an entry that was removed in between.
+func (h *removalHistory) isCoveredBy(now time.Duration, d *Delta) bool {
+	confirmedAt := now - time.Duration(d.ConfirmedMS)*time.Millisecond
+	return !d.Full || d.Epoch > h.start.Epoch || d.listedAt() >= h.start.Revision || confirmedAt >= h.startedAt
+}
+
+// skipsChanges reports whether a delta leads the view to a later state without
+// naming all changes on the way there.
+func (v *View) skipsChanges(d *Delta) bool {
+	switch {
+	case !v.everConfirmed:
+		return false
+	case d.Epoch < v.epoch:
+		return d.configVersion() > v.Version()
+	}
+	return d.Full && (d.Epoch > v.epoch || d.listedAt() > v.revision)
+}
+
+// LeavesGap reports whether a full delta of the view, applied by a process that
+// confirmed its own view at an age before now, skips changes that the view does not
+// know, and the process should wait for another peer. A process that has just
+// started gives such deltas, and the other reader names the changes soon.
+func (v *View) LeavesGap(now time.Duration, d *Delta, age time.Duration) bool {
+	return d.Full && age < gapTolerance && v.removalHistory.since > now-age
+}
+
+// isWatchedBy reports whether a delta has all changes since the gap began.
+func (g *historyGap) isWatchedBy(d *Delta) bool {
+	return d.WatchedAfter > 0 && d.Epoch == g.after.Epoch && d.WatchedAfter <= g.after.Revision
 }
 
 func (h *removalHistory) knownMS(now time.Duration) *int64 {
@@ -35,27 +132,60 @@
 }
 
 // RemovalsKnown reports whether the view knows every entry that was removed
-// within RemovedEntryRetention, as far as any process knows it. As long as it
-// does not, a target that is not in the view may run and hold flows.
+// within RemovedEntryRetention and every service to which an address led in that
+// time, as far as any process knows them. As long as it does not, a target that
+// is not in the view, or one of another service, may hold flows.
 func (v *View) RemovalsKnown(now time.Duration) bool {
 	h := &v.removalHistory
 	return h.settled || h.begun && now-h.since >= RemovedEntryRetention
 }
 
+// HistoryGap reports whether the view has missed changes after it had begun, which
+// some peer may know, and for how long it knows all changes since.
+func (v *View) HistoryGap(now time.Duration) (known time.Duration, gap bool) {
+	g := v.removalHistory.gap
+	return now - v.removalHistory.since, g != nil && !g.toStart
+}
+
+// CompleteTo returns the progress up to which the view knows all changes and
+// versions, or a peer does that has told its history. After a gap, a watch from
+// there names what the view has missed.
+func (v *View) CompleteTo(now time.Duration) Progress {
+	if g := v.removalHistory.gap; g != nil && !v.RemovalsKnown(now) {
+		return g.after
+	}
+	return v.Progress()
+}
+
 // NothingRemovedBefore records that no entry was removed before the time now,
 // because the whole system starts for the first time.
 func (v *View) NothingRemovedBefore(now time.Duration) {
-	v.removalHistory = removalHistory{since: now - RemovedEntryRetention, begun: true}
+	v.removalHistory = removalHistory{since: now - RemovedEntryRetention, begun: true, startedAt: now}
 }
 
 // SettleRemovals records that the peers that were asked know no more removals.
-func (v *View) SettleRemovals() { v.removalHistory.settled = true }
+func (v *View) SettleRemovals() { v.removalHistory.settled, v.removalHistory.gap = true, nil }
+
+// HistoryStart returns from which state on the view has followed all changes, and
+// how long ago that was.
+func (v *View) HistoryStart(now time.Duration) (start Progress, ago time.Duration) {
+	return v.removalHistory.start, now - v.removalHistory.startedAt
+}
 
 // Removals returns a delta with what a listing at the platform does not name: the
-// entries that were removed within RemovedEntryRetention, and the earlier
-// services of the addresses.
-func (v *View) Removals(now time.Duration) Delta {
-	d := Delta{Epoch: v.epoch, RemovalsKnownMS: v.removalHistory.knownMS(now), PastServices: v.pastServicesAt(now)}
+// entries that were removed within RemovedEntryRetention, and the earlier services
+// of the addresses. The peer that asks has followed the changes since a state some
+// time ago.
+func (v *View) Removals(now time.Duration, start Progress, ago time.Duration) Delta {
+	d := Delta{Epoch: v.epoch, PastServices: v.pastServicesAt(now)}
+	seen := Progress{v.epoch, max(v.revision, v.floor), v.Version()}
+	isCurrent := !start.AheadOf(seen) || start.Version <= seen.Version && v.Age(now) <= ago
+	if d.RemovalsKnownMS = v.removalHistory.knownMS(now); !isCurrent {
+		d.RemovalsRevision, d.ConfirmedMS = v.revision, int64(min(v.Age(now), time.Hour)/time.Millisecond)
+		if v.revision == 0 {
+			d.RemovalsKnownMS = nil
+		}
+	}
 	var removed []*entry
 	for _, e := range v.removals {
 		if e.removed && e.target != nil {
--- a/core/fleet/services.go
+++ b/core/fleet/services.go
@@ -8,13 +8,18 @@
 	"time"
 )
 
-// maxPastServices bounds the earlier services that a view keeps for an address.
-const maxPastServices = 8
+// maxPastServices bounds the earlier services that a view keeps for an address. It
+// is above the number of services that a packet may visit (eight and the last), so
+// that a packet whose flow may be held by a forgotten service is dropped, and its
+// flow is not reset.
+const maxPastServices = 16
 
 // pastService is a service to which an address no longer leads.
 type pastService struct {
 	service string
 	leftAt  time.Duration
+	// version is that of the routes with which the view learned of it.
+	version uint64
 }
 
 // ServicesOf returns the services that may have open flows of an address: those
@@ -49,8 +54,8 @@
 }
 
 // recordPastServices records the services to which the addresses do not lead by
-// the routes that replace those of the view.
-func (v *View) recordPastServices(now time.Duration, routes map[netip.AddrPort]*Route) {
+// the routes of a version, which replace those of the view.
+func (v *View) recordPastServices(now time.Duration, version uint64, routes map[netip.AddrPort]*Route) {
 	for address, old := range v.routes {
 		var services []string
 		if r := routes[address]; r != nil {
@@ -58,18 +63,18 @@
 		}
 		for _, service := range old.services() {
 			if !slices.Contains(services, service) {
-				v.addPastService(address, pastService{service, now})
+				v.addPastService(address, pastService{service, now, version})
 			}
 		}
 	}
 }
 
 // addPastService adds a service to the history of an address. If the service is
-// in it already, the later time counts.
+// in it already, the later time and version count.
 func (v *View) addPastService(address netip.AddrPort, added pastService) {
 	past := v.pastServices[address]
 	if i := slices.IndexFunc(past, func(p pastService) bool { return p.service == added.service }); i >= 0 {
-		added.leftAt = max(added.leftAt, past[i].leftAt)
+		added.leftAt, added.version = max(added.leftAt, past[i].leftAt), max(added.version, past[i].version)
 		past = slices.Delete(past, i, i+1)
 	}
 	past = append(past, added)
@@ -82,17 +87,42 @@
 	var told []PastService
 	for _, address := range slices.SortedFunc(maps.Keys(v.pastServices), netip.AddrPort.Compare) {
 		for _, p := range v.pastServices[address] {
-			told = append(told, PastService{address, p.service, max(0, now-p.leftAt).Milliseconds()})
+			told = append(told, p.tell(now, address))
 		}
 	}
 	return told
 }
 
-// addToldServices adds the earlier services that a peer has told.
-func (v *View) addToldServices(now time.Duration, told []PastService) {
-	for _, p := range told {
+// pastServicesBetween returns the earlier services that a peer with the version
+// base does not know, although it knows those before base: services to which
+// addresses led between base and the version of the view.
+func (v *View) pastServicesBetween(now time.Duration, base *Config) []PastService {
+	byBase := map[netip.AddrPort]*Route{}
+	for i := range base.Routes {
+		byBase[base.Routes[i].Address] = &base.Routes[i]
+	}
+	var told []PastService
+	for _, address := range slices.SortedFunc(maps.Keys(v.pastServices), netip.AddrPort.Compare) {
+		r := byBase[address]
+		for _, p := range v.pastServices[address] {
+			if p.version > base.Version && (r == nil || !slices.Contains(r.services(), p.service)) {
+				told = append(told, p.tell(now, address))
+			}
+		}
+	}
+	return told
+}
+
+func (p *pastService) tell(now time.Duration, address netip.AddrPort) PastService {
+	return PastService{address, p.service, max(0, now-p.leftAt).Milliseconds()}
+}
+
+// addToldServices adds the earlier services that a delta tells.
+func (v *View) addToldServices(now time.Duration, d *Delta) {
+	version := max(v.Version(), d.configVersion())
+	for _, p := range d.PastServices {
 		if ago := time.Duration(p.AgoMS) * time.Millisecond; p.AgoMS <= RetiredRouteRetention.Milliseconds() {
-			v.addPastService(p.Address, pastService{p.Service, now - ago})
+			v.addPastService(p.Address, pastService{p.Service, now - ago, version})
 		}
 	}
 }
--- a/core/fleet/services_test.go
+++ b/core/fleet/services_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -89,13 +90,70 @@
 	peer.Expire(2*time.Second + RetiredRouteRetention + time.Millisecond)
 	assert.DeepEqual(t, peer.ServicesOf(address), []string{"d"})
 	// A peer that follows the versions knows the services itself, so that a
-	// change costs it no more bytes.
-	for version := uint64(1); version <= 3; version++ {
+	// change costs it no more bytes. One that has missed version 2 does not know
+	// the services of that version.
+	for version, want := range map[uint64]int{1: 2, 2: 0, 3: 0} {
 		d := v.Since(3*time.Second, Progress{Revision: 1, Version: version})
-		assert.Equal(t, len(d.PastServices), 0)
+		assert.Equal(t, len(d.PastServices), want)
 	}
 }
 
+// Guards against resets of open flows of a service to which the address led only
+// in versions that a patch skips: the process stood still meanwhile, or the peer
+// from which it fetches had itself learned of the service from another.
+func TestPatchTellsServicesOfSkippedVersions(t *testing.T) {
+	for _, peers := range []int{1, 2, 3} {
+		source := routesOver(&Route{Service: "a"}, &Route{Service: "b"}, &Route{Service: "a"})
+		now := 3 * time.Second
+		for range peers {
+			v := routesOver(&Route{Service: "a"})
+			d := source.Since(now, Progress{Revision: 1, Version: v.Version()})
+			assert.Assert(t, d.Patch != nil && !d.Full)
+			data, err := json.Marshal(d)
+			assert.NilError(t, err)
+			d = Delta{}
+			assert.NilError(t, json.Unmarshal(data, &d))
+			assert.NilError(t, d.Validate())
+			v.Apply(now, &d)
+			assert.Equal(t, v.Version(), uint64(3))
+			assert.DeepEqual(t, v.ServicesOf(address), []string{"a", "b"})
+			source, now = v, now+time.Second
+		}
+		// The age of the service does not start anew at a peer.
+		source.Expire(2*time.Second + RetiredRouteRetention + time.Millisecond)
+		assert.DeepEqual(t, source.ServicesOf(address), []string{"a"})
+	}
+}
+
+// Guards against a process that reads several versions in one answer of the
+// platform and does not know the services of all but the last.
+func TestVersionsOfOneAnswer(t *testing.T) {
+	versions := func(order ...uint64) *Delta {
+		var s Versions
+		for _, n := range order {
+			service := map[uint64]string{2: "b", 3: "c", 4: "a"}[n]
+			s.Add(&Config{Version: n, Routes: []Route{{Address: address, Service: service}}}, n)
+		}
+		d := &Delta{Revision: 4, WatchedAfter: 1}
+		s.AddTo(d)
+		return d
+	}
+	// A version that is lower than an earlier one in the answer is never adopted.
+	for _, d := range []*Delta{versions(2, 3, 4), versions(4, 2, 3), versions(3, 4, 2)} {
+		v := routesOver(&Route{Service: "a"})
+		v.Apply(time.Second, d)
+		assert.Equal(t, v.Version(), uint64(4))
+		services := v.ServicesOf(address)
+		assert.Equal(t, services[0], "a")
+		slices.Sort(services)
+		assert.DeepEqual(t, services, []string{"a", "b", "c"})
+	}
+	var none Versions
+	d := &Delta{}
+	none.AddTo(d)
+	assert.Assert(t, d.Config == nil)
+}
+
 // Guards against an agent that starts after the version that replaced a service,
 // reads that version at the platform and resets open flows of the service.
 func TestStartedProcessLearnsPastServices(t *testing.T) {
@@ -103,7 +161,7 @@
 	for _, epoch := range []uint64{0, 1} {
 		v := New()
 		v.Apply(2*time.Second, &Delta{Epoch: epoch, Full: true, Revision: 5, ListingRevision: 5, Config: &Config{Version: 2, Routes: peer.config.Routes}})
-		d := peer.Removals(2 * time.Second)
+		d := peer.Removals(2*time.Second, Progress{}, 0)
 		v.Apply(2*time.Second, &d)
 		assert.DeepEqual(t, v.ServicesOf(address), []string{"b", "a"})
 	}
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -149,9 +149,12 @@
 	// Full says that targets not named in Changes are removed.
 	// ListingRevision is the revision of the listing if the delta was made
 	// from a listing at the platform, otherwise 0.
-	Full            bool     `json:"full,omitempty"`
-	ListingRevision uint64   `json:"-"`
-	Changes         []Change `json:"changes,omitempty"`
+	Full            bool   `json:"full,omitempty"`
+	ListingRevision uint64 `json:"-"`
+	// WatchedAfter is the revision after which the delta has all changes and
+	// versions if it was made from a watch at the platform, otherwise 0.
+	WatchedAfter uint64   `json:"-"`
+	Changes      []Change `json:"changes,omitempty"`
 	// Config is nil if it has not changed, or if Patch is set.
 	Config *Config      `json:"config,omitempty"`
 	Patch  *ConfigPatch `json:"patch,omitempty"`
@@ -159,8 +162,8 @@
 	// to.
 	ConfigRevision uint64 `json:"config_revision,omitempty"`
 	// PastServices are services to which addresses led before the sender's
-	// version of the routes. With a Patch there are none, because the view that
-	// it applies to has its own.
+	// version of the routes. With a Patch in a delta that is not full they are
+	// those that addresses led to between the two versions.
 	PastServices []PastService `json:"past_services,omitempty"`
 	// ConfirmedMS is the time since the sender's revision was last known to be
 	// the newest, in milliseconds.
@@ -169,8 +172,12 @@
 	// milliseconds, or nil if it never was.
 	DisturbedMS *int64 `json:"disturbed_ms,omitempty"`
 	// RemovalsKnownMS is set if the delta names all entries that were removed in
-	// the time before it of this length, in milliseconds.
+	// the time before it of this length, in milliseconds, and the services to which
+	// addresses led in that time.
 	RemovalsKnownMS *int64 `json:"removals_known_ms,omitempty"`
+	// RemovalsRevision is set if the sender knows the removals only up to this
+	// revision, because its view is older than the start of the receiver's history.
+	RemovalsRevision uint64 `json:"removals_revision,omitempty"`
 }
 
 // Retention times and grace periods of a view.
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"net/netip"
 	"time"
 )
@@ -88,14 +87,14 @@
 	if d.DisturbedMS != nil {
 		v.RecordDisturbance(now - time.Duration(*d.DisturbedMS)*time.Millisecond)
 	}
-	v.addToldServices(now, d.PastServices)
+	v.addToldServices(now, d)
+	v.recordHistory(now, d)
 	if d.Full && d.Epoch > v.epoch {
 		v.startEpoch(now, d.Epoch)
 	}
 	if d.Epoch != v.epoch {
 		return false, v.applyConfig(now, d)
 	}
-	v.removalHistory.begin(now, d)
 	behind := d.Revision < v.revision
 	for i := range d.Changes {
 		c := &d.Changes[i]
@@ -108,7 +107,7 @@
 	}
 	complete := d.Revision
 	if d.Full {
-		at := cmp.Or(d.ListingRevision, d.Revision)
+		at := d.listedAt()
 		if v.removeMissing(now, d, at) {
 			targets, complete = true, max(complete, at)
 		}
@@ -213,7 +212,7 @@
 	for i := range c.Routes {
 		routes[c.Routes[i].Address] = &c.Routes[i]
 	}
-	v.recordPastServices(now, routes)
+	v.recordPastServices(now, c.Version, routes)
 	for address, r := range v.routes {
 		if routes[address] == nil {
 			v.retired[address] = retiredRoute{r, now}
--- a/core/ownership/openflow_platform_test.go
+++ b/core/ownership/openflow_platform_test.go
@@ -32,11 +32,12 @@
 type platform struct {
 	w *world
 	// log holds the changes after the revision compacted.
-	log                            []fleet.Change
-	revision, compacted            uint64
-	entries                        map[string]*storedEntry
-	config                         *fleet.Config
-	configRevision                 uint64
+	log                 []fleet.Change
+	revision, compacted uint64
+	entries             map[string]*storedEntry
+	// versions holds the versions of the routes, configRevisions their revisions.
+	versions                       []*fleet.Config
+	configRevisions                []uint64
 	downUntil, slowUntil, lapsesAt time.Duration
 }
 
@@ -90,16 +91,21 @@
 
 func (s *platform) configure(c fleet.Config) {
 	s.revision++
-	s.config, s.configRevision = &c, s.revision
+	s.versions, s.configRevisions = append(s.versions, &c), append(s.configRevisions, s.revision)
 }
 
 // read returns the changes after a revision, or a listing.
 func (s *platform) read(after uint64) *fleet.Delta {
 	d := &fleet.Delta{Revision: s.revision, Full: after == 0 || after < s.compacted}
-	if after < s.configRevision {
-		d.Config, d.ConfigRevision = s.config, s.configRevision
+	var versions fleet.Versions
+	for i, c := range s.versions {
+		if after < s.configRevisions[i] && (!d.Full || i == len(s.versions)-1) {
+			versions.Add(c, s.configRevisions[i])
+		}
 	}
+	versions.AddTo(d)
 	if !d.Full {
+		d.WatchedAfter = after
 		i, _ := slices.BinarySearchFunc(s.log, after+1, func(c fleet.Change, r uint64) int { return int(int64(c.Revision) - int64(r)) })
 		d.Changes = slices.Clone(s.log[i:])
 		return d
@@ -119,7 +125,8 @@
 	cursor            uint64
 	reading, fetching bool
 	askingRemovals    bool
-	// removalAnswers counts the attempts to learn removals that had an answer.
+	// removalAnswers counts the attempts to learn removals that had an answer, or
+	// after a gap those in which no peer knew more.
 	removalAnswers int
 	failed         bool
 	refusedUntil   time.Duration
@@ -147,7 +154,10 @@
 		return pause
 	}
 	s.reading = true
-	incarnation := p.incarnation
+	if p.view.Usable() {
+		s.cursor = max(s.cursor, p.view.CompleteTo(now).Revision)
+	}
+	incarnation, cursor := p.incarnation, s.cursor
 	latency := w.between(2*ms, 8*ms)
 	if w.now < w.platform.slowUntil {
 		latency = w.between(50*ms, 1500*ms)
@@ -156,7 +166,7 @@
 		failed := w.platform.down() || w.now < s.refusedUntil
 		var d *fleet.Delta
 		if !failed {
-			d = w.platform.read(s.cursor)
+			d = w.platform.read(cursor)
 		}
 		w.after(latency/2, func() {
 			if p.incarnation == incarnation {
@@ -255,7 +265,7 @@
 		return
 	}
 	p.sync.fetching = true
-	after := fleet.Progress{}
+	after, age := fleet.Progress{}, p.view.Age(p.now())
 	if p.view.Usable() {
 		after = p.view.Progress()
 	}
@@ -267,8 +277,9 @@
 	w.after(w.between(low, high), func() {
 		var d *fleet.Delta
 		if peer.up && w.now >= peer.frozenUntil && peer.view.Usable() {
-			delta := peer.view.Since(peer.now(), after)
-			d = &delta
+			if delta := peer.view.Since(peer.now(), after); !peer.view.LeavesGap(peer.now(), &delta, age) {
+				d = &delta
+			}
 		}
 		w.after(w.between(low, high), func() {
 			if p.incarnation != incarnation {
@@ -286,6 +297,8 @@
 const (
 	removalPeers          = 2
 	removalAttempts       = 3
+	gapAttempts           = 10
+	startSpread           = time.Second
 	removalsRetryInterval = 200 * ms
 )
 
@@ -303,26 +316,73 @@
 	}
 	p.w.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	s.askingRemovals = true
-	p.askForRemovals(peers[:min(len(peers), removalPeers)], len(peers) == 0 && !p.view.ExpectsTargets(now))
+	if known, gap := p.view.HistoryGap(now); gap {
+		// One in each data centre, as the whole local one may have been cut off.
+		far := slices.DeleteFunc(slices.Clone(others), func(a netip.Addr) bool { return slices.Contains(peers, a) })
+		if len(far) > 0 {
+			peers = []netip.Addr{peers[0], far[p.w.IntN(len(far))]}
+		}
+		peers = peers[:min(len(peers), removalPeers)]
+		p.askForRemovals(peers, len(peers), known+startSpread)
+		return removalsRetryInterval
+	}
+	needed := 1
+	if len(peers) == 0 && !p.view.ExpectsTargets(now) {
+		needed = 0
+	}
+	p.askForRemovals(peers[:min(len(peers), removalPeers)], needed, fleet.RemovedEntryRetention)
 	return removalsRetryInterval
 }
 
-func (p *process) askForRemovals(peers []netip.Addr, answered bool) {
+// askForRemovals asks peers one after the other. The attempt counts if as many as
+// needed answer and none of them knows the removals for longer than atMost.
+// watchGap makes a reader read the changes in a gap of its history.
+func (p *process) watchGap() {
+	w, incarnation, from := p.w, p.incarnation, p.view.CompleteTo(p.now())
+	if !p.position().Reader || from == p.view.Progress() {
+		return
+	}
+	w.after(w.between(ms, 4*ms), func() {
+		if w.platform.down() || from.Revision < w.platform.compacted {
+			return
+		}
+		d := w.platform.read(from.Revision)
+		w.after(w.between(ms, 4*ms), func() {
+			if p.incarnation == incarnation {
+				p.step(func(now time.Duration) {
+					d.Revision = max(d.Revision, p.view.Revision())
+					p.apply(now, d)
+				})
+			}
+		})
+	})
+}
+
+func (p *process) askForRemovals(peers []netip.Addr, needed int, atMost time.Duration) {
 	if len(peers) == 0 || p.view.RemovalsKnown(p.now()) {
-		p.sync.askingRemovals = false
-		if answered {
-			p.sync.removalAnswers++
+		s, attempts := &p.sync, removalAttempts
+		s.askingRemovals = false
+		if needed <= 0 {
+			s.removalAnswers++
+		}
+		if _, gap := p.view.HistoryGap(p.now()); gap {
+			attempts = gapAttempts
 		}
-		if p.sync.removalAnswers >= removalAttempts {
+		if p.view.RemovalsKnown(p.now()) {
+			s.removalAnswers = 0
+		} else if s.removalAnswers >= attempts {
 			p.view.SettleRemovals()
+			s.removalAnswers = 0
 		}
+		p.watchGap()
 		return
 	}
 	w, peer, incarnation := p.w, p.w.processes[peers[0]], p.incarnation
+	start, ago := p.view.HistoryStart(p.now())
 	w.after(w.between(2*ms, 10*ms), func() {
 		var d *fleet.Delta
 		if peer.up && w.now >= peer.frozenUntil {
-			removals := peer.view.Removals(peer.now())
+			removals := peer.view.Removals(peer.now(), start, ago)
 			d = &removals
 		}
 		w.after(w.between(2*ms, 10*ms), func() {
@@ -330,10 +390,14 @@
 				return
 			}
 			p.step(func(now time.Duration) {
+				needed := needed
 				if d != nil && d.RemovalsKnownMS != nil {
 					p.apply(now, d)
+					if time.Duration(*d.RemovalsKnownMS)*ms <= atMost {
+						needed--
+					}
 				}
-				p.askForRemovals(peers[1:], answered || d != nil && d.RemovalsKnownMS != nil)
+				p.askForRemovals(peers[1:], needed, atMost)
 			})
 		})
 	})
--- a/core/ownership/openflow_test.go
+++ b/core/ownership/openflow_test.go
@@ -126,17 +126,16 @@
 // percent, and the idle timeout.
 func (w *world) configure(share int, idle time.Duration) {
 	w.idleTimeouts = append(w.idleTimeouts, idleChange{w.now, idle})
-	version := uint64(1)
-	if c := w.platform.config; c != nil {
-		version = c.Version + 1
-	}
-	w.platform.configure(fleet.Config{Version: version, IdleTimeoutMS: int(idle / ms), Routes: []fleet.Route{{
+	w.platform.configure(fleet.Config{Version: uint64(len(w.platform.versions) + 1), IdleTimeoutMS: int(idle / ms), Routes: []fleet.Route{{
 		Name: "r", Address: fleettest.Address, Kind: fleet.Idempotent, TimeoutMS: 3000, ObjectiveMS: 500,
 		Split: []fleet.WeightedService{{Service: fleettest.Service, Weight: share}, {Service: otherService, Weight: 100 - share}},
 	}}})
 }
 
-func (w *world) share() int { return w.platform.config.Routes[0].Split[0].Weight }
+func (w *world) share() int {
+	versions := w.platform.versions
+	return versions[len(versions)-1].Routes[0].Split[0].Weight
+}
 
 func (w *world) changeWeights() {
 	w.configure([]int{100, 80, 50, 30}[w.IntN(4)], w.idleTimeout())
--- a/node/fleetsync/calls.go
+++ b/node/fleetsync/calls.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.cursor = next
+	d.WatchedAfter, s.cursor = s.cursor.Revision, next
 	if wait <= pollWait {
 		// The response may be as old as the request.
 		d.ConfirmedMS = int64((s.Now() - began) / time.Millisecond)
@@ -127,6 +127,7 @@
 	}
 	targets, config := s.View.Apply(s.Now(), d)
 	s.logEpoch(from, d.Epoch, progress)
+	s.notifyGap()
 	if s.View.Usable() {
 		s.firstViewOnce.Do(func() { close(s.firstView) })
 	}
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -106,6 +106,8 @@
 	// firstView is closed when the view is usable for the first time.
 	firstView     chan struct{}
 	firstViewOnce sync.Once
+	// gaps is signalled when the view does not know all removals.
+	gaps chan struct{}
 	// cursor is the position from which the next Watch continues, zero if a
 	// Snapshot is needed.
 	cursor fleet.Progress
@@ -125,7 +127,7 @@
 		o.View.NothingRemovedBefore(o.Now())
 	}
 	return &Sync{
-		Options: o, hints: make(chan hint, 1), firstView: make(chan struct{}),
+		Options: o, hints: make(chan hint, 1), firstView: make(chan struct{}), gaps: make(chan struct{}, 1),
 		client: &http.Client{Timeout: pullTimeout, Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: pullTimeout}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second,
 		}},
--- a/node/fleetsync/fleetsync_test.go
+++ b/node/fleetsync/fleetsync_test.go
@@ -21,7 +21,9 @@
 type fakePlatform struct {
 	delta            fleet.Delta
 	snapshots, waits []time.Duration
-	err              error
+	// watched has the positions of the watches.
+	watched []fleet.Progress
+	err     error
 }
 
 var errHistoryLost = errors.New("history lost")
@@ -33,7 +35,7 @@
 }
 
 func (p *fakePlatform) Watch(_ context.Context, after fleet.Progress, wait time.Duration) (*fleet.Delta, fleet.Progress, error) {
-	p.waits = append(p.waits, wait)
+	p.waits, p.watched = append(p.waits, wait), append(p.watched, after)
 	return &fleet.Delta{Epoch: after.Epoch, Revision: after.Revision}, after, p.err
 }
 
--- a/node/fleetsync/pull.go
+++ b/node/fleetsync/pull.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
@@ -37,15 +39,16 @@
 	return len(s.Seeds) > 0
 }
 
-// localProgress returns the progress after which changes are needed, zero if there
-// is no usable view.
-func (s *Sync) localProgress() fleet.Progress {
+// localProgress returns the progress after which changes are needed and the age of
+// the view. The progress is zero if there is no usable view.
+func (s *Sync) localProgress() (progress fleet.Progress, age time.Duration) {
 	s.Lock.Lock()
 	defer s.Lock.Unlock()
+	age = s.View.Age(s.Now())
 	if !s.View.Usable() {
-		return fleet.Progress{}
+		return fleet.Progress{}, age
 	}
-	return s.View.Progress()
+	return s.View.Progress(), age
 }
 
 // FetchFromPeers fetches changes from peers with a newer view until ctx ends.
@@ -58,7 +61,12 @@
 			if s.isUpToDate(h.progress) {
 				continue
 			}
-			if err := s.pull(ctx, h.from); err != nil && ctx.Err() == nil {
+			err := s.pull(ctx, h.from)
+			switch {
+			case err == nil, ctx.Err() != nil:
+			case errors.Is(err, errLeavesGap):
+				s.Log.Debug("peer does not know the changes since this view", telemetry.Peer(h.from.String()))
+			default:
 				s.Log.Warn("peer does not give its view", telemetry.Peer(h.from.String()), telemetry.Error(err))
 			}
 		}
@@ -72,7 +80,10 @@
 }
 
 func (s *Sync) pull(ctx context.Context, from netip.AddrPort) error {
-	d, err := s.get(ctx, from, progressParameters(s.localProgress()))
+	progress, age := s.localProgress()
+	parameters := progressParameters(progress)
+	parameters[queryAge] = strconv.FormatInt(age.Milliseconds(), 10)
+	d, err := s.get(ctx, from, parameters)
 	if err != nil {
 		return err
 	}
@@ -106,7 +117,11 @@
 		return nil, trace.Wrap(err)
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict:
+		return nil, errLeavesGap
+	default:
 		return nil, trace.Errorf("peer returned status %d", response.StatusCode)
 	}
 	var d fleet.Delta
@@ -128,20 +143,24 @@
 }
 
 // Parameters of a request for changes: the epoch and the revision after which the
-// peer needs them, and the version of its routes.
+// peer needs them, the version of its routes, and the age of its view in
+// milliseconds. A peer that asks for removals sends the state from which on it has
+// followed all changes, and how long ago that was. Earlier releases do not send the
+// age.
 const (
 	queryEpoch   = "epoch"
 	queryAfter   = "after"
 	queryVersion = "version"
+	queryAge     = "age"
 )
 
+// errLeavesGap is returned if a peer has started after the changes that this
+// process needs, and the view is recent enough to wait for another peer.
+var errLeavesGap = errors.New("peer does not know the changes since the view of this process")
+
 // ServeHTTP serves the changes after the progress that a peer requests, or the
 // entries that were removed lately.
 func (s *Sync) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Has(queryRemovals) {
-		s.writeDelta(w, s.removals())
-		return
-	}
 	var after fleet.Progress
 	for name, field := range map[string]*uint64{queryEpoch: &after.Epoch, queryAfter: &after.Revision, queryVersion: &after.Version} {
 		var err error
@@ -150,14 +169,39 @@
 			return
 		}
 	}
+	age, err := strconv.ParseInt(r.URL.Query().Get(queryAge), 10, 64)
+	hasAge := err == nil
+	if r.URL.Query().Has(queryRemovals) {
+		if !hasAge {
+			after = fleet.Progress{}
+		}
+		s.writeDelta(w, s.removals(after, milliseconds(age)))
+		return
+	}
 	d, usable := s.deltaSince(after)
 	if !usable {
 		http.Error(w, "no view yet", http.StatusServiceUnavailable)
 		return
 	}
+	if hasAge && s.leavesGap(&d, milliseconds(age)) {
+		http.Error(w, errLeavesGap.Error(), http.StatusConflict)
+		return
+	}
 	s.writeDelta(w, d)
 }
 
+// leavesGap reports whether a delta skips changes for a peer whose view has an age.
+func (s *Sync) leavesGap(d *fleet.Delta, age time.Duration) bool {
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	return s.View.LeavesGap(s.Now(), d, age)
+}
+
+// milliseconds returns an age that a peer has sent, at most an hour.
+func milliseconds(age int64) time.Duration {
+	return time.Duration(min(max(age, 0), time.Hour.Milliseconds())) * time.Millisecond
+}
+
 func (s *Sync) writeDelta(w http.ResponseWriter, d fleet.Delta) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(d); err != nil {
--- a/node/fleetsync/removals.go
+++ b/node/fleetsync/removals.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,6 +27,10 @@
 	// the process count as started with it.
 	removalAttempts = 3
 	startSpread     = time.Second
+	// gapAttempts is that number after a gap in the changes that the process has
+	// followed. It is greater, because others may have seen the changes; within
+	// ten attempts those that know them tell all that ask.
+	gapAttempts = 10
 	// removalsRetryInterval is the pause between two attempts.
 	removalsRetryInterval = 200 * time.Millisecond
 	// maxRemovalsWait is how long the process looks for a peer that knows the
@@ -40,37 +45,93 @@
 // errOtherEpoch is returned if a peer's view is of another epoch.
 var errOtherEpoch = errors.New("peer's view is of another epoch of the platform")
 
-// LearnRemovals makes the view know the entries that were removed before the
-// process started. A listing at the platform does not name them, and their
-// targets may still run and hold flows.
+// LearnRemovals makes the view know the entries that were removed, and the
+// services to which addresses led, before the process started or in a gap of the
+// changes that it has followed. A listing at the platform does not name them, and
+// the targets may still run and hold flows.
 func (s *Sync) LearnRemovals(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
 	case <-s.firstView:
 	}
+	for ctx.Err() == nil {
+		s.learnRemovals(ctx)
+		select {
+		case <-ctx.Done():
+		case <-s.gaps:
+		}
+	}
+	return ctx.Err()
+}
+
+// learnRemovals asks peers until the view knows the removals, or nobody knows more.
+func (s *Sync) learnRemovals(ctx context.Context) {
 	for together := 0; ctx.Err() == nil && !s.removalsKnown(); {
 		if s.askForRemovals(ctx) {
 			together++
 		}
-		if together >= removalAttempts || s.Now() > maxRemovalsWait {
+		s.watchGap(ctx)
+		_, gap := s.historyGap()
+		if !gap && (together >= removalAttempts || s.Now() > maxRemovalsWait) || together >= gapAttempts {
 			s.settleRemovals()
-			break
+			return
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(removalsRetryInterval):
 		}
 	}
-	<-ctx.Done()
-	return ctx.Err()
+}
+
+// watchGap makes a reader watch the changes in a gap of its history, so that the
+// processes that follow it get no gap.
+func (s *Sync) watchGap(ctx context.Context) {
+	s.Lock.Lock()
+	from, reader := s.View.CompleteTo(s.Now()), s.Position().Reader
+	gap := from != s.View.Progress() && from.Epoch == s.View.Progress().Epoch
+	s.Lock.Unlock()
+	if !reader || !gap {
+		return
+	}
+	s.calls.Inc()
+	d, _, err := s.Source.Watch(ctx, from, pollWait)
+	if err != nil {
+		s.Log.Info("cannot watch the changes in a gap of the history", zap.Uint64("after", from.Revision), telemetry.Error(err))
+		return
+	}
+	d.WatchedAfter = from.Revision
+	s.apply(d, "platform")
+}
+
+func (s *Sync) historyGap() (known time.Duration, gap bool) {
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	return s.View.HistoryGap(s.Now())
+}
+
+// notifyGap makes LearnRemovals ask peers if the view does not know the removals.
+// The caller holds Lock.
+func (s *Sync) notifyGap() {
+	if s.View.RemovalsKnown(s.Now()) {
+		return
+	}
+	select {
+	case s.gaps <- struct{}{}:
+	default:
+	}
 }
 
 // askForRemovals asks some peers for removed entries, until one of them knows
 // those of the whole retention time. It reports whether the peers that have
-// answered started with this process, or there is no peer.
+// answered know no more than this process: they started with it or have the same
+// gap. It also does so if there is no peer.
 func (s *Sync) askForRemovals(ctx context.Context) (together bool) {
-	peers, alone := s.removalCandidates()
-	answered, longest := false, time.Duration(0)
+	own, gap := s.historyGap()
+	if !gap {
+		own = s.Now()
+	}
+	peers, alone := s.removalCandidates(gap)
+	answers, longest := 0, time.Duration(0)
 	for _, peer := range peers {
 		from := netip.AddrPortFrom(peer, s.PeerPort)
 		known, err := s.pullRemovals(ctx, from)
@@ -78,12 +139,16 @@
 			s.Log.Debug("peer does not tell which entries were removed", telemetry.Peer(from.String()), telemetry.Error(err))
 			continue
 		}
-		answered, longest = true, max(longest, known)
+		answers, longest = answers+1, max(longest, known)
 		if s.removalsKnown() {
 			break
 		}
 	}
-	return alone || answered && longest <= s.Now()+startSpread
+	needed := 1
+	if gap {
+		needed = len(peers)
+	}
+	return alone || answers >= needed && longest <= own+startSpread
 }
 
 func (s *Sync) settleRemovals() {
@@ -99,26 +164,37 @@
 }
 
 // removalCandidates returns the peers to ask: agents of the local data centre, or of
-// others if there is none, at random. alone reports that there is no other agent
-// in the fleet.
-func (s *Sync) removalCandidates() (peers []netip.Addr, alone bool) {
+// others if there is none, at random. After a gap it is one of each, because the
+// whole data centre may have been cut off. alone reports that there is no other
+// agent in the fleet.
+func (s *Sync) removalCandidates(gap bool) (peers []netip.Addr, alone bool) {
 	s.Lock.Lock()
 	expected := s.View.ExpectsTargets(s.Now())
 	agents := slices.Clone(s.View.Agents())
 	near := slices.DeleteFunc(slices.Clone(agents), func(a netip.Addr) bool { return !s.isLocal(a) || a == s.Self })
 	s.Lock.Unlock()
-	if len(near) == 0 {
-		near = slices.DeleteFunc(agents, func(a netip.Addr) bool { return a == s.Self })
+	far := slices.DeleteFunc(agents, func(a netip.Addr) bool { return a == s.Self || slices.Contains(near, a) })
+	for _, group := range [][]netip.Addr{near, far} {
+		rand.Shuffle(len(group), func(i, j int) { group[i], group[j] = group[j], group[i] })
+	}
+	switch {
+	case len(near) == 0:
+		near = far
+	case gap && len(far) > 0:
+		near = []netip.Addr{near[0], far[0]}
 	}
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 	return near[:min(len(near), removalPeers)], len(near) == 0 && !expected
 }
 
 // pullRemovals fetches the removed entries of a peer, and returns for how long
 // before now the peer knows all of them.
 func (s *Sync) pullRemovals(ctx context.Context, from netip.AddrPort) (known time.Duration, err error) {
-	parameters := progressParameters(s.localProgress())
+	s.Lock.Lock()
+	start, ago := s.View.HistoryStart(s.Now())
+	s.Lock.Unlock()
+	parameters := progressParameters(start)
 	parameters[queryRemovals] = "1"
+	parameters[queryAge] = strconv.FormatInt(ago.Milliseconds(), 10)
 	d, err := s.get(ctx, from, parameters)
 	if err != nil {
 		return 0, err
@@ -126,7 +202,7 @@
 	if d.RemovalsKnownMS == nil {
 		return 0, errNoHistory
 	}
-	if d.Epoch != s.localProgress().Epoch {
+	if progress, _ := s.localProgress(); d.Epoch != progress.Epoch {
 		// The view would ignore the entries.
 		return 0, errOtherEpoch
 	}
@@ -135,9 +211,10 @@
 	return time.Duration(*d.RemovalsKnownMS) * time.Millisecond, nil
 }
 
-// removals returns the entries that were removed lately.
-func (s *Sync) removals() fleet.Delta {
+// removals returns the entries that were removed lately, for a peer that has
+// followed the changes from a state on for the time ago.
+func (s *Sync) removals(start fleet.Progress, ago time.Duration) fleet.Delta {
 	s.Lock.Lock()
 	defer s.Lock.Unlock()
-	return s.View.Removals(s.Now())
+	return s.View.Removals(s.Now(), start, ago)
 }
--- a/node/fleetsync/removals_test.go
+++ b/node/fleetsync/removals_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -153,3 +155,136 @@
 	learned := len(f.View.RemovedTargets(fleettest.Service)) == 1
 	assert.Assert(t, err != nil || learned, "counted as an answer, learned nothing")
 }
+
+// gapFixture returns a process that has followed the changes up to the time now and
+// then got a listing, and a server for each peer, which counts as its own agent.
+// The peers of the first data centre are local.
+func gapFixture(t *testing.T, peers ...http.Handler) *fixture {
+	f := newFixture(0)
+	f.View.Apply(0, &fleet.Delta{Revision: 5, ListingRevision: 5, Full: true, Config: &fleet.Config{Version: 1}, ConfigRevision: 1})
+	f.now = fleet.RemovedEntryRetention
+	f.Self, f.DataCentre = netip.MustParseAddr("10.1.0.1"), "dc-0"
+	listing := &fleet.Delta{Revision: 50, ListingRevision: 50, Full: true}
+	for i, handler := range peers {
+		// Peers share a port and differ in their address.
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), f.PeerPort)
+		l, err := net.Listen("tcp4", address.String())
+		assert.NilError(t, err)
+		f.PeerPort = netip.MustParseAddrPort(l.Addr().String()).Port()
+		server := httptest.NewUnstartedServer(handler)
+		server.Listener = l
+		server.Start()
+		t.Cleanup(server.Close)
+		target := *fleettest.Target(byte(i), fleet.Ready)
+		target.Address, target.DataCentre = netip.AddrPortFrom(address.Addr(), 80), fmt.Sprint("dc-", i)
+		listing.Changes = append(listing.Changes, fleet.Change{ID: target.ID, Revision: uint64(6 + i), Target: &target})
+	}
+	f.View.Apply(f.now, listing)
+	f.now += time.Second
+	assert.Assert(t, !f.removalsKnown())
+	return f
+}
+
+// Guards against an agent that resets open flows of a service to which an address
+// led while its whole data centre was cut off: the agents there know no more, and
+// those of other data centres do.
+func TestGapOfADataCentre(t *testing.T) {
+	local, remote := startedProcess(t), longRunningPeer(time.Second)
+	remote.View.Apply(remote.now, &fleet.Delta{Config: &fleet.Config{Version: 2}, PastServices: []fleet.PastService{
+		{Address: netip.MustParseAddrPort("198.18.0.1:443"), Service: "gallery", AgoMS: 2000}}})
+	f := gapFixture(t, local, remote)
+	f.learnRemovals(t.Context())
+	assert.Assert(t, f.removalsKnown())
+	assert.DeepEqual(t, f.View.ServicesOf(netip.MustParseAddrPort("198.18.0.1:443")), []string{"gallery"})
+	// The process does not settle for what it knows while other data centres do
+	// not answer.
+	dead := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	f = gapFixture(t, local, dead)
+	assert.Assert(t, !f.askForRemovals(t.Context()))
+	f = gapFixture(t, local, local)
+	assert.Assert(t, f.askForRemovals(t.Context()))
+}
+
+// Guards against a process that takes the history of a peer for complete although
+// the peer has not read the last changes or a version that the process has. A
+// process that watches the platform reads what the peer lacks.
+func TestHistoryOfAPeerThatIsBehind(t *testing.T) {
+	peer := longRunningPeer(time.Second)
+	progress := peer.View.Progress()
+	assert.Equal(t, peer.removals(progress, 0).RemovalsRevision, uint64(0))
+	newer := progress
+	newer.Version++
+	assert.Equal(t, peer.removals(newer, time.Minute).RemovalsRevision, progress.Revision)
+	newer = progress
+	newer.Revision++
+	assert.Equal(t, peer.removals(newer, 0).RemovalsRevision, progress.Revision)
+	// The peer's view was confirmed after the process had read the platform.
+	assert.Equal(t, peer.removals(newer, time.Minute).RemovalsRevision, uint64(0))
+	// An earlier release does not say when it read the platform.
+	request := httptest.NewRequest(http.MethodGet, PathFleet+"?removals=1&epoch=0&after=999&version=999", nil)
+	answer := httptest.NewRecorder()
+	peer.ServeHTTP(answer, request)
+	assert.Assert(t, strings.Contains(answer.Body.String(), "removals_known_ms") && !strings.Contains(answer.Body.String(), "removals_revision"))
+
+	server := httptest.NewServer(peer)
+	defer server.Close()
+	f := startedProcess(t)
+	f.platform.delta.ListingRevision, f.cursor = progress.Revision+9, fleet.Progress{}
+	f.View = fleet.New()
+	_, _, err := f.call(t.Context(), 0)
+	assert.NilError(t, err)
+	_, err = f.pullRemovals(t.Context(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	assert.NilError(t, err)
+	assert.Assert(t, !f.removalsKnown())
+	_, gap := f.historyGap()
+	assert.Assert(t, !gap, "a process that starts settles as soon as before")
+	f.Self = fleettest.Agent(0)
+	assert.Assert(t, f.Position().Reader)
+	f.watchGap(t.Context())
+	assert.Assert(t, f.removalsKnown())
+	assert.Equal(t, f.platform.watched[0].Revision, progress.Revision)
+}
+
+// Guards against a gap in the history of all processes that follow a reader that
+// has just started: the other reader names the changes soon.
+func TestRecentViewTakesNoDeltaWithAGap(t *testing.T) {
+	started := startedProcess(t)
+	started.now = 100 * time.Millisecond
+	server := httptest.NewServer(started)
+	defer server.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	f := newFixture(0)
+	f.View.Apply(0, &fleet.Delta{Revision: 5, ListingRevision: 5, Full: true, Config: &fleet.Config{Version: 1}, ConfigRevision: 1})
+	f.now = 500 * time.Millisecond
+	assert.ErrorIs(t, f.pull(t.Context(), address), errLeavesGap)
+	assert.Equal(t, f.View.Revision(), uint64(5))
+	// A view that no other reader keeps up to date takes what there is.
+	f.now = 950 * time.Millisecond
+	assert.NilError(t, f.pull(t.Context(), address))
+	assert.Equal(t, f.View.Revision(), started.View.Revision())
+	assert.Assert(t, !f.removalsKnown())
+	// A peer that knows what was removed meanwhile gives it at once.
+	started.View.NothingRemovedBefore(0)
+	g := newFixture(0)
+	g.View.Apply(0, &fleet.Delta{Revision: 5, ListingRevision: 5, Full: true, Config: &fleet.Config{Version: 1}, ConfigRevision: 1})
+	g.now = 500 * time.Millisecond
+	assert.NilError(t, g.pull(t.Context(), address))
+	assert.Assert(t, g.removalsKnown())
+}
+
+// Guards against a process that asks peers only when it starts, and against one that
+// stays in doubt although its own watch has named what it missed.
+func TestGapStartsASearch(t *testing.T) {
+	f := newFixture(0)
+	f.platform.delta.Config, f.platform.delta.ConfigRevision = &fleet.Config{Version: 1}, 1
+	_, _, err := f.call(t.Context(), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(f.gaps), 0)
+	f.now = time.Second
+	f.apply(&fleet.Delta{Full: true, Revision: 50}, "peer")
+	assert.Equal(t, len(f.gaps), 1)
+	assert.Assert(t, !f.removalsKnown())
+	_, _, err = f.call(t.Context(), 0)
+	assert.NilError(t, err)
+	assert.Assert(t, f.removalsKnown())
+}
