--- a/core/ownership/openflow_platform_test.go
+++ b/core/ownership/openflow_platform_test.go
@@ -32,11 +32,12 @@
 type platform struct {
 	w *world
 	// log holds the changes after the revision compacted.
-	log                            []fleet.Change
-	revision, compacted            uint64
-	entries                        map[string]*storedEntry
-	config                         *fleet.Config
-	configRevision                 uint64
+	log                 []fleet.Change
+	revision, compacted uint64
+	entries             map[string]*storedEntry
+	// versions holds the versions of the routes, configRevisions their revisions.
+	versions                       []*fleet.Config
+	configRevisions                []uint64
 	downUntil, slowUntil, lapsesAt time.Duration
 }
 
@@ -90,16 +91,21 @@
 
 func (s *platform) configure(c fleet.Config) {
 	s.revision++
-	s.config, s.configRevision = &c, s.revision
+	s.versions, s.configRevisions = append(s.versions, &c), append(s.configRevisions, s.revision)
 }
 
 // read returns the changes after a revision, or a listing.
 func (s *platform) read(after uint64) *fleet.Delta {
 	d := &fleet.Delta{Revision: s.revision, Full: after == 0 || after < s.compacted}
-	if after < s.configRevision {
-		d.Config, d.ConfigRevision = s.config, s.configRevision
+	var versions fleet.Versions
+	for i, c := range s.versions {
+		if after < s.configRevisions[i] && (!d.Full || i == len(s.versions)-1) {
+			versions.Add(c, s.configRevisions[i])
+		}
 	}
+	versions.AddTo(d)
 	if !d.Full {
+		d.WatchedAfter = after
 		i, _ := slices.BinarySearchFunc(s.log, after+1, func(c fleet.Change, r uint64) int { return int(int64(c.Revision) - int64(r)) })
 		d.Changes = slices.Clone(s.log[i:])
 		return d
@@ -119,7 +125,8 @@
 	cursor            uint64
 	reading, fetching bool
 	askingRemovals    bool
-	// removalAnswers counts the attempts to learn removals that had an answer.
+	// removalAnswers counts the attempts to learn removals that had an answer, or
+	// after a gap those in which no peer knew more.
 	removalAnswers int
 	// removalsAsked has the agents that were asked for removals.
 	removalsAsked map[netip.Addr]int
@@ -149,7 +156,10 @@
 		return pause
 	}
 	s.reading = true
-	incarnation := p.incarnation
+	if p.view.Usable() {
+		s.cursor = max(s.cursor, p.view.CompleteTo(now).Revision)
+	}
+	incarnation, cursor := p.incarnation, s.cursor
 	latency := w.between(2*ms, 8*ms)
 	if w.now < w.platform.slowUntil {
 		latency = w.between(50*ms, 1500*ms)
@@ -158,7 +168,7 @@
 		failed := w.platform.down() || w.now < s.refusedUntil
 		var d *fleet.Delta
 		if !failed {
-			d = w.platform.read(s.cursor)
+			d = w.platform.read(cursor)
 		}
 		w.after(latency/2, func() {
 			if p.incarnation == incarnation {
@@ -257,7 +267,7 @@
 		return
 	}
 	p.sync.fetching = true
-	after := fleet.Progress{}
+	after, age := fleet.Progress{}, p.view.Age(p.now())
 	if p.view.Usable() {
 		after = p.view.Progress()
 	}
@@ -269,8 +279,9 @@
 	w.after(w.between(low, high), func() {
 		var d *fleet.Delta
 		if peer.up && w.now >= peer.frozenUntil && peer.view.Usable() {
-			delta := peer.view.Since(peer.now(), after)
-			d = &delta
+			if delta := peer.view.Since(peer.now(), after); !peer.view.LeavesGap(peer.now(), &delta, age) {
+				d = &delta
+			}
 		}
 		w.after(w.between(low, high), func() {
 			if p.incarnation != incarnation {
@@ -288,9 +299,11 @@
 const (
 	removalPeers          = 2
 	removalAttempts       = 3
+	gapAttempts           = 10
 	maxRemovalsWait       = 10 * time.Second
 	startSpread           = time.Second
 	removalsRetryInterval = 60 * ms
+	gapRetryInterval      = 200 * ms
 )
 
 // learnRemovals asks peers which entries were removed before the process
@@ -315,29 +328,78 @@
 		s.removalsAsked[a] = 1
 	}
 	s.askingRemovals = true
-	alone := len(peers) == 0 && !p.view.ExpectsTargets(now)
-	p.askForRemovals(peers, alone, alone, 0)
+	own, gap := p.view.HistoryGap(now)
+	a := removalAttempt{alone: len(peers) == 0 && !p.view.ExpectsTargets(now), needed: 1, own: now}
+	if gap {
+		a.needed, a.own = len(peers), own
+	}
+	p.askForRemovals(peers, a)
+	if gap {
+		return gapRetryInterval
+	}
 	return removalsRetryInterval
 }
 
-// askForRemovals asks peers one after the other. answered says that one has
-// answered, and longest for how long before now it knew all removals.
-func (p *process) askForRemovals(peers []netip.Addr, alone, answered bool, longest time.Duration) {
+// watchGap makes a reader read the changes in a gap of its history.
+func (p *process) watchGap() {
+	w, incarnation, from := p.w, p.incarnation, p.view.CompleteTo(p.now())
+	if !p.position().Reader || from == p.view.Progress() {
+		return
+	}
+	w.after(w.between(ms, 4*ms), func() {
+		if w.platform.down() || from.Revision < w.platform.compacted {
+			return
+		}
+		d := w.platform.read(from.Revision)
+		w.after(w.between(ms, 4*ms), func() {
+			if p.incarnation == incarnation {
+				p.step(func(now time.Duration) {
+					d.Revision = max(d.Revision, p.view.Revision())
+					p.apply(now, d)
+				})
+			}
+		})
+	})
+}
+
+// removalAttempt is one attempt to learn removals. It counts if the process is
+// alone, or if as many peers as needed have answered and none knew the removals for
+// much longer than this process, which knows them for the time own.
+type removalAttempt struct {
+	alone           bool
+	needed, answers int
+	own, longest    time.Duration
+}
+
+func (a removalAttempt) counts() bool {
+	return a.alone || a.answers >= a.needed && a.longest <= a.own+startSpread
+}
+
+// askForRemovals asks peers one after the other.
+func (p *process) askForRemovals(peers []netip.Addr, a removalAttempt) {
 	if len(peers) == 0 || p.view.RemovalsKnown(p.now()) {
-		p.sync.askingRemovals = false
-		if alone || answered && longest <= p.now()+startSpread {
-			p.sync.removalAnswers++
+		s := &p.sync
+		s.askingRemovals = false
+		if a.counts() {
+			s.removalAnswers++
 		}
-		if p.sync.removalAnswers >= removalAttempts || p.now() > maxRemovalsWait {
+		_, gap := p.view.HistoryGap(p.now())
+		switch {
+		case p.view.RemovalsKnown(p.now()):
+			s.removalAnswers = 0
+		case !gap && (s.removalAnswers >= removalAttempts || p.now() > maxRemovalsWait) || s.removalAnswers >= gapAttempts:
 			p.view.SettleRemovals()
+			s.removalAnswers = 0
 		}
+		p.watchGap()
 		return
 	}
 	w, peer, incarnation := p.w, p.w.processes[peers[0]], p.incarnation
+	start, ago := p.view.HistoryStart(p.now())
 	w.after(w.between(2*ms, 10*ms), func() {
 		var d *fleet.Delta
 		if peer.up && w.now >= peer.frozenUntil {
-			removals := peer.view.Removals(peer.now())
+			removals := peer.view.Removals(peer.now(), start, ago)
 			d = &removals
 		}
 		w.after(w.between(2*ms, 10*ms), func() {
@@ -347,9 +409,9 @@
 			p.step(func(now time.Duration) {
 				if d != nil && d.RemovalsKnownMS != nil {
 					p.apply(now, d)
-					answered, longest = true, max(longest, time.Duration(*d.RemovalsKnownMS)*ms)
+					a.answers, a.longest = a.answers+1, max(a.longest, time.Duration(*d.RemovalsKnownMS)*ms)
 				}
-				p.askForRemovals(peers[1:], alone, answered, longest)
+				p.askForRemovals(peers[1:], a)
 			})
 		})
 	})
