fleet: an entry of a service that no version names hides no other entry

Cause: of two listed entries at one address only the later one counts, across services.

Change: a view that knows which services the routes name keeps an entry of another service apart, and lists it once a version names the service. The entry's earlier target counts as removed, as with an entry that cannot be read. A service to which a route leads counts as named. Without services in the routes, all are accepted as before. Deltas carry such entries, so a peer decides by its own version; the routes of a delta are applied before its entries.

--- a/core/fleet/delta.go
+++ b/core/fleet/delta.go
@@ -79,6 +79,9 @@
 // change returns the newest state of an entry.
 func (e *entry) change(now time.Duration) Change {
 	c := Change{ID: e.id, Revision: e.revision, Target: e.listed()}
+	if e.unnamed != nil {
+		c.Target = e.unnamed
+	}
 	if e.removed {
 		c.Last, c.RemovedMS = e.target, max(0, int64((now-e.removedAt)/time.Millisecond))
 	}
--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -201,6 +201,7 @@
 	e.target = v.index.intern(c.Last, e.id)
 	if c.Revision > e.revision {
 		v.setRevision(e, c.Revision)
+		e.unnamed = nil
 	}
 	if !e.removed {
 		e.removed = true
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -12,6 +12,8 @@
 //     are given out again. The version numbers only the contents of the routes.
 //   - The homes of a flow are the agents of its service in the order in which
 //     they are preferred for the flow.
+//   - A service is named if the routes name it. An entry of another service is kept
+//     and counts as removed until a version of the routes names its service.
 //   - A reader is an agent that watches the platform. A gateway is a process
 //     that gets changes from another data centre.
 //   - The parents of a process are those from which it requests the age of their
@@ -73,7 +75,9 @@
 	Target   *Target `json:"target,omitempty"`
 	// Last is the state of a removed entry before its removal, and RemovedMS is
 	// the time since then, in milliseconds. The target may still run and hold
-	// flows. Last is nil if the sender does not know it.
+	// flows. Last is nil if the sender does not know it. It is set beside Target if
+	// no version of the sender names the service of Target, which counts as removed
+	// then.
 	Last      *Target `json:"last,omitempty"`
 	RemovedMS int64   `json:"removed_ms,omitempty"`
 }
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 )
@@ -15,6 +16,9 @@
 	target    *Target
 	removed   bool
 	removedAt time.Duration
+	// unnamed is the newest state if no version names its service. The entry counts
+	// as removed until a version does.
+	unnamed *Target
 	// nextOnVM links to another listed entry on the same VM.
 	nextOnVM *entry
 }
@@ -42,6 +46,8 @@
 
 	config         *Config
 	configRevision uint64
+	// named holds the services that the routes name, nil if they do not tell.
+	named map[string]bool
 	// pastConfigs holds the versions before config, newest last.
 	pastConfigs []*Config
 	routes      map[netip.AddrPort]*Route
@@ -93,8 +99,10 @@
 		v.startEpoch(now, d.Epoch)
 	}
 	if d.Epoch != v.epoch {
-		return false, v.applyConfig(now, d)
+		return v.applyConfig(now, d)
 	}
+	// The routes come first, because they name the services of the entries.
+	targets, config = v.applyConfig(now, d)
 	behind := d.Revision < v.revision
 	for i := range d.Changes {
 		c := &d.Changes[i]
@@ -113,7 +121,6 @@
 		}
 		v.floor = max(v.floor, at)
 	}
-	config = v.applyConfig(now, d)
 	if d.Patch != nil && d.Patch.Version > v.Version() {
 		// The patch does not apply to the view's version. The revision stays,
 		// so that the routes are fetched again.
@@ -127,14 +134,15 @@
 }
 
 // applyConfig applies the version of the routes that a delta leads to, if it is
-// newer than that of the view.
-func (v *View) applyConfig(now time.Duration, d *Delta) bool {
+// newer than that of the view. It reports whether this changed the targets, and the
+// routes.
+func (v *View) applyConfig(now time.Duration, d *Delta) (targets, config bool) {
 	c := v.configOf(d)
 	if c == nil || c.Version <= v.Version() {
-		return false
+		return false, false
 	}
 	v.setConfig(now, c, d.ConfigRevision)
-	return true
+	return v.nameServices(now), true
 }
 
 // configOf returns the version of the routes that a delta leads to, or nil.
@@ -151,7 +159,7 @@
 		e = &entry{id: c.ID}
 		v.entries[c.ID] = e
 	}
-	if c.Target == nil && c.Last != nil && e.target == nil {
+	if c.Last != nil && e.target == nil && (c.Target == nil || e.unnamed != nil && c.Revision <= e.revision) {
 		v.learnRemoved(now, e, c)
 		return false
 	}
@@ -163,13 +171,20 @@
 	}
 	ofEarlierEpoch := e.revision == 0
 	v.setRevision(e, c.Revision)
-	if ofEarlierEpoch && e.target != nil && c.Target.precedes(e.target) {
+	if known := cmp.Or(e.unnamed, e.target); ofEarlierEpoch && known != nil && c.Target.precedes(known) {
 		return false
 	}
+	if !v.names(c.Target.Service) {
+		return v.setUnnamed(now, e, c)
+	}
+	v.list(e, v.index.intern(c.Target, e.id))
+	return true
+}
+
+func (v *View) list(e *entry, t *Target) {
 	v.index.remove(e)
-	e.target, e.removed = v.index.intern(c.Target, e.id), false
+	e.target, e.removed, e.unnamed = t, false, nil
 	v.index.add(e)
-	return true
 }
 
 // remove marks an entry as removed and reports whether it was listed. It also
@@ -177,6 +192,16 @@
 // arrives late is ignored.
 func (v *View) remove(now time.Duration, e *entry, revision uint64) bool {
 	v.setRevision(e, revision)
+	if e.unnamed != nil {
+		// The entry may have left the list of removals.
+		e.unnamed, e.removedAt = nil, now
+		v.removals = append(v.removals, e)
+	}
+	return v.unlist(now, e)
+}
+
+// unlist marks an entry as removed, whatever its revision.
+func (v *View) unlist(now time.Duration, e *entry) bool {
 	if e.removed {
 		return false
 	}
@@ -200,7 +225,7 @@
 		named[d.Changes[i].ID] = true
 	}
 	for id, e := range v.entries {
-		if !named[id] && e.listed() != nil && e.revision <= at {
+		if !named[id] && (e.listed() != nil || e.unnamed != nil) && e.revision <= at {
 			changed = v.remove(now, e, at) || changed
 		}
 	}
@@ -284,8 +309,12 @@
 		v.removals = v.removals[1:]
 		// An entry that was listed again and removed again is in removals twice.
 		if e.removed && now-e.removedAt > RemovedEntryRetention && v.entries[e.id] == e {
-			v.floor = max(v.floor, e.revision)
 			v.index.remove(e)
+			if e.unnamed != nil {
+				e.target = nil
+				continue
+			}
+			v.floor = max(v.floor, e.revision)
 			delete(v.entries, e.id)
 		}
 	}
