--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -68,6 +68,39 @@
 	assert.Equal(t, len(v.RemovedTargets("booking")), 0)
 }
 
+// Guards against a copy of an entry, under another ID, that hides that its target
+// drains: the target got new flows until it left.
+func TestDrainingEntryWins(t *testing.T) {
+	draining, copied := target("a", 1, Draining, 100), target("x", 1, Ready, 100)
+	for _, revisions := range [][2]uint64{{3, 4}, {4, 3}} {
+		v := New()
+		v.Apply(0, &Delta{Changes: []Change{{ID: "a", Revision: revisions[0], Target: draining}, {ID: "x", Revision: revisions[1], Target: copied}}})
+		assert.Equal(t, ids(v.Targets("booking")), "a")
+		assert.Equal(t, v.TargetAt(draining.Agent()).ID, "a")
+		assert.Equal(t, len(v.ReadyTargets("booking")), 0)
+		// A later incarnation is not hidden.
+		v.Apply(0, &Delta{Changes: []Change{{ID: "b", Revision: 1, Target: target("b", 1, Ready, 101)}}})
+		assert.Equal(t, ids(v.Targets("booking")), "b")
+	}
+}
+
+// Guards against processes that place each other differently in the tree, because
+// they got two entries for one VM in a different order.
+func TestDataCentreOfTwoEntries(t *testing.T) {
+	changes := []Change{{ID: "a", Revision: 3, Target: target("a", 1, Ready, 100)}, {ID: "x", Revision: 4, Target: target("x", 1, Ready, 200)}}
+	changes[1].Target.DataCentre = "other"
+	for _, order := range [][]int{{0, 1}, {1, 0}} {
+		v := New()
+		for _, i := range order {
+			v.Apply(0, &Delta{Changes: []Change{changes[i]}})
+			v.Position(nil, Member{VM: netip.AddrFrom4([4]byte{10, 0, 0, 9}), DataCentre: "dc"})
+		}
+		assert.DeepEqual(t, v.index.members()[0].DataCentre, "other")
+		p := v.Position(nil, Member{VM: netip.AddrFrom4([4]byte{10, 0, 0, 9}), DataCentre: "dc"})
+		assert.Assert(t, p.Gateway, "no agent is in this data centre")
+	}
+}
+
 // Guards against a delta with gaps for a peer that is too far behind.
 func TestOldPeerGetsFullView(t *testing.T) {
 	v := New()
--- a/core/fleet/index.go
+++ b/core/fleet/index.go
@@ -66,9 +66,9 @@
 	}
 	vm := t.Agent().As4()
 	if e.nextOnVM = x.byVM[vm]; e.nextOnVM == nil {
-		x.agentsStale, x.cachedPosition = true, nil
+		x.agentsStale = true
 	}
-	x.byVM[vm] = e
+	x.byVM[vm], x.cachedPosition = e, nil
 	x.markStale(vm)
 }
 
@@ -101,9 +101,9 @@
 		}
 	}
 	e.nextOnVM = nil
-	if x.byVM[vm] == nil {
+	if x.cachedPosition = nil; x.byVM[vm] == nil {
 		delete(x.byVM, vm)
-		x.agentsStale, x.cachedPosition = true, nil
+		x.agentsStale = true
 	}
 }
 
@@ -130,9 +130,22 @@
 	return best
 }
 
-// newerThan orders entries with the same address or VM.
+// newerThan orders entries with the same address or VM. Of two entries for one
+// incarnation the draining one counts: a copy of its earlier state must not hide
+// that it drains.
 func (e *entry) newerThan(o *entry) bool {
-	return cmp.Or(cmp.Compare(e.target.StartUnixMS, o.target.StartUnixMS), cmp.Compare(e.revision, o.revision)) > 0
+	drains := 0
+	if e.target.Address == o.target.Address {
+		drains = cmp.Compare(e.drains(), o.drains())
+	}
+	return cmp.Or(cmp.Compare(e.target.StartUnixMS, o.target.StartUnixMS), drains, cmp.Compare(e.revision, o.revision)) > 0
+}
+
+func (e *entry) drains() int {
+	if e.target.State == Draining {
+		return 1
+	}
+	return 0
 }
 
 func (x *index) service(name string) *serviceIndex {
@@ -196,11 +209,13 @@
 	return x.agents
 }
 
-// members returns the VMs of all listed entries with their data centres.
+// members returns the VMs of all listed entries with the data centres of their
+// newest ones, so that all views with the same entries have the same order.
 func (x *index) members() []Member {
 	members := make([]Member, 0, len(x.byVM))
-	for vm, e := range x.byVM {
-		members = append(members, Member{netip.AddrFrom4(vm), e.target.DataCentre})
+	for vm := range x.byVM {
+		agent := netip.AddrFrom4(vm)
+		members = append(members, Member{agent, x.targetAt(agent).DataCentre})
 	}
 	return members
 }
--- a/lab/kvstore/restore_test.go
+++ b/lab/kvstore/restore_test.go
@@ -79,7 +79,8 @@
 
 func (d *deployment) putTarget(n int, state fleet.TargetState) {
 	entry, err := json.Marshal(map[string]any{
-		"service": service, "address": netip.AddrPortFrom(agentIP(n), 80), "zone": dataCentre, "slots": 1, "state": state, "born": 1,
+		"service": service, "address": netip.AddrPortFrom(agentIP(n), 80), "zone": dataCentre, "version": "v1", "slots": 1, "state": state,
+		"warmup-left-ms": 0, "sequence": 1, "born": 1,
 	})
 	assert.NilError(d.t, err)
 	d.store.Put(fmt.Sprint("servers/", n), entry)
