--- a/core/fleet/delta.go
+++ b/core/fleet/delta.go
@@ -79,7 +79,10 @@
 // change returns the newest state of an entry.
 func (e *entry) change(now time.Duration) Change {
 	c := Change{ID: e.id, Revision: e.revision, Target: e.listed()}
-	if !e.removed && e.target != nil && e.target.WarmupMS > 0 {
+	if e.unnamed != nil {
+		c.Target = e.unnamed
+	}
+	if c.Target != nil && c.Target.WarmupMS > 0 {
 		c.AgeMS = max(0, int64((now-e.writtenAt)/time.Millisecond))
 	}
 	if e.removed {
