--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint demo demo-quic soak faults fuzz measure slopes
+.PHONY: build test lint demo drain demo-quic soak faults fuzz measure slopes
 
 build:
 	go build -o bin/ ./node/cmd/... ./lab/cmd/...
@@ -15,6 +15,11 @@
 demo: build
 	bin/trefoilweir-lab packet-demo
 
+# Drains the zones of the packet plane's demo while its processes restart and the
+# store is slow or returns from a backup, under 45 s.
+drain: build
+	bin/trefoilweir-lab packet-drain --dir demo-logs/drain
+
 # Runs the QUIC plane as processes on loopback, under 45 s.
 demo-quic: build
 	bash lab/demo.sh
--- a/lab/cmd/trefoilweir-lab/main.go
+++ b/lab/cmd/trefoilweir-lab/main.go
@@ -21,7 +21,7 @@
 	command := &cli.Command{
 		Name:     "trefoilweir-lab",
 		Usage:    "simulated environment and measurements for trefoilweir",
-		Commands: []*cli.Command{keysCommand(), platformCommand(), fabricCommand(), targetCommand(), loadCommand(), policybench.Command(), layoutCommand(), publishCommand(), measureCommand(), packetDemoCommand(), soakCommand()},
+		Commands: []*cli.Command{keysCommand(), platformCommand(), fabricCommand(), targetCommand(), loadCommand(), policybench.Command(), layoutCommand(), publishCommand(), measureCommand(), packetDemoCommand(), drainDemoCommand(), soakCommand()},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/lab/cmd/trefoilweir-lab/rig.go
+++ b/lab/cmd/trefoilweir-lab/rig.go
@@ -51,6 +51,25 @@
 	}
 }
 
+// drainDemoCommand returns the command packet-drain, which drains the zones of the
+// demo's system.
+func drainDemoCommand() *cli.Command {
+	return &cli.Command{
+		Name: "packet-drain", Usage: "run the packet plane while its zones are drained and put back into service", Flags: rigFlags(),
+		Action: func(_ context.Context, c *cli.Command) error {
+			dir := c.String("dir")
+			if err := os.RemoveAll(dir); err != nil {
+				return trace.ConvertSystemError(err)
+			}
+			report, err := rig.DrainDemo(rig.DemoOptions(dir, c.String("bin"), minSecondOctet+os.Getpid()%secondOctets, c.Uint64("seed")), rig.DemoLoad())
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			return printReport(report)
+		},
+	}
+}
+
 // printReport prints the report. It returns an error if the run failed or
 // finished no request.
 func printReport(r rig.Report) error {
--- a/lab/packets/target.go
+++ b/lab/packets/target.go
@@ -26,6 +26,8 @@
 	Slots, Queue int
 	// Speed divides the work time of requests.
 	Speed float64
+	// OnAccept, if it is not nil, is called with each new flow.
+	OnAccept func(flow string)
 	// Journal records the flows and requests of the target.
 	Journal *Journal
 }
@@ -178,6 +180,9 @@
 		f.stream = newStream(f.iss+1, p.Seq+1)
 		t.flows[key] = f
 		t.Journal.flowAccepted(t.Name, t.Service, key, t.draining, t.drainSince)
+		if t.OnAccept != nil {
+			t.OnAccept(key.String())
+		}
 	}
 	t.write(Encode(&Packet{Flags: Syn | Ack, Src: key.dst, Dst: key.src, Seq: f.iss, Ack: p.Seq + 1}))
 }
--- a/lab/rig/restore.go
+++ b/lab/rig/restore.go
@@ -29,6 +29,7 @@
 	for id, e := range s.entries {
 		s.putEntry(id, e)
 	}
+	s.zoneDrains.writeAgain(s.Store)
 	if !bytes.Equal(s.Store.Values()[configKey], s.published) {
 		s.Store.Put(configKey, s.published)
 	}
--- a/lab/rig/system.go
+++ b/lab/rig/system.go
@@ -68,6 +68,7 @@
 	server       *http.Server
 	removedVMs   []*VM
 	callers      []*packets.Caller
+	zoneDrains   zoneDrains
 	stop         chan struct{}
 }
 
--- a/lab/rig/targets.go
+++ b/lab/rig/targets.go
@@ -30,10 +30,11 @@
 
 func (s *System) startTarget(m *VM, service *Service, n int) (*packets.Target, error) {
 	const queuePerSlot = 4
+	zone := m.Zone
 	return packets.StartTarget(packets.TargetOptions{
 		Name: fmt.Sprintf("%s@%s", service.Name, m.Name), Service: service.Name, Address: netip.AddrPortFrom(m.IP, portTarget),
 		AgentAddress: netip.AddrPortFrom(m.IP, portOutbound), Slots: service.Slots, Queue: queuePerSlot * service.Slots,
-		Speed: service.Speeds[n%len(service.Speeds)], Journal: s.Journal,
+		Speed: service.Speeds[n%len(service.Speeds)], Journal: s.Journal, OnAccept: func(flow string) { s.zoneDrains.accepted(s.Journal, zone, flow) },
 	})
 }
 
--- a/node/fleetsync/drains_test.go
+++ b/node/fleetsync/drains_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -99,3 +100,59 @@
 	assert.Equal(t, f.ReadDrains(ctx), context.DeadlineExceeded)
 	assert.Equal(t, p.reads, 1)
 }
+
+// watchedPlatform is a platform that can be down and whose watch returns the changes
+// of drain requests.
+type watchedPlatform struct {
+	fakePlatform
+	changes []fleet.DrainChange
+	current uint64
+}
+
+func (p *watchedPlatform) Watch(_ context.Context, after fleet.Progress, _ time.Duration) (*fleet.Delta, fleet.Progress, error) {
+	if p.err != nil {
+		return nil, after, p.err
+	}
+	c := &fleet.DrainChanges{Epoch: after.Epoch, After: after.Revision, Through: p.current}
+	for _, change := range p.changes {
+		if change.Revision > after.Revision {
+			c.Changes = append(c.Changes, change)
+		}
+	}
+	return &fleet.Delta{Epoch: after.Epoch, Revision: p.current, DrainChanges: c}, fleet.Progress{Epoch: after.Epoch, Revision: p.current}, nil
+}
+
+// Guards against a drain or an undrain that is lost because the platform is down or
+// has dropped its history when the request arrives, and against a known drain that
+// ends with the connection.
+func TestDrainWhilePlatformIsDown(t *testing.T) {
+	f := newFixture(4)
+	f.platform.delta.Config, f.platform.delta.ConfigRevision = &fleet.Config{Version: 1}, 1
+	f.platform.delta.Drains = &fleet.Drains{Revision: 9}
+	p := &watchedPlatform{fakePlatform: f.platform, current: 9}
+	f.Source = p
+	read := func() {
+		f.now += time.Minute
+		f.readOnce(t.Context())
+	}
+	read()
+	for _, drained := range []bool{true, false} {
+		p.err = errors.New("no connection")
+		p.current++
+		p.changes = append(p.changes, fleet.DrainChange{DataCentre: "dc", Revision: p.current, Removed: !drained})
+		read()
+		assert.Equal(t, f.View.Drained("dc"), !drained)
+		p.err = nil
+		read()
+		assert.Equal(t, f.View.Drained("dc"), drained)
+		assert.Assert(t, f.View.DrainsComplete())
+	}
+	// The platform has dropped the history with the next drain.
+	p.err = errHistoryLost
+	p.delta.Revision, p.delta.ListingRevision = 20, 20
+	p.delta.Drains = &fleet.Drains{Revision: 20, Requests: []fleet.DrainRequest{{DataCentre: "dc", Revision: 15}}}
+	read()
+	p.err = nil
+	read()
+	assert.Assert(t, f.View.Drained("dc") && f.View.DrainsComplete())
+}
