--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -54,6 +54,10 @@
 		}
 		h.since = min(h.since, since)
 		h.begin(now, v, d)
+	case skips && since > v.confirmedAt && !v.RemovalsKnown(now) && (h.gap == nil || h.gap.toStart):
+		// The process has not settled since its start, so it goes on as one that starts.
+		h.since, h.gap = since, nil
+		h.begin(now, v, d)
 	case skips && since > v.confirmedAt:
 		if h.gap == nil || h.gap.toStart || v.RemovalsKnown(now) {
 			h.gap = &historyGap{startedAt: v.confirmedAt, after: v.Progress(), since: h.since, settled: h.settled}
