ownership: only a fresh target resolves what a survey left open

An agent whose doubt has merely run out then counts as one that denies the flow, although its target was never asked.

Change: that counts only for an agent that tells that its target is fresh.

--- a/core/ownership/peers.go
+++ b/core/ownership/peers.go
@@ -15,6 +15,12 @@
 	p.load, p.lastHeard, p.everHeard, p.unanswered = load, now, true, false
 }
 
+// isFresh reports whether the peer has told lately that it knows every flow of its
+// target.
+func (p *peer) isFresh(now time.Duration) bool {
+	return p.everHeard && now-p.lastHeard <= heartbeatTimeout && p.load.Flags&relay.FlagFresh != 0
+}
+
 // asked records a question to the peer. A question long after the last one
 // begins a new series, because one lost question says nothing.
 func (p *peer) asked(now time.Duration) {
--- a/core/ownership/searchremote.go
+++ b/core/ownership/searchremote.go
@@ -113,9 +113,12 @@
 // the round stays incomplete.
 func (m *Machine) handleSurveyResult(now time.Duration, asked searchScope, msg *relay.Message, s *search, out *plane.Out) {
 	s.deniedRosters[asked.dataCentre] = asked.roster
-	// An agent that an earlier survey left unresolved has denied the flow unless
-	// this one lists it again.
-	maps.DeleteFunc(s.unresolved, func(_ netip.Addr, dataCentre string) bool { return dataCentre == asked.dataCentre })
+	// An agent that an earlier survey left unresolved and this one does not list
+	// has denied the flow now. That counts only if its target is fresh: if its
+	// doubt has merely run out, its target may hold the flow.
+	maps.DeleteFunc(s.unresolved, func(a netip.Addr, dataCentre string) bool {
+		return dataCentre == asked.dataCentre && m.peer(a).isFresh(now)
+	})
 	for _, a := range slices.Concat(msg.MaybeOwners, msg.Unanswered) {
 		s.unresolved[a] = asked.dataCentre
 	}
--- a/core/ownership/survey_test.go
+++ b/core/ownership/survey_test.go
@@ -261,8 +261,16 @@
 }
 
 // Guards against a search that never ends because a survey has once found an agent
-// that may hold the flow. A later survey, of other agents, finds that it does not.
-func TestLaterSurveyResolvesAgents(t *testing.T) {
+// that may hold the flow. A later survey, of other agents, finds that it does not,
+// because its target is fresh. If it has only forgotten its doubt, the target may
+// hold the flow, which must not be reset.
+func TestLaterSurveyResolvesFreshAgents(t *testing.T) {
+	for _, fresh := range []bool{true, false} {
+		testLaterSurvey(t, fresh)
+	}
+}
+
+func testLaterSurvey(t *testing.T, fresh bool) {
 	f := newFixture(t, true)
 	add := func(n byte) {
 		revision := f.View.Revision() + 1
@@ -289,7 +297,12 @@
 	answerSurvey(fleettest.Agent(3))
 	assert.Equal(t, f.probedAgents(), 1)
 	add(6)
+	load := relay.Load{Flags: relay.FlagAgent}
+	if fresh {
+		load.Flags |= relay.FlagFresh
+	}
+	f.FromPeer(f.now, fleettest.Agent(3), &relay.Message{Kind: relay.Heartbeat, Service: tag, Load: load}, &f.out)
 	f.advance(searchRetryDelay)
 	answerSurvey()
-	assert.Equal(t, len(f.out.ToCaller), 1)
+	assert.Equal(t, len(f.out.ToCaller) == 1, fresh)
 }
