fleet: a peer behind the listing does not tell all removals

Cause: an agent that starts asks a peer for the entries that were removed before it read the platform. A peer whose view is behind that listing does not know the last removals, but its answer counted as complete.

Change: the answer tells the revision up to which it names removals (field removals_revision; an earlier release does not send it, and its answers count as before). A view does not take the history of a peer that is behind the listing with which the view began; the process asks again after 200 ms. In the model, removals are settled as in node/fleetsync: after three attempts only if the peers that answered started with the process, or after 10 s.

Result: TestRemovalsOfAPeerBehindTheListing fails before and passes now.

--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -15,10 +15,12 @@
 }
 
 // begin records that the view has its first state, and the history of the sender
-// of a delta.
-func (h *removalHistory) begin(now time.Duration, d *Delta) {
+// of a delta. A sender that is behind the listing from revision floor on, with which
+// the view began, may not know entries that were removed just before it.
+func (h *removalHistory) begin(now time.Duration, d *Delta, floor uint64) {
 	since := now
-	if d.RemovalsKnownMS != nil {
+	behind := d.RemovalsRevision != 0 && d.RemovalsRevision < floor
+	if d.RemovalsKnownMS != nil && !behind {
 		since -= time.Duration(*d.RemovalsKnownMS) * time.Millisecond
 	}
 	if !h.begun || since < h.since {
@@ -55,7 +57,7 @@
 // entries that were removed within RemovedEntryRetention, and the earlier
 // services of the addresses.
 func (v *View) Removals(now time.Duration) Delta {
-	d := Delta{Epoch: v.epoch, RemovalsKnownMS: v.removalHistory.knownMS(now), PastServices: v.pastServicesAt(now)}
+	d := Delta{Epoch: v.epoch, RemovalsKnownMS: v.removalHistory.knownMS(now), RemovalsRevision: v.revision, PastServices: v.pastServicesAt(now)}
 	var removed []*entry
 	for _, e := range v.removals {
 		if e.removed && e.target != nil {
--- a/core/fleet/removals_test.go
+++ b/core/fleet/removals_test.go
@@ -40,3 +40,23 @@
 		assert.Equal(t, len(v.Targets("booking")), 1)
 	}
 }
+
+// Guards against the same resets if the peer tells only the removed entries: one
+// that is behind the listing does not know all of them.
+func TestRemovalsOfAPeerBehindTheListing(t *testing.T) {
+	const now = 5 * time.Second
+	peer := New()
+	peer.NothingRemovedBefore(0)
+	listed := Change{ID: "a", Revision: 3, Target: target("a", 1, Ready, 1)}
+	peer.Apply(0, &Delta{Revision: 4, Full: true, ListingRevision: 4, Changes: []Change{listed}, Config: &Config{Version: 1}, ConfigRevision: 2})
+	v := New()
+	v.Apply(now, &Delta{Revision: 9, Full: true, ListingRevision: 9, Config: &Config{Version: 1}, ConfigRevision: 2})
+	told := peer.Removals(now)
+	v.Apply(now, &told)
+	assert.Assert(t, !v.RemovalsKnown(now))
+	peer.Apply(now, &Delta{Revision: 9, Changes: []Change{{ID: "a", Revision: 7}}})
+	told = peer.Removals(now)
+	v.Apply(now, &told)
+	assert.Assert(t, v.RemovalsKnown(now))
+	assert.Equal(t, len(v.RemovedTargets("booking")), 1)
+}
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -171,6 +171,9 @@
 	// RemovalsKnownMS is set if the delta names all entries that were removed in
 	// the time before it of this length, in milliseconds.
 	RemovalsKnownMS *int64 `json:"removals_known_ms,omitempty"`
+	// RemovalsRevision is the revision up to which a delta of removed entries names
+	// the removals, or 0 if the sender is of a release that does not tell it.
+	RemovalsRevision uint64 `json:"removals_revision,omitempty"`
 }
 
 // Retention times and grace periods of a view.
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -97,7 +97,7 @@
 	if d.Epoch != v.epoch {
 		return false, v.applyConfig(now, d)
 	}
-	v.removalHistory.begin(now, d)
+	v.removalHistory.begin(now, d, v.floor)
 	behind := d.Revision < v.revision
 	for i := range d.Changes {
 		c := &d.Changes[i]
--- a/core/ownership/openflow_platform_test.go
+++ b/core/ownership/openflow_platform_test.go
@@ -119,7 +119,8 @@
 	cursor            uint64
 	reading, fetching bool
 	askingRemovals    bool
-	// removalAnswers counts the attempts to learn removals that had an answer.
+	// removalAnswers counts the attempts to learn removals in which all peers that
+	// answered had started with the process.
 	removalAnswers int
 	failed         bool
 	refusedUntil   time.Duration
@@ -287,6 +288,8 @@
 	removalPeers          = 2
 	removalAttempts       = 3
 	removalsRetryInterval = 200 * ms
+	startSpread           = time.Second
+	maxRemovalsWait       = 10 * time.Second
 )
 
 // learnRemovals asks peers which entries were removed before the process
@@ -303,17 +306,20 @@
 	}
 	p.w.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	s.askingRemovals = true
-	p.askForRemovals(peers[:min(len(peers), removalPeers)], len(peers) == 0 && !p.view.ExpectsTargets(now))
+	alone := len(peers) == 0 && !p.view.ExpectsTargets(now)
+	p.askForRemovals(peers[:min(len(peers), removalPeers)], alone, false, 0)
 	return removalsRetryInterval
 }
 
-func (p *process) askForRemovals(peers []netip.Addr, answered bool) {
+// askForRemovals asks peers one after the other. longest is the longest time for
+// which a peer that has answered knows all removals.
+func (p *process) askForRemovals(peers []netip.Addr, alone, answered bool, longest time.Duration) {
 	if len(peers) == 0 || p.view.RemovalsKnown(p.now()) {
 		p.sync.askingRemovals = false
-		if answered {
+		if alone || answered && longest <= p.now()+startSpread {
 			p.sync.removalAnswers++
 		}
-		if p.sync.removalAnswers >= removalAttempts {
+		if p.sync.removalAnswers >= removalAttempts || p.now() > maxRemovalsWait {
 			p.view.SettleRemovals()
 		}
 		return
@@ -332,8 +338,9 @@
 			p.step(func(now time.Duration) {
 				if d != nil && d.RemovalsKnownMS != nil {
 					p.apply(now, d)
+					answered, longest = true, max(longest, time.Duration(*d.RemovalsKnownMS)*ms)
 				}
-				p.askForRemovals(peers[1:], answered || d != nil && d.RemovalsKnownMS != nil)
+				p.askForRemovals(peers[1:], alone, answered, longest)
 			})
 		})
 	})
