speed: a target's speed is estimated apart from its routes

Cause: agents reported a moving average over about 20 requests of all routes, so a target that happened to get short requests looked fast to all homes. Load.ServiceTime keeps its meaning for earlier builds: the mean time of a request that does not wait, now for equal shares of the routes. Requests during the warm-up do not count. The queue of the agent still uses the plain mean.

--- a/core/ownership/choose.go
+++ b/core/ownership/choose.go
@@ -62,7 +62,7 @@
 	}
 	c.Busy = float64(load.Busy) + float64(unreported)
 	c.Expected = float64(load.Expected) / 100
-	c.ServiceTime = time.Duration(load.ServiceTime) * 100 * time.Microsecond
+	c.ServiceTime = loadServiceTime(load)
 	if t.DataCentre != m.DataCentre {
 		c.Distance = remoteDistance
 	}
--- a/core/ownership/stats.go
+++ b/core/ownership/stats.go
@@ -9,6 +9,7 @@
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/plane"
 	"trefoilweir.example/core/relay"
+	"trefoilweir.example/core/speed"
 )
 
 const (
@@ -18,6 +19,8 @@
 	// serviceTimeWeight is the weight of one request in the moving averages of
 	// times and lengths.
 	serviceTimeWeight = 0.05
+	// serviceTimeUnit is the unit of relay.Load.ServiceTime.
+	serviceTimeUnit = 100 * time.Microsecond
 	// arrivalWeight is the weight of one accepted flow in arrivalShare.
 	arrivalWeight = 0.05
 	// minArrivalShare is the least arrivalShare that admission assumes. It
@@ -98,6 +101,10 @@
 	// serviceTime is the mean time of a request that did not wait for a slot,
 	// in seconds.
 	serviceTime float64
+	// speed estimates the same apart from the routes. reportedTime is its result
+	// at the last tick.
+	speed        speed.Estimator[netip.AddrPort]
+	reportedTime time.Duration
 	// arrivalShare is the share of the accepted flows whose request arrives in
 	// time.
 	arrivalShare float64
@@ -225,10 +232,32 @@
 			m.stats.serviceTime = took
 		}
 		m.stats.serviceTime += serviceTimeWeight * (took - m.stats.serviceTime)
+		if t := m.View.TargetAt(m.Self); t == nil || t.WarmupMS <= 0 {
+			// A home takes the slowness of a target that is warming up into
+			// account by itself.
+			m.stats.speed.Observe(key.Service(), now-f.phaseSince)
+		}
 	}
 	m.stats.setPhase(now, key, f, phaseIdle)
 }
 
+// updateReportedTime updates the service time that the agent reports.
+func (m *Machine) updateReportedTime(now time.Duration) {
+	sum, n := time.Duration(0), time.Duration(0)
+	for _, p := range m.peers {
+		if p.everHeard && now-p.lastHeard <= heartbeatTimeout && p.load.ServiceTime > 0 {
+			sum += loadServiceTime(p.load)
+			n++
+		}
+	}
+	m.stats.reportedTime = m.stats.speed.ServiceTime(sum / max(n, 1))
+}
+
+// loadServiceTime returns the service time in a load.
+func loadServiceTime(l relay.Load) time.Duration {
+	return time.Duration(l.ServiceTime) * serviceTimeUnit
+}
+
 func (m *Machine) slots() int {
 	if t := m.View.TargetAt(m.Self); t != nil {
 		return t.Slots
@@ -241,7 +270,7 @@
 	l := relay.Load{
 		Flags: relay.FlagAgent, Busy: uint16(min(m.stats.pending()+m.queue.Len(), math.MaxUint16)),
 		Expected: uint16(min(100*m.stats.expected(), math.MaxUint16)), Slots: uint16(m.slots()),
-		ServiceTime: uint16(min(m.stats.serviceTime*10_000, math.MaxUint16)),
+		ServiceTime: uint16(min(m.stats.reportedTime/serviceTimeUnit, math.MaxUint16)),
 	}
 	if m.leaving {
 		l.Flags |= relay.FlagLeaving
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -12,6 +12,7 @@
 // Tick handles the timeouts that are due at the time now.
 func (m *Machine) Tick(now time.Duration, out *plane.Out) {
 	m.stats.advance(now)
+	m.updateReportedTime(now)
 	m.longestIdleTimeout = m.idleTimeout()
 	m.checkHalfOpen(now)
 	m.checkOffers(now, out)
@@ -37,6 +38,7 @@
 	if m.targetStartUnixMS != 0 {
 		out.Event(plane.Event{Kind: plane.EventTargetReplaced, Reason: "born_changed", Value: t.StartUnixMS})
 		m.stats.serviceTime = 0
+		m.stats.speed.Reset()
 	}
 	m.targetStartUnixMS = t.StartUnixMS
 	if sawCurrentView {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -104,8 +104,9 @@
 	Expected uint16
 	// Slots is the number of requests that the target runs at a time.
 	Slots uint16
-	// ServiceTime is the mean time of a request that does not wait for a slot,
-	// in units of 100 microseconds.
+	// ServiceTime is the mean time of a request that does not wait for a slot, if
+	// all routes have equal shares, in units of 100 microseconds. It is 0 if it is
+	// not known.
 	ServiceTime uint16
 }
 
