spread: targets offer their free slots, and flows that would wait move on

Cause: all homes knew the same loads of up to 100 ms ago and sent their flows to the target that looked best. At half load 41% of the flows queued while other targets had free slots. Change: a target offers each free slot to one agent (a heartbeat with FlagSlotFree): to one at which flows wait, or to the home of a recent flow. A home takes the best offer, or the better of two targets drawn by capacity. A flow that would wait is handed over once to a target that seems to have a free slot and serves it sooner, and a waiting flow goes to an offered slot if that is sooner. Copies of its opening packet follow it. Flows handed over count at their target until its next load. Tests that need a full target now report full peers, because a flow does not wait beside idle ones any more.

--- a/core/ownership/choose.go
+++ b/core/ownership/choose.go
@@ -28,37 +28,45 @@
 		},
 		func(t *fleet.Target) bool { return t.State == fleet.Ready && m.acceptsFlows(t.Agent()) },
 	} {
-		if to, ok := m.chooseAmong(key, listed, class); ok {
+		if to, ok := m.chooseAmong(now, key, listed, class, len(tried)); ok {
 			return to, true
 		}
 	}
 	// Entries may lapse because the platform is disturbed. The heartbeats of
 	// their agents then show whether such targets are alive.
-	return m.chooseAmong(key, m.View.LapsedTargets(now, m.Service), func(t *fleet.Target) bool {
+	return m.chooseAmong(now, key, m.View.LapsedTargets(now, m.Service), func(t *fleet.Target) bool {
 		return m.healthy(now, key, t.Agent()) && !slices.Contains(tried, t.Agent())
-	})
+	}, len(tried))
 }
 
-func (m *Machine) chooseAmong(key flow.Key, targets []*fleet.Target, usable func(*fleet.Target) bool) (netip.Addr, bool) {
+// chooseAmong chooses among the usable targets. attempt differs between the
+// attempts to place one flow.
+func (m *Machine) chooseAmong(now time.Duration, key flow.Key, targets []*fleet.Target, usable func(*fleet.Target) bool, attempt int) (netip.Addr, bool) {
+	candidates := m.candidates(now, targets, usable)
+	i := spread.Choose(candidates, key.Hash()+uint64(attempt))
+	if i < 0 {
+		return netip.Addr{}, false
+	}
+	m.offers.Take(candidates[i].Agent)
+	return candidates[i].Agent, true
+}
+
+func (m *Machine) candidates(now time.Duration, targets []*fleet.Target, usable func(*fleet.Target) bool) []spread.Candidate {
 	var candidates []spread.Candidate
 	for _, t := range targets {
 		if usable(t) {
-			candidates = append(candidates, m.candidate(t))
+			candidates = append(candidates, m.candidate(now, t))
 		}
 	}
-	i := spread.Choose(candidates, key.Hash())
-	if i < 0 {
-		return netip.Addr{}, false
-	}
-	return candidates[i].Agent, true
+	return candidates
 }
 
-func (m *Machine) candidate(t *fleet.Target) spread.Candidate {
-	c := spread.Candidate{Agent: t.Agent(), Slots: t.Slots, Warming: t.WarmupMS > 0}
+func (m *Machine) candidate(now time.Duration, t *fleet.Target) spread.Candidate {
+	c := spread.Candidate{Agent: t.Agent(), Slots: t.Slots, Warming: t.WarmupMS > 0, Offered: m.offers.Has(now, t.Agent())}
 	load, unreported := m.Load(), 0
 	if t.Agent() != m.Self {
 		p := m.peer(t.Agent())
-		load, unreported = p.load, p.unreported
+		load, unreported = p.load, p.unreported+p.handedOver
 	}
 	c.Busy = float64(load.Busy) + float64(unreported)
 	c.Expected = float64(load.Expected) / 100
--- a/core/ownership/copies_test.go
+++ b/core/ownership/copies_test.go
@@ -19,6 +19,7 @@
 		for port := uint16(100); port < 105; port++ {
 			f.openFlow(port)
 		}
+		f.fillPeers()
 		key := fleettest.Key(1)
 		f.balancerSends(relay.Place, flow.Packet{Key: key, Open: true, Seq: 100})
 		f.advance(firstCopyAge)
@@ -44,6 +45,7 @@
 		for port := uint16(100); port < 105; port++ {
 			f.openFlow(port)
 		}
+		f.fillPeers()
 		key := fleettest.Key(1)
 		f.balancerSends(relay.Place, flow.Packet{Key: key, Open: true, Seq: 100})
 		f.advance(firstCopyAge)
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -37,6 +37,7 @@
 	"trefoilweir.example/core/plane"
 	"trefoilweir.example/core/relay"
 	"trefoilweir.example/core/rto"
+	"trefoilweir.example/core/spread"
 	"trefoilweir.example/core/waitqueue"
 )
 
@@ -179,8 +180,14 @@
 	// caller's request.
 	roundTripTimes *rto.Estimator
 	stats          *stats
-	outcomes       outcomes
-	leaving        bool
+	// offers are free slots of other targets, offering is about those of the own
+	// target.
+	offers   spread.Offers
+	offering spread.Offering
+	// offerCount is the number of offers so far.
+	offerCount uint64
+	outcomes   outcomes
+	leaving    bool
 	// silent says that the target does not answer. retryAt is when it gets the
 	// next new flow as a test.
 	silent    bool
@@ -230,6 +237,9 @@
 	// unreported counts the flows that this agent placed there and that the
 	// peer has not reported yet.
 	unreported int
+	// handedOver counts the flows that this agent has handed over there since the
+	// peer's last load.
+	handedOver int
 }
 
 // New returns a Machine that starts at the time now.
@@ -277,7 +287,7 @@
 func (m *Machine) handlePeerMessage(now time.Duration, from netip.Addr, msg *relay.Message, out *plane.Out) {
 	switch msg.Kind {
 	case relay.Heartbeat:
-		m.handleHeartbeat(now, from, msg)
+		m.handleHeartbeat(now, from, msg, out)
 		return
 	case relay.Owner, relay.NotOwner, relay.MaybeOwner, relay.Waiting, relay.Refused, relay.SurveyResult:
 		m.handleAnswer(now, from, msg, out)
@@ -296,7 +306,7 @@
 	case relay.Open:
 		m.handleOpening(now, &p, msg, out)
 	case relay.Place:
-		m.offer(now, &p, msg, out)
+		m.handlePlaced(now, &p, msg, out)
 	case relay.Packet, relay.Redirect:
 		m.handlePacket(now, &p, msg, out)
 	case relay.Search:
@@ -309,13 +319,16 @@
 }
 
 // handleHeartbeat stores the load of a peer.
-func (m *Machine) handleHeartbeat(now time.Duration, from netip.Addr, msg *relay.Message) {
+func (m *Machine) handleHeartbeat(now time.Duration, from netip.Addr, msg *relay.Message, out *plane.Out) {
 	if msg.Load.Flags&relay.FlagAgent == 0 || msg.Service != m.serviceTag {
 		return
 	}
 	p := m.peer(from)
 	p.heard(now, msg.Load)
 	p.progress = msg.Progress
+	if msg.Load.Flags&relay.FlagSlotFree != 0 {
+		m.handleOffer(now, from, out)
+	}
 }
 
 func (m *Machine) peer(a netip.Addr) *peer {
--- a/core/ownership/peers.go
+++ b/core/ownership/peers.go
@@ -12,7 +12,7 @@
 
 // heard records a datagram of the peer.
 func (p *peer) heard(now time.Duration, load relay.Load) {
-	p.load, p.lastHeard, p.everHeard, p.unanswered = load, now, true, false
+	p.load, p.lastHeard, p.everHeard, p.unanswered, p.handedOver = load, now, true, false, 0
 }
 
 // asked records a question to the peer. A question long after the last one
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -77,6 +77,17 @@
 	m.forward(to, relay.Place, p, &placed, out)
 }
 
+// handlePlaced handles an opening packet that another agent has sent to this
+// target. A copy follows a flow that was handed over while it waited, because two
+// targets would accept the flow otherwise.
+func (m *Machine) handlePlaced(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
+	if r := m.records[p.Key]; r != nil && r.waiting && r.seq == p.Seq && r.owner != m.Self && r.owner != msg.RefusedBy && msg.Hops < maxHops {
+		m.forward(r.owner, relay.Place, p, msg, out)
+		return
+	}
+	m.offer(now, p, msg, out)
+}
+
 // forwardCopy forwards a copy of an opening packet to the agent at which the
 // flow is queued.
 func (m *Machine) forwardCopy(now time.Duration, to netip.Addr, p *flow.Packet, msg *relay.Message, out *plane.Out) {
@@ -134,6 +145,7 @@
 			m.handOver(now, p, msg, "table_full", out)
 			return
 		}
+		m.offering.Placed(now, msg.Home)
 		f = &ownedFlow{origin: msg.Origin, home: msg.Home, hops: msg.Hops, refusedBy: msg.RefusedBy}
 		m.flows[p.Key] = f
 	}
@@ -160,9 +172,15 @@
 		m.refuse(p, msg, reason, out)
 		return
 	}
+	m.handOverAt(now, p, msg, to, reason, out)
+}
+
+// handOverAt hands a new flow over to an agent.
+func (m *Machine) handOverAt(now time.Duration, p *flow.Packet, msg *relay.Message, to netip.Addr, reason string, out *plane.Out) {
 	forwarded := *msg
 	forwarded.RefusedBy = m.Self
 	m.records[p.Key] = &record{owner: to, seq: p.Seq, lastSeen: now}
+	m.peer(to).handedOver++
 	out.Event(plane.Event{Kind: plane.EventHandedOver, Flow: p.Key, PacketSeq: p.Seq, Peer: to, Reason: reason})
 	m.forward(to, relay.Place, p, &forwarded, out)
 }
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -78,7 +78,7 @@
 // that time would stay idle, so the result is the number of slots that become
 // free in a round trip.
 func (m *Machine) maxAhead(slots int) int {
-	ahead := 1 + slots/8
+	ahead := minAhead(slots)
 	if service := m.serviceTime(); service > 0 {
 		freed := float64(slots) * float64(m.roundTripTimes.Mean()) / float64(service)
 		ahead = max(ahead, int(min(math.Round(freed), float64(maxAheadRatio*slots))))
@@ -86,6 +86,9 @@
 	return ahead
 }
 
+// minAhead returns how many flows are admitted beyond the slots at least.
+func minAhead(slots int) int { return 1 + slots/8 }
+
 // queueIfFull queues a new flow if the target is full. It reports whether the
 // flow is queued or was refused. In both cases the target does not get it now.
 func (m *Machine) queueIfFull(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) bool {
@@ -97,6 +100,9 @@
 		if !m.full() {
 			return false
 		}
+		if m.handOverFull(now, p, msg, out) {
+			return true
+		}
 		it := waitqueue.Item[flow.Key, queuedFlow]{
 			Key: p.Key, Since: since, Objective: defaultObjective, Timeout: defaultTimeout,
 			Value: queuedFlow{slices.Clone(p.Raw), relay.Message{Origin: msg.Origin, Home: msg.Home, Hops: msg.Hops, RefusedBy: msg.RefusedBy}, p.Ack},
@@ -119,9 +125,15 @@
 	return true
 }
 
-// admit refuses queued flows that cannot be answered in time, and gives others
-// to the target while it has free slots.
+// admit gives queued flows to the target, and offers the slots that remain.
 func (m *Machine) admit(now time.Duration, out *plane.Out) {
+	m.admitQueued(now, out)
+	m.offerSlots(now, out)
+}
+
+// admitQueued refuses queued flows that cannot be answered in time, and gives
+// others to the target while it has free slots.
+func (m *Machine) admitQueued(now time.Duration, out *plane.Out) {
 	if m.queue.Len() == 0 {
 		return
 	}
--- a/core/ownership/waiting_test.go
+++ b/core/ownership/waiting_test.go
@@ -16,6 +16,7 @@
 // all VMs.
 func TestFullQueueDoesNotFloodTarget(t *testing.T) {
 	f := newFixture(t, true)
+	f.fillPeers()
 	const flows = maxQueued + 100
 	atTarget := 0
 	for port := uint16(1); port <= flows; port++ {
@@ -30,6 +31,7 @@
 // flows that can still be served in time.
 func TestFullQueueRefusesTheLeastUrgent(t *testing.T) {
 	f := newFixture(t, true)
+	f.fillPeers()
 	for port := uint16(1); port <= maxQueued+5; port++ {
 		f.balancerSends(relay.Place, flow.Packet{Key: fleettest.Key(port), Open: true, Seq: 100, Ack: 2})
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -91,6 +91,9 @@
 	FlagReplyRequested
 	// FlagFailing says that the target accepts flows and fails them.
 	FlagFailing
+	// FlagSlotFree in a Heartbeat offers a free slot of the sender's target to the
+	// receiver alone.
+	FlagSlotFree
 )
 
 // Load describes the sender of a datagram and, if it is an agent, the load of
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -2,10 +2,16 @@
 // candidates. It handles two load patterns. For short flows with one request
 // each, the current queue of a target decides. For long flows with pauses, the
 // mean load of the target's open flows decides.
+//
+// The loads are up to some 100 ms old, longer than a request takes, and all homes
+// know the same ones. A target therefore offers each free slot to one agent: to
+// one at which flows wait, or to the home of a recent flow. See
+// docs/design/placement.md.
 package spread
 
 import (
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 )
@@ -24,6 +30,8 @@
 	ServiceTime time.Duration
 	// Warming says that the target is still warming up and is slow.
 	Warming bool
+	// Offered says that the target has offered a free slot to this agent alone.
+	Offered bool
 	// Distance is the cost of the target's distance, added to the expected time
 	// of a request.
 	Distance time.Duration
@@ -37,32 +45,109 @@
 	// maxUtilisation bounds the utilisation in the formula of the mean wait,
 	// which has a pole at 1. Above it only the queue counts.
 	maxUtilisation = 0.9
-	// costTolerance is the relative difference up to which costs count as equal.
-	costTolerance = 0.02
+	// choices is the number of random targets that are compared for a flow, and
+	// handOverChoices for one that is handed over.
+	choices         = 2
+	handOverChoices = 4
 )
 
-// Choose returns the index of the candidate with the lowest expected time, or
-// -1 if there are no candidates. tie selects among candidates of equal cost. It
-// is any number that differs from flow to flow.
-func Choose(candidates []Candidate, tie uint64) int {
+// Choose returns the index of the candidate that gets a flow, or -1 if there are
+// no candidates. If targets have offered a free slot, it is the one of these with
+// the lowest expected time. Nobody else was offered that slot. The loads of the
+// others are old and known to all homes, so the lowest of all would get the flows
+// of all homes: it is the better one of a few that are drawn at random, in
+// proportion to their capacity. random is any number that differs from flow to
+// flow.
+func Choose(candidates []Candidate, random uint64) int {
 	fallback := meanServiceTime(candidates)
-	best, bestCost, ties := -1, math.Inf(1), uint64(0)
+	if i := lowest(candidates, fallback, func(c *Candidate) bool { return c.Offered }); i >= 0 {
+		return i
+	}
+	return draw(candidates, fallback, choices, random, func(*Candidate) bool { return true })
+}
+
+// ChooseHandOver returns the index of the candidate to which the agent of a full
+// target hands over a flow, or -1 if the flow is to wait. own is the load of the
+// full target. A candidate must seem to have a free slot and serve the flow
+// sooner.
+func ChooseHandOver(own Candidate, candidates []Candidate, random uint64) int {
+	fallback := meanServiceTime(candidates)
+	sooner := func(c *Candidate) bool { return c.cost(fallback) < own.cost(fallback) }
+	if i := lowest(candidates, fallback, func(c *Candidate) bool { return c.Offered }); i >= 0 && sooner(&candidates[i]) {
+		return i
+	}
+	i := draw(candidates, fallback, handOverChoices, random, func(c *Candidate) bool { return c.Busy < float64(c.Slots) })
+	if i < 0 || !sooner(&candidates[i]) {
+		return -1
+	}
+	return i
+}
+
+// ServesSooner reports whether the free slot of other serves a flow sooner than
+// own, where it would wait.
+func ServesSooner(own, other Candidate) bool {
+	fallback := meanServiceTime([]Candidate{own, other})
+	return other.cost(fallback) < own.cost(fallback)
+}
+
+// lowest returns the index of the candidate with the lowest cost of those for
+// which usable returns true, or -1.
+func lowest(candidates []Candidate, fallback time.Duration, usable func(*Candidate) bool) int {
+	best, bestCost := -1, math.Inf(1)
 	for i := range candidates {
-		cost := candidates[i].cost(fallback)
-		switch {
-		case cost < bestCost*(1-costTolerance):
-			best, bestCost, ties = i, cost, 1
-		case cost <= bestCost*(1+costTolerance):
-			ties++
-			if tie%ties == 0 {
-				best = i
-			}
-			bestCost = min(cost, bestCost)
+		if !usable(&candidates[i]) {
+			continue
+		}
+		if cost := candidates[i].cost(fallback); cost < bestCost {
+			best, bestCost = i, cost
 		}
 	}
 	return best
 }
 
+// draw draws up to n different candidates at random, in proportion to their
+// capacity, of those for which usable returns true. It returns the index of the
+// one with the lowest cost, or -1 if there is none.
+func draw(candidates []Candidate, fallback time.Duration, n int, random uint64, usable func(*Candidate) bool) int {
+	weights, sum := make([]float64, len(candidates)), 0.0
+	for i := range candidates {
+		if usable(&candidates[i]) {
+			weights[i] = candidates[i].capacity(fallback)
+			sum += weights[i]
+		}
+	}
+	source := rand.New(rand.NewPCG(random, 0))
+	best, bestCost := -1, math.Inf(1)
+	for range n {
+		i := pick(weights, source.Float64()*sum)
+		if i < 0 {
+			break
+		}
+		if cost := candidates[i].cost(fallback); cost < bestCost {
+			best, bestCost = i, cost
+		}
+		sum -= weights[i]
+		weights[i] = 0
+	}
+	return best
+}
+
+// pick returns the index at which the sum of the weights exceeds x, or -1 if all
+// weights are 0.
+func pick(weights []float64, x float64) int {
+	last := -1
+	for i, w := range weights {
+		if w == 0 {
+			continue
+		}
+		last = i
+		if x -= w; x < 0 {
+			break
+		}
+	}
+	return last
+}
+
 func meanServiceTime(candidates []Candidate) time.Duration {
 	sum, n := time.Duration(0), 0
 	for i := range candidates {
@@ -77,9 +162,9 @@
 	return sum / time.Duration(n)
 }
 
-// cost returns the expected time of a request of the flow, in milliseconds.
-// fallback is used if the service time of the candidate is not known.
-func (c *Candidate) cost(fallback time.Duration) float64 {
+// serviceTime returns the mean time of a request at the candidate now, in
+// milliseconds.
+func (c *Candidate) serviceTime(fallback time.Duration) float64 {
 	service := c.ServiceTime
 	if service == 0 {
 		service = fallback
@@ -88,6 +173,19 @@
 	if c.Warming {
 		ms *= warmingFactor
 	}
+	return ms
+}
+
+// capacity returns the number of requests that the candidate serves in a
+// millisecond.
+func (c *Candidate) capacity(fallback time.Duration) float64 {
+	return float64(max(c.Slots, 1)) / c.serviceTime(fallback)
+}
+
+// cost returns the expected time of a request of the flow, in milliseconds.
+// fallback is used if the service time of the candidate is not known.
+func (c *Candidate) cost(fallback time.Duration) float64 {
+	ms := c.serviceTime(fallback)
 	slots := float64(max(c.Slots, 1))
 	load := max(c.Busy, c.Expected) + 1
 	queued := max(0, load-slots) / slots
--- a/core/waitqueue/waitqueue.go
+++ b/core/waitqueue/waitqueue.go
@@ -7,7 +7,10 @@
 // A flow is late if it can no longer meet its objective.
 package waitqueue
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // starvedAfter is the time without a served late flow after which the waiting
 // late flows are refused. It is longer than it takes to serve the backlog of an
@@ -110,6 +113,32 @@
 	return it, true
 }
 
+// TakeFirst removes and returns the first flow, in the order of Pop, for which
+// take returns true.
+func (q *Queue[K, V]) TakeFirst(now, answerTime time.Duration, take func(*Item[K, V]) bool) (it Item[K, V], ok bool) {
+	order := make([]int, len(q.items))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		switch {
+		case q.before(&q.items[a], &q.items[b], now, answerTime):
+			return -1
+		case q.before(&q.items[b], &q.items[a], now, answerTime):
+			return 1
+		}
+		return 0
+	})
+	for _, i := range order {
+		if take(&q.items[i]) {
+			it = q.items[i]
+			q.remove(i)
+			return it, true
+		}
+	}
+	return it, false
+}
+
 func (q *Queue[K, V]) before(a, b *Item[K, V], now, answerTime time.Duration) bool {
 	aLate, bLate := a.late(now, answerTime), b.late(now, answerTime)
 	switch {
