--- a/core/ownership/drained_test.go
+++ b/core/ownership/drained_test.go
@@ -48,6 +48,13 @@
 	f.balancerSends(kind, flow.Packet{Key: fleettest.Key(port), Open: true, Seq: 100, Ack: copies})
 }
 
+// busyPeers reports that the other targets have no free slot, so that flows wait at
+// this one.
+func (f *fixture) busyPeers() {
+	f.fillPeers()
+	f.heartbeat(3, 20)
+}
+
 func (f *fixture) refusals() (reasons []string) {
 	for _, e := range f.out.Events {
 		if e.Kind == plane.EventRefused {
@@ -218,6 +225,7 @@
 		for port := uint16(100); !f.full(); port++ {
 			f.openFlow(port)
 		}
+		f.busyPeers()
 		f.opening(relay.Place, 1, 0)
 		assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.Waiting})
 	}
@@ -366,6 +374,7 @@
 	for port := uint16(100); !f.full(); port++ {
 		f.openFlow(port)
 	}
+	f.busyPeers()
 	f.opening(relay.Place, 1, 0)
 	assert.Equal(t, f.Queued(), 1)
 	f.allowRegions(10, "south")
--- a/core/ownership/warmup.go
+++ b/core/ownership/warmup.go
@@ -37,8 +37,14 @@
 	if m.isOffered(p) || !m.atWarmupLimit(now) || msg.RefusedBy.IsValid() || msg.Hops >= maxHops {
 		return netip.Addr{}, false
 	}
-	return m.chooseAmong(p.Key, m.View.Targets(m.Service), func(t *fleet.Target) bool {
-		until, _ := m.View.ColdUntil(t.Agent())
-		return t.Agent() != m.Self && now >= until && m.eligible(p.Key, t) && m.healthy(now, p.Key, t.Agent())
-	})
+	return m.chooseAmong(now, p.Key, m.View.Targets(m.Service), func(t *fleet.Target) bool {
+		return t.Agent() != m.Self && !m.limitedByWarmup(now, t.Agent()) && m.eligible(p.Key, t) && m.healthy(now, p.Key, t.Agent())
+	}, 0)
+}
+
+// limitedByWarmup reports whether a limit may make a new flow wait at an agent,
+// because its target is warming up.
+func (m *Machine) limitedByWarmup(now time.Duration, agent netip.Addr) bool {
+	until, _ := m.View.ColdUntil(agent)
+	return now < until && m.View.WarmupLimit(m.Service) > 0
 }
