ownership: a duplicated datagram does not lead to a refusal after a drain

Cause: a new random test with agents that learn of drains at different times found that a flow is refused after a target has got it, if the network duplicates the opening packet or the datagram that places it. The home placed the duplicate anew, and an agent that had handed the flow over, or dropped it, did not remember that.

Change: a home ignores a duplicate while the agent that it chose may still report. An agent that has a record of the flow at another agent does not refuse it. The record stays when an agent gives a flow up without an answer.

--- a/core/ownership/eligible.go
+++ b/core/ownership/eligible.go
@@ -68,10 +68,12 @@
 }
 
 // mayBeElsewhere reports whether a target may have got a copy of an opening packet
-// before, through another agent: the caller has sent several, or the agent in
-// RefusedBy left the flow unanswered. Such a flow must not be refused.
-func mayBeElsewhere(p *flow.Packet, msg *relay.Message) bool {
-	return p.Ack > 0 || msg.RefusedBy.IsValid()
+// before, through another agent: the caller has sent several, the agent in RefusedBy
+// left the flow unanswered, or this agent has placed or handed over the flow before.
+// Such a flow must not be refused.
+func (m *Machine) mayBeElsewhere(p *flow.Packet, msg *relay.Message) bool {
+	r := m.records[p.Key]
+	return p.Ack > 0 || msg.RefusedBy.IsValid() || r != nil && r.seq == p.Seq && r.owner != m.Self
 }
 
 // isWithheld reports whether a reason withholds new flows from a target that could
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -29,7 +29,7 @@
 	var tried []netip.Addr
 	if r != nil && r.seq == p.Seq {
 		r.lastSeen = now
-		if r.confirmed && p.Ack == 0 {
+		if p.Ack == 0 && (r.confirmed || !msg.RefusedBy.IsValid() && m.isPlacing(p)) {
 			// The network duplicated the packet.
 			return
 		}
@@ -44,11 +44,17 @@
 	m.place(now, p, msg, tried, out)
 }
 
+// isPlacing reports whether the agent that was chosen for a flow may still report
+// it. That may be this agent.
+func (m *Machine) isPlacing(p *flow.Packet) bool {
+	return m.placements[p.Key] != nil || m.isOffered(p)
+}
+
 // place chooses a target and offers the flow to it.
 func (m *Machine) place(now time.Duration, p *flow.Packet, msg *relay.Message, tried []netip.Addr, out *plane.Out) {
 	to, ok := m.choose(now, p.Key, tried)
 	switch {
-	case !ok && (len(tried) > 0 || mayBeElsewhere(p, msg)):
+	case !ok && (len(tried) > 0 || m.mayBeElsewhere(p, msg)):
 		// An agent in tried may have accepted the flow, and its report was lost. An
 		// earlier copy may have been accepted through another home.
 		m.giveUp(p, msg, "no_other_target", out)
@@ -164,7 +170,7 @@
 // refuses the flow if there is none.
 func (m *Machine) handOver(now time.Duration, p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
 	to, ok := m.handOverTo(now, p, msg)
-	if !ok && isWithheld(reason) && mayBeElsewhere(p, msg) {
+	if !ok && isWithheld(reason) && m.mayBeElsewhere(p, msg) {
 		m.giveUp(p, msg, reason, out)
 		return
 	}
@@ -195,14 +201,17 @@
 	return to, ok && !slices.Contains(tried, to) && msg.Hops < maxHops
 }
 
-// refuse resets a new flow that no target takes.
+// refuse resets a new flow that no target takes, and forgets it.
 func (m *Machine) refuse(p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
 	m.reset(p, reason, out)
 	m.release(p, msg, out)
+	if r := m.records[p.Key]; r != nil && !r.confirmed {
+		delete(m.records, p.Key)
+	}
 }
 
 // giveUp drops a new flow without an answer to its caller, because a target may
-// have accepted it.
+// have accepted it. The record of the flow stays, because it tells which one.
 func (m *Machine) giveUp(p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
 	out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: reason})
 	m.release(p, msg, out)
@@ -213,9 +222,6 @@
 func (m *Machine) release(p *flow.Packet, msg *relay.Message, out *plane.Out) {
 	m.notify(relay.Refused, p.Key, msg, out)
 	m.endPlacement(p.Key)
-	if r := m.records[p.Key]; r != nil && !r.confirmed {
-		delete(m.records, p.Key)
-	}
 }
 
 // notify reports the state of a new flow to its balancer and its home.
