--- a/core/fleet/versions.go
+++ b/core/fleet/versions.go
@@ -26,6 +26,9 @@
 	s.latest, s.revision = c, revision
 }
 
+// Services returns the number of services that are kept for earlier versions.
+func (s *Versions) Services() int { return len(s.services) }
+
 func (s *Versions) addServices(c *Config) {
 	if s.services == nil {
 		s.services = map[PastService]bool{}
--- a/lab/kvstore/restore_test.go
+++ b/lab/kvstore/restore_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -42,6 +43,8 @@
 	view *fleet.View
 	sync *fleetsync.Sync
 	now  func() time.Duration
+	// stop ends the process, at the latest with the test.
+	stop func()
 }
 
 // deployment is a store and the agents that follow it, in one data centre.
@@ -103,11 +106,12 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { _ = p.sync.ReadPlatform(ctx) })
 	loops.Go(func() { _ = p.sync.FetchFromPeers(ctx) })
-	d.t.Cleanup(func() {
+	p.stop = sync.OnceFunc(func() {
 		cancel()
 		loops.Wait()
 		_ = server.Close()
 	})
+	d.t.Cleanup(p.stop)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.processes = append(d.processes, p)
@@ -255,3 +259,57 @@
 		}
 	}
 }
+
+// killReaders ends the processes that watch the store.
+func (d *deployment) killReaders() (killed int) {
+	for _, p := range d.all() {
+		p.mu.Lock()
+		reader := p.sync.Position().Reader
+		p.mu.Unlock()
+		if !reader {
+			continue
+		}
+		d.mu.Lock()
+		d.processes = slices.DeleteFunc(d.processes, func(o *process) bool { return o == p })
+		d.mu.Unlock()
+		p.stop()
+		killed++
+	}
+	return killed
+}
+
+// Guards against a version that stays out of force because the processes that take
+// over from killed readers ask for all versions since their start and cannot read
+// the answer.
+func TestVersionAfterAStormAndTheLossOfTheReaders(t *testing.T) {
+	const routes, versions = 350, 75
+	d := newDeployment(t)
+	config := func(version int, dropped bool) []byte {
+		b := fmt.Appendf(nil, `{"version":%d,"routes":[`, version)
+		for i := range routes {
+			if i == 0 && dropped {
+				continue
+			}
+			b = fmt.Appendf(b, `{"name":"route-%03d-with-a-long-name-as-they-have-it-in-use","host":"198.18.0.1","prefix":"/%d/","route-type":"safe","timeout-ms":%d,"target-latency-ms":120,"priority":2,"service":%q},`, i, i+1, 2000+version, service)
+		}
+		return append(b[:len(b)-1], "]}"...)
+	}
+	size := 0
+	for version := 2; version < 2+versions; version++ {
+		value := config(version, false)
+		d.store.Put("op/config", value)
+		size += len(value) * 4 / 3
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Assert(t, size > 5<<20, "a watch from the start has only %d bytes", size)
+	d.awaitVersion(1 + versions)
+	// The processes that stop here end their calls first, so that nobody reads the
+	// next version on their behalf.
+	assert.Equal(t, d.killReaders(), fleet.Readers)
+	d.store.Put("op/config", config(2+versions, true))
+	d.awaitVersion(2 + versions)
+	d.await("the dropped route", func(p *process) bool {
+		_, ok := p.view.Route(netip.MustParseAddrPort("198.18.0.1:1"))
+		return !ok
+	})
+}
--- a/node/fleetsync/calls.go
+++ b/node/fleetsync/calls.go
@@ -12,14 +12,28 @@
 	"trefoilweir.example/node/telemetry"
 )
 
+// advanceCursor moves the position of the next watch to what the view is complete
+// to. A process that follows peers for a long time would otherwise get all changes
+// since its last call when it takes over from them.
+func (s *Sync) advanceCursor() {
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	to := s.View.CompleteTo(s.Now())
+	if s.historyLost || !s.View.Usable() || to.Revision == 0 || !to.LaterThan(s.cursor) {
+		return
+	}
+	s.cursor = fleet.Progress{Epoch: to.Epoch, Revision: to.Revision}
+}
+
 // call makes one call to the platform: a snapshot if there is no revision to
 // continue from, otherwise a watch. changed reports whether the view changed,
 // events whether the response has any change.
 func (s *Sync) call(ctx context.Context, wait time.Duration) (changed, events bool, err error) {
 	var d *fleet.Delta
+	s.advanceCursor()
 	if s.cursor == (fleet.Progress{}) {
 		if d, err = s.snapshot(ctx); err == nil {
-			s.cursor = fleet.Progress{Epoch: d.Epoch, Revision: d.ListingRevision}
+			s.cursor, s.historyLost = fleet.Progress{Epoch: d.Epoch, Revision: d.ListingRevision}, false
 		}
 	} else {
 		d, err = s.watch(ctx, wait)
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -41,6 +41,9 @@
 	// idleCheckInterval is how often a process that is not a reader checks the
 	// age of its view.
 	idleCheckInterval = 100 * time.Millisecond
+	// peerIdleTimeout closes connections to peers that are not used, because one may
+	// have gone silent meanwhile and would cost pullTimeout.
+	peerIdleTimeout = time.Second
 	// pollWait is the wait of a watch that polls the platform once.
 	pollWait = time.Millisecond
 	// seedPhase is how long a process requests a view from the seeds, instead of
@@ -64,8 +67,8 @@
 	// Watch returns the changes after a position, and the position from which
 	// the next Watch continues. It waits for a change for a limited time.
 	Watch(ctx context.Context, after fleet.Progress, wait time.Duration) (*fleet.Delta, fleet.Progress, error)
-	// IsHistoryLost reports whether err means that the platform does not have the
-	// history for a Watch, so that a Snapshot is needed.
+	// IsHistoryLost reports whether err means that the history for a Watch cannot be
+	// read, so that a Snapshot is needed.
 	IsHistoryLost(err error) bool
 }
 
@@ -108,9 +111,10 @@
 	firstViewOnce sync.Once
 	// gaps is signalled when the view does not know all removals.
 	gaps chan struct{}
-	// cursor is the position from which the next Watch continues, zero if a
-	// Snapshot is needed.
-	cursor fleet.Progress
+	// cursor is the position from which the next Watch continues, zero if there is
+	// none. historyLost says that a Snapshot is needed.
+	cursor      fleet.Progress
+	historyLost bool
 	// reachable reports whether the last call to the platform succeeded.
 	reachable, everCalled bool
 	failures              int
@@ -129,7 +133,7 @@
 	return &Sync{
 		Options: o, hints: make(chan hint, 1), firstView: make(chan struct{}), gaps: make(chan struct{}, 1),
 		client: &http.Client{Timeout: pullTimeout, Transport: &http.Transport{
-			DialContext: (&net.Dialer{Timeout: pullTimeout}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second,
+			DialContext: (&net.Dialer{Timeout: pullTimeout}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout,
 		}},
 		calls:  o.Metrics.GetOrCreateCounter("trefoilweir_platform_calls_total"),
 		failed: o.Metrics.GetOrCreateCounter("trefoilweir_platform_errors_total"),
@@ -240,8 +244,8 @@
 
 func (s *Sync) callFailed(ctx context.Context, err error, usable bool) time.Duration {
 	if s.Source.IsHistoryLost(err) {
-		s.Log.Warn("platform does not have the history; reading a snapshot", zap.Uint64("epoch", s.cursor.Epoch), zap.Uint64("after", s.cursor.Revision), telemetry.Error(err))
-		s.cursor = fleet.Progress{}
+		s.Log.Warn("history of the platform cannot be read; reading a snapshot", zap.Uint64("epoch", s.cursor.Epoch), zap.Uint64("after", s.cursor.Revision), telemetry.Error(err))
+		s.cursor, s.historyLost = fleet.Progress{}, true
 		return 0
 	}
 	if ctx.Err() != nil {
--- a/node/fleetsync/fleetsync_test.go
+++ b/node/fleetsync/fleetsync_test.go
@@ -99,6 +99,57 @@
 	assert.Equal(t, len(f.platform.snapshots), 2)
 }
 
+// Guards against a process that takes over from lost readers and asks for all
+// changes since its start, which may be too many to read, and against one that
+// skips changes because it continues from a revision that its view is not complete
+// to, or from a revision of another epoch.
+func TestWatchContinuesFromWhatPeersTold(t *testing.T) {
+	f := newFixture(4)
+	f.platform.delta.Config, f.platform.delta.ConfigRevision = &fleet.Config{Version: 1}, 1
+	at := func(epoch, revision uint64) {
+		t.Helper()
+		_, _, err := f.call(t.Context(), pollWait)
+		assert.NilError(t, err)
+		assert.Equal(t, f.platform.watched[len(f.platform.watched)-1], fleet.Progress{Epoch: epoch, Revision: revision})
+	}
+	_, _, err := f.call(t.Context(), pollWait)
+	assert.NilError(t, err)
+	assert.Equal(t, len(f.platform.watched), 0)
+	at(0, 9)
+	f.now = time.Second
+	f.apply(&fleet.Delta{Revision: 500}, "peer")
+	at(0, 500)
+	// A patch that does not apply leaves the view at its revision.
+	f.apply(&fleet.Delta{Revision: 600, Patch: &fleet.ConfigPatch{Base: 7, Version: 8}}, "peer")
+	at(0, 500)
+	// A peer that has just started gives a delta that skips changes. They are named
+	// by a watch from before.
+	f.now = 2 * time.Second
+	f.apply(&fleet.Delta{Full: true, Revision: 700}, "peer")
+	at(0, 500)
+	at(0, 700)
+	known := fleet.RemovedEntryRetention.Milliseconds()
+	f.apply(&fleet.Delta{Epoch: 2, Full: true, Revision: 3, RemovalsKnownMS: &known}, "peer")
+	at(2, 3)
+	f.apply(&fleet.Delta{Epoch: 1, Full: true, Revision: 900, Config: &fleet.Config{Version: 5}, RemovalsKnownMS: &known}, "peer")
+	at(2, 3)
+	// A process that has never read the platform itself continues likewise.
+	g := newFixture(0)
+	g.View.Apply(0, &fleet.Delta{Full: true, Revision: 30, Config: &fleet.Config{Version: 1}, RemovalsKnownMS: &known})
+	_, _, err = g.call(t.Context(), pollWait)
+	assert.NilError(t, err)
+	assert.Equal(t, g.platform.watched[0].Revision, uint64(30))
+	// If the history cannot be read, it reads a listing.
+	g.platform.err, g.now = errHistoryLost, 5*time.Second
+	g.readOnce(t.Context())
+	assert.Assert(t, g.historyLost)
+	g.platform.err = nil
+	g.View.Apply(0, &fleet.Delta{Revision: 31, ConfirmedMS: 5000})
+	g.readOnce(t.Context())
+	assert.Equal(t, len(g.platform.snapshots), 1)
+	assert.Assert(t, !g.historyLost)
+}
+
 // Guards against every process fetching a change from another data centre,
 // because a peer there announces it first.
 func TestChangesComeFromNearPeers(t *testing.T) {
@@ -221,7 +272,7 @@
 	f := newFixture(4)
 	f.platform.delta.Config, f.platform.delta.ConfigRevision = &fleet.Config{Version: 1}, 1
 	f.readOnce(context.Background())
-	f.cursor, f.now = fleet.Progress{}, f.Position().TakeoverAge
+	f.cursor, f.historyLost, f.now = fleet.Progress{}, true, f.Position().TakeoverAge
 	p := &silentPlatform{fakePlatform: f.platform, unanswered: 9}
 	f.Source = p
 	ctx, cancel := context.WithTimeout(context.Background(), 3*hedgeInterval)
