ownership: only answers to a survey's question end it

Cause: any message of an agent about a flow counted as its answer to a survey, also that the flow waits or was refused there.

Change: a survey counts NotOwner and MaybeOwner of the agents that it asked, and ends without a result at a report of an owner, as before. The same class: the estimate of how long a placed flow takes to be reported counted answers to searches; it counts reports only.

Result: TestOtherMessagesAnswerNoSurvey (a result after three "waiting") and TestAnswerToASearchIsNoReport failed before. The tests of core/ownership pass, with -race too.

--- a/core/ownership/answers.go
+++ b/core/ownership/answers.go
@@ -17,7 +17,8 @@
 	p.heard(now, msg.Load)
 	m.recordSurveyAnswer(from, msg, out)
 	s := m.searches[msg.Flow]
-	if pl := m.placements[msg.Flow]; pl != nil {
+	isReport := msg.Kind == relay.Owner || msg.Kind == relay.Waiting || msg.Kind == relay.Refused
+	if pl := m.placements[msg.Flow]; pl != nil && isReport {
 		m.reportTimes.Observe(now - pl.sentAt)
 	}
 	switch {
--- a/core/ownership/survey.go
+++ b/core/ownership/survey.go
@@ -62,22 +62,27 @@
 	m.endSurveys(p.Key, out)
 }
 
-// recordSurveyAnswer records the answer of an agent of the local data centre.
+// recordSurveyAnswer records the answer of an agent of the local data centre. Other
+// messages about the flow, such as that it waits or was refused at the agent, do not
+// say whether its target holds the flow.
 func (m *Machine) recordSurveyAnswer(from netip.Addr, msg *relay.Message, out *plane.Out) {
-	if len(m.surveys[msg.Flow]) == 0 {
+	switch {
+	case len(m.surveys[msg.Flow]) == 0:
 		return
-	}
-	if msg.Kind == relay.Owner {
+	case msg.Kind == relay.Owner:
 		delete(m.surveys, msg.Flow)
 		return
+	case msg.Kind != relay.NotOwner && msg.Kind != relay.MaybeOwner:
+		return
 	}
 	for _, s := range m.surveys[msg.Flow] {
-		if s.asked[from] && msg.Kind == relay.MaybeOwner {
-			s.maybeOwners = append(s.maybeOwners, from)
+		if !s.asked[from] {
+			continue
 		}
-		if s.asked[from] {
-			s.probes += int(msg.Probes)
+		if msg.Kind == relay.MaybeOwner {
+			s.maybeOwners = append(s.maybeOwners, from)
 		}
+		s.probes += int(msg.Probes)
 		delete(s.asked, from)
 	}
 	m.endSurveys(msg.Flow, out)
--- a/core/ownership/survey_test.go
+++ b/core/ownership/survey_test.go
@@ -179,6 +179,50 @@
 	assert.Equal(t, s.toTarget[fleettest.Agent(6)], 1)
 }
 
+// Guards against a survey that takes any message about the flow for the answer to
+// its question, so that it ends before the owner has answered and the asker resets
+// an open flow.
+func TestOtherMessagesAnswerNoSurvey(t *testing.T) {
+	p := flow.Packet{Key: fleettest.Key(1), Seq: 111, Ack: 5001, Len: 10}
+	asker, surveyor := fleettest.Agent(0), fleettest.Agent(4)
+	for _, kind := range []relay.Kind{relay.Waiting, relay.Refused, relay.SurveyResult} {
+		s := newCluster(t, 2, 4)
+		m := s.agents[surveyor]
+		results := func(from netip.Addr, message relay.Message) (n int) {
+			var out plane.Out
+			message.Service, message.Flow = tag, p.Key
+			m.FromPeer(0, from, &message, &out)
+			for _, send := range out.Sends {
+				if send.To == asker && send.Message.Kind == relay.SurveyResult {
+					n++
+				}
+			}
+			return n
+		}
+		assert.Equal(t, results(asker, relay.Message{Kind: relay.Survey, Hops: 1, Origin: balancer, Home: asker, Progress: m.View.Progress(),
+			Roster: m.View.Roster(fleettest.Service, "dc-1"), Body: flowtest.Encode(p)}), 0)
+		for n := byte(5); n < 8; n++ {
+			assert.Equal(t, results(fleettest.Agent(n), relay.Message{Kind: kind}), 0, "%v of agent %d", kind, n)
+		}
+		for n := byte(5); n < 8; n++ {
+			assert.Equal(t, results(fleettest.Agent(n), relay.Message{Kind: relay.NotOwner}), map[bool]int{true: 1}[n == 7])
+		}
+	}
+}
+
+// Guards against an estimate of how long a placed flow takes to be reported that
+// counts answers to a search, which say nothing about it.
+func TestAnswerToASearchIsNoReport(t *testing.T) {
+	for kind, counts := range map[relay.Kind]bool{relay.NotOwner: false, relay.MaybeOwner: false, relay.Owner: true, relay.Waiting: true, relay.Refused: true} {
+		m := newCluster(t, 1, 4).agents[fleettest.Agent(0)]
+		m.placements[fleettest.Key(1)] = &placement{tried: []netip.Addr{fleettest.Agent(1)}}
+		before := m.reportTimes.Timeout()
+		var out plane.Out
+		m.FromPeer(minOwnerTimeout, fleettest.Agent(1), &relay.Message{Kind: kind, Service: tag, Flow: fleettest.Key(1)}, &out)
+		assert.Equal(t, m.reportTimes.Timeout() != before, counts, "%v", kind)
+	}
+}
+
 // Guards against a search that stalls because the first agent asked cannot
 // answer for its data centre. Right after an outage many agents have no view
 // yet.
