fleet: removals are not settled by processes that started after a disturbance

Cause 1: an entry that only an outdated view listed was passed on as removed with the revision at which it was last listed. A view that had it listed fetched a full delta, ignored the removal and counted as up to date, so it listed the entry for ever. Cause 2: after an outage in which the entries of all targets lapsed, the platform lists only the agents that have just started. A starting process asked these for removed entries, took it from their age that all processes had restarted, and counted its removals as complete.

Change: such an entry is passed on with the revision of the view, which is complete without it. An attempt to learn removals does not settle them while the platform was disturbed within the last 2 s; a start without a disturbance takes as long as before.

Result: TestEntryRemovedJustBeforeTheListing and TestPeersOfDifferentAgeDoNotSettle are stricter, fail before and pass now.

--- a/core/fleet/delta.go
+++ b/core/fleet/delta.go
@@ -23,7 +23,7 @@
 	if full || !complete {
 		entries = v.entriesAfter(after)
 	}
-	d.add(now, entries)
+	d.add(now, entries, v.revision)
 	if full {
 		d.RemovalsKnownMS = v.removalHistory.knownMS(now)
 	}
@@ -49,10 +49,16 @@
 	return entries
 }
 
-func (d *Delta) add(now time.Duration, entries []*entry) {
+// add adds the newest states of entries of a view with a revision. The revision at
+// which an unseen entry was removed is not known; it is at most that of the view.
+func (d *Delta) add(now time.Duration, entries []*entry, revision uint64) {
 	d.Changes = make([]Change, 0, len(entries))
 	for _, e := range entries {
-		d.Changes = append(d.Changes, e.change(now))
+		c := e.change(now)
+		if e.unseen {
+			c.Revision = revision
+		}
+		d.Changes = append(d.Changes, c)
 	}
 }
 
--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -64,7 +64,7 @@
 			removed = append(removed, e)
 		}
 	}
-	d.add(now, removed)
+	d.add(now, removed, v.revision)
 	return d
 }
 
--- a/core/fleet/removals_test.go
+++ b/core/fleet/removals_test.go
@@ -32,6 +32,11 @@
 		since := v.Since(now, Progress{})
 		other.Apply(now, &since)
 		assert.Equal(t, len(other.RemovedTargets("booking")), 1)
+		behind := New()
+		behind.Apply(now, &told)
+		since = v.Since(now, behind.Progress())
+		behind.Apply(now, &since)
+		assert.Equal(t, len(behind.Targets("booking")), 0, "the entry stays listed at a view that fetches from this one")
 		// The target writes its entry again.
 		v.Apply(now, &Delta{Revision: 12, Changes: []Change{{ID: "a", Revision: 12, Target: listed.Target}}})
 		assert.Equal(t, len(v.Targets("booking")), 1)
--- a/core/ownership/openflow_platform_test.go
+++ b/core/ownership/openflow_platform_test.go
@@ -316,7 +316,7 @@
 func (p *process) askForRemovals(peers []netip.Addr, alone, answered bool, longest time.Duration) {
 	if len(peers) == 0 || p.view.RemovalsKnown(p.now()) {
 		p.sync.askingRemovals = false
-		if alone || answered && longest <= p.now()+startSpread {
+		if alone || answered && longest <= p.now()+startSpread && !p.view.RecentlyDisturbed(p.now()) {
 			p.sync.removalAnswers++
 		}
 		if p.sync.removalAnswers >= removalAttempts || p.now() > maxRemovalsWait {
--- a/node/fleetsync/removals.go
+++ b/node/fleetsync/removals.go
@@ -67,9 +67,11 @@
 
 // askForRemovals asks some peers for removed entries, until one of them knows
 // those of the whole retention time. It reports whether the peers that have
-// answered started with this process, or there is no peer.
+// answered started with this process, or there is no peer. If the platform was
+// disturbed recently, it lists few of the agents that run, so those that were asked
+// say nothing about the others.
 func (s *Sync) askForRemovals(ctx context.Context) (together bool) {
-	peers, alone := s.removalCandidates()
+	peers, alone, disturbed := s.removalCandidates()
 	answered, longest := false, time.Duration(0)
 	for _, peer := range peers {
 		from := netip.AddrPortFrom(peer, s.PeerPort)
@@ -83,7 +85,7 @@
 			break
 		}
 	}
-	return alone || answered && longest <= s.Now()+startSpread
+	return alone || answered && longest <= s.Now()+startSpread && !disturbed
 }
 
 func (s *Sync) settleRemovals() {
@@ -100,10 +102,11 @@
 
 // removalCandidates returns the peers to ask: agents of the local data centre, or of
 // others if there is none, at random. alone reports that there is no other agent
-// in the fleet.
-func (s *Sync) removalCandidates() (peers []netip.Addr, alone bool) {
+// in the fleet, and disturbed that the platform was disturbed recently.
+func (s *Sync) removalCandidates() (peers []netip.Addr, alone, disturbed bool) {
 	s.Lock.Lock()
 	expected := s.View.ExpectsTargets(s.Now())
+	disturbed = s.View.RecentlyDisturbed(s.Now())
 	agents := slices.Clone(s.View.Agents())
 	near := slices.DeleteFunc(slices.Clone(agents), func(a netip.Addr) bool { return !s.isLocal(a) || a == s.Self })
 	s.Lock.Unlock()
@@ -111,7 +114,7 @@
 		near = slices.DeleteFunc(agents, func(a netip.Addr) bool { return a == s.Self })
 	}
 	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	return near[:min(len(near), removalPeers)], len(near) == 0 && !expected
+	return near[:min(len(near), removalPeers)], len(near) == 0 && !expected, disturbed
 }
 
 // pullRemovals fetches the removed entries of a peer, and returns for how long
--- a/node/fleetsync/removals_test.go
+++ b/node/fleetsync/removals_test.go
@@ -124,6 +124,10 @@
 	assert.Assert(t, !f.askForRemovals(context.Background()))
 	peer.now = startSpread - 100*time.Millisecond
 	assert.Assert(t, f.askForRemovals(context.Background()))
+	// After a disturbance the platform may list only the agents that have just
+	// started, although others run: they say nothing about those.
+	f.View.RecordDisturbance(f.now)
+	assert.Assert(t, !f.askForRemovals(context.Background()))
 }
 
 // Guards against a process that takes a peer without a view for one that knows
