ownership: a flow is not idle because its packets are lost elsewhere

Cause: an owner forgot a flow after twice the idle timeout without a packet, and an agent that restarted without a table denied unknown flows after the idle timeout and 1 s. An active caller's packets may be lost for that long before they reach the agent, because balancers have no view or a search waits for agents that do not answer.

Change: an owner keeps an open flow for flow-ttl after its last packet (60 s, or twice the idle timeout if that is longer), and idleMargin is 10 s, which is how long a caller without an answer sends again. With an idle timeout of 15 s, an agent that was killed is in doubt for 25 s (16 s before).

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -126,9 +126,10 @@
 	// So no other agent has seen a target that started at most this long before
 	// its agent.
 	maxStartSkew = 250 * time.Millisecond
-	// idleMargin is added to the idle timeout, because a packet may have been
-	// in flight when the agent restarted.
-	idleMargin = time.Second
+	// idleMargin is added to the idle timeout: a caller whose packets get no answer
+	// sends them again for up to 10 s, and until then all of them may be lost before
+	// they reach the agent.
+	idleMargin = 10 * time.Second
 	// targetCheckInterval is the time between checks whether a target that does
 	// not return probes is running.
 	targetCheckInterval = 300 * time.Millisecond
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -65,8 +65,11 @@
 func (m *Machine) sweep(now time.Duration) {
 	m.lastSweep = now
 	idle := 2 * cmp.Or(m.idleTimeout(), defaultIdleTTL/2)
+	// An active caller's packets may be lost before they reach the agent, so a flow
+	// is not idle only because the agent sees no packets of it.
+	ttl := max(idle, cmp.Or(m.FlowTTL, defaultFlowTTL))
 	for key, f := range m.flows {
-		m.sweepFlow(now, key, f, idle)
+		m.sweepFlow(now, key, f, ttl)
 	}
 	for key, r := range m.records {
 		if now-r.lastSeen > idle {
@@ -83,8 +86,7 @@
 	return max(m.longestIdleTimeout, m.View.IdleTimeout())
 }
 
-func (m *Machine) sweepFlow(now time.Duration, key flow.Key, f *ownedFlow, idle time.Duration) {
-	ttl := idle
+func (m *Machine) sweepFlow(now time.Duration, key flow.Key, f *ownedFlow, ttl time.Duration) {
 	if f.ended() {
 		ttl = closedFlowTTL
 	}
