ownership: other services of the address are asked before targets are probed

Cause: a search in one service probed all targets whose agents could not deny the flow, without a budget once all agents of that service had answered. The flow may be held in another service of its address, so three and more packets reached other targets, most of them beside agents of added VMs, which start without a flow table.

Change: before it probes, a search sends the packet to the next service of the address that has not denied the flow, as a Redirect with two hops. There an owner delivers it; or the service denies the flow, and the packet comes back with it in the list; or all agents answer and some cannot deny, and the packet comes back with three hops, after which the search probes as before. If nothing comes back for 120 ms, each service has a budget of one probe instead of two.

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -116,6 +116,18 @@
 	// none has reached its own.
 	probeBudget = 2
 	probeWindow = 30 * time.Second
+	// sharedProbeBudget is the number of probes in probeWindow as long as another
+	// service of the address may hold the flow and probe for it too.
+	sharedProbeBudget = 1
+	// probeDeferral is how long a search waits with probes for the result of another
+	// service. A search takes about 100 ms if some agent does not answer.
+	probeDeferral = 120 * time.Millisecond
+	// deferredHops is the number of hops of a Redirect from a service that waits
+	// with probes for the result. clearedHops is that of its answer if all agents
+	// have answered and some may hold the flow. An earlier release takes both for a
+	// Redirect from a service that does not hold the flow, searches, and probes.
+	deferredHops = 2
+	clearedHops  = 3
 	// probeRepeatInterval is the time after which a search gives a target the
 	// same packet again, because the probe may have been lost.
 	probeRepeatInterval = 2500 * time.Millisecond
--- a/core/ownership/nextservice_test.go
+++ b/core/ownership/nextservice_test.go
@@ -174,3 +174,53 @@
 		assert.Equal(t, s.resets, 0)
 	}
 }
+
+// doubt makes agents doubt which flows their targets hold, as after a restart
+// without a flow table.
+func (s *cluster) doubt(agents ...byte) {
+	for _, n := range agents {
+		s.agents[fleettest.Agent(n)].unknownFlowsUntil = defaultFlowTTL
+	}
+}
+
+// Guards against packets of an open flow at targets of a service that does not hold
+// it: new agents of that service cannot deny the flow, although the owner in the
+// other service is known.
+func TestOtherServiceIsAskedBeforeProbes(t *testing.T) {
+	for owner := byte(firstOther); owner < firstOther+agentsEach; owner++ {
+		s := newSplitCluster(t, splitRoutes(1, 1))
+		s.doubt(0, 1, 2)
+		s.openAt(owner)
+		s.send(0, relay.Packet, heldPacket)
+		assert.Equal(t, s.resets, 0)
+		assert.Equal(t, s.toTarget[fleettest.Agent(owner)], 1)
+		assert.Equal(t, s.packetsToTargets(), 1)
+		assert.Equal(t, s.reporter, fleettest.Agent(owner))
+	}
+}
+
+// Guards against two services that wait for each other if agents of both cannot
+// deny the flow.
+func TestServicesInDoubtDoNotWaitForEachOther(t *testing.T) {
+	s := newSplitCluster(t, splitRoutes(1, 1))
+	s.doubt(0, 1, 2, firstOther, firstOther+1, firstOther+2)
+	s.send(0, relay.Packet, heldPacket)
+	assert.Equal(t, s.packetsToTargets(), probeBudget)
+	assert.Equal(t, s.toTarget[fleettest.Agent(0)]+s.toTarget[fleettest.Agent(1)]+s.toTarget[fleettest.Agent(2)], probeBudget, "probes in both services")
+}
+
+// Guards against more probes than the budget by two services together, while an
+// agent that may hold the flow does not answer.
+func TestServicesShareTheProbeBudget(t *testing.T) {
+	s := newSplitCluster(t, splitRoutes(1, 1))
+	s.doubt(0, 1, 2, firstOther, firstOther+1)
+	delete(s.agents, fleettest.Agent(firstOther+2))
+	for now := time.Duration(0); now < 2*time.Second; now += 10 * ms {
+		s.tick(now)
+		if now%(200*ms) == 0 {
+			s.send(0, relay.Packet, heldPacket)
+		}
+	}
+	assert.Equal(t, s.resets, 0)
+	assert.Assert(t, s.packetsToTargets() > 0 && s.packetsToTargets() <= probeBudget, "%d probes", s.packetsToTargets())
+}
--- a/core/ownership/probe.go
+++ b/core/ownership/probe.go
@@ -63,14 +63,18 @@
 // probeMaybeOwners sends probes to the agents whose targets may hold the flow.
 // At most probeBudget probes are on their way at a time, so few packets reach
 // other targets after the one that holds the flow. Unless all agents have
-// answered, the flow has at most probeBudget probes in probeWindow.
+// answered, the flow has at most probeBudget probes in probeWindow, and
+// sharedProbeBudget if another service may hold it.
 func (m *Machine) probeMaybeOwners(now time.Duration, key flow.Key, s *search, out *plane.Out) {
 	p, err := m.Codec.FromCaller(s.raw)
 	if err != nil {
 		return
 	}
+	if len(s.maybeOwners) == 0 || m.deferProbes(now, &p, s, out) {
+		return
+	}
 	for _, a := range slices.Clone(s.maybeOwners) {
-		if len(s.probing) >= probeBudget || !s.allAnswered && s.probeCount(now) >= probeBudget {
+		if !m.mayProbe(now, s) {
 			return
 		}
 		if s.probing[a] || s.hasProbed(now, a, &p) || !slices.Contains(s.maybeOwners, a) {
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -23,6 +23,14 @@
 	// deniedServices has the tags of the services that were searched for the
 	// flow before this one.
 	deniedServices []uint64
+	// otherServices says that another service of the address may hold the flow.
+	// deferred says that the search waits with probes for the result of that
+	// service, since deferredAt. cleared says that the other service has answered
+	// that none of its agents knows that it holds the flow. waiter is the agent of
+	// another service that waits for the result of this search, if there is one.
+	otherServices, deferred, cleared bool
+	deferredAt                       time.Duration
+	waiter                           netip.Addr
 	// retries counts the rounds that the agent began without a packet of the
 	// caller, surveysSent the surveys, and declinedSurveys the surveys of this
 	// round that the asked agent declined. remote says that the round has asked
@@ -85,6 +93,9 @@
 	s := m.searches[p.Key]
 	if s != nil && !s.done {
 		// The search is running. The caller will send the packet again.
+		if msg.Kind == relay.Redirect && p.Ack == s.ack {
+			s.deniedServices, s.cleared = msg.DeniedServices, s.cleared || msg.Hops >= clearedHops
+		}
 		return
 	}
 	if s != nil && s.noOwner && s.ack == p.Ack {
@@ -97,6 +108,7 @@
 		m.searches[p.Key] = s
 	}
 	s.deniedServices = msg.DeniedServices
+	s.noteRedirect(msg)
 	if !msg.Home.IsValid() && m.mayHold(now, p.Key) {
 		switch {
 		case s.probeCount(now) < probeBudget:
@@ -288,6 +300,7 @@
 func (m *Machine) checkSearches(now time.Duration, out *plane.Out) {
 	for key, s := range m.searches {
 		m.retrySearch(now, s, out)
+		m.endDeferral(now, key, s, out)
 		if !s.done && !s.remote && now-s.roundStart >= searchTimeout {
 			unanswered := len(s.asked)
 			m.searchRemote(now, key, s, out)
