fleetsync: other data centres are asked before removals are settled

Cause: two agents of a small data centre that restarted in turn asked each other for removed entries while the others there were down or not listed. Each took it from the other's age that all processes had restarted, and counted its removals as complete.

Change: the second and third attempt ask two agents of other data centres too. A start of all processes takes as many attempts as before.

Result: TestOtherDataCentresAreAskedBeforeSettling.

--- a/core/ownership/openflow_platform_test.go
+++ b/core/ownership/openflow_platform_test.go
@@ -304,10 +304,18 @@
 	if len(peers) == 0 {
 		peers = others
 	}
-	p.w.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	choose := func(from []netip.Addr) []netip.Addr {
+		p.w.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
+		return from[:min(len(from), removalPeers)]
+	}
+	far := slices.DeleteFunc(slices.Clone(others), func(a netip.Addr) bool { return slices.Contains(peers, a) })
+	peers = choose(peers)
+	if s.removalAnswers > 0 {
+		peers = append(peers, choose(far)...)
+	}
 	s.askingRemovals = true
 	alone := len(peers) == 0 && !p.view.ExpectsTargets(now)
-	p.askForRemovals(peers[:min(len(peers), removalPeers)], alone, false, 0)
+	p.askForRemovals(peers, alone, false, 0)
 	return removalsRetryInterval
 }
 
--- a/node/fleetsync/removals.go
+++ b/node/fleetsync/removals.go
@@ -49,7 +49,9 @@
 	case <-s.firstView:
 	}
 	for together := 0; ctx.Err() == nil && !s.removalsKnown(); {
-		if s.askForRemovals(ctx) {
+		// All agents that run in a small data centre may have restarted in turn, so
+		// others are asked before their answers count.
+		if s.askForRemovals(ctx, together > 0) {
 			together++
 		}
 		if together >= removalAttempts || s.Now() > maxRemovalsWait {
@@ -66,12 +68,12 @@
 }
 
 // askForRemovals asks some peers for removed entries, until one of them knows
-// those of the whole retention time. It reports whether the peers that have
-// answered started with this process, or there is no peer. If the platform was
+// those of the whole retention time. With everywhere, it asks some of other data
+// centres too. It reports whether the peers that have answered started with this process, or there is no peer. If the platform was
 // disturbed recently, it lists few of the agents that run, so those that were asked
 // say nothing about the others.
-func (s *Sync) askForRemovals(ctx context.Context) (together bool) {
-	peers, alone, disturbed := s.removalCandidates()
+func (s *Sync) askForRemovals(ctx context.Context, everywhere bool) (together bool) {
+	peers, alone, disturbed := s.removalCandidates(everywhere)
 	answered, longest := false, time.Duration(0)
 	for _, peer := range peers {
 		from := netip.AddrPortFrom(peer, s.PeerPort)
@@ -101,20 +103,27 @@
 }
 
 // removalCandidates returns the peers to ask: agents of the local data centre, or of
-// others if there is none, at random. alone reports that there is no other agent
+// others if there is none, at random, and with everywhere also of others. alone reports that there is no other agent
 // in the fleet, and disturbed that the platform was disturbed recently.
-func (s *Sync) removalCandidates() (peers []netip.Addr, alone, disturbed bool) {
+func (s *Sync) removalCandidates(everywhere bool) (peers []netip.Addr, alone, disturbed bool) {
 	s.Lock.Lock()
 	expected := s.View.ExpectsTargets(s.Now())
 	disturbed = s.View.RecentlyDisturbed(s.Now())
 	agents := slices.Clone(s.View.Agents())
 	near := slices.DeleteFunc(slices.Clone(agents), func(a netip.Addr) bool { return !s.isLocal(a) || a == s.Self })
 	s.Lock.Unlock()
-	if len(near) == 0 {
-		near = slices.DeleteFunc(agents, func(a netip.Addr) bool { return a == s.Self })
+	far := slices.DeleteFunc(agents, func(a netip.Addr) bool { return a == s.Self || slices.Contains(near, a) })
+	peers = chooseSome(near, removalPeers)
+	if everywhere || len(near) == 0 {
+		peers = append(peers, chooseSome(far, removalPeers)...)
 	}
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	return near[:min(len(near), removalPeers)], len(near) == 0 && !expected, disturbed
+	return peers, len(peers) == 0 && !expected, disturbed
+}
+
+// chooseSome returns at most count of some agents, at random.
+func chooseSome(agents []netip.Addr, count int) []netip.Addr {
+	rand.Shuffle(len(agents), func(i, j int) { agents[i], agents[j] = agents[j], agents[i] })
+	return slices.Clone(agents[:min(len(agents), count)])
 }
 
 // pullRemovals fetches the removed entries of a peer, and returns for how long
--- a/node/fleetsync/removals_test.go
+++ b/node/fleetsync/removals_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -76,9 +77,9 @@
 func TestProcessWithoutPeersSettles(t *testing.T) {
 	f := startedProcess(t)
 	f.Self = fleettest.Agent(0)
-	assert.Assert(t, !f.askForRemovals(context.Background()), "targets may be listed soon")
+	assert.Assert(t, !f.askForRemovals(context.Background(), false), "targets may be listed soon")
 	f.now = fleet.ReturnGrace + time.Millisecond
-	assert.Assert(t, f.askForRemovals(context.Background()))
+	assert.Assert(t, f.askForRemovals(context.Background(), false))
 }
 
 // Guards against a process that takes the first peers' ignorance for knowledge,
@@ -121,13 +122,13 @@
 	target.Address = netip.AddrPortFrom(address.Addr(), 80)
 	f.View.Apply(0, &fleet.Delta{Revision: 10, Changes: []fleet.Change{{ID: "peer", Revision: 10, Target: &target}}})
 	f.PeerPort, f.DataCentre, f.Self = address.Port(), fleettest.DataCentre, fleettest.Agent(0)
-	assert.Assert(t, !f.askForRemovals(context.Background()))
+	assert.Assert(t, !f.askForRemovals(context.Background(), false))
 	peer.now = startSpread - 100*time.Millisecond
-	assert.Assert(t, f.askForRemovals(context.Background()))
+	assert.Assert(t, f.askForRemovals(context.Background(), false))
 	// After a disturbance the platform may list only the agents that have just
 	// started, although others run: they say nothing about those.
 	f.View.RecordDisturbance(f.now)
-	assert.Assert(t, !f.askForRemovals(context.Background()))
+	assert.Assert(t, !f.askForRemovals(context.Background(), false))
 }
 
 // Guards against a process that takes a peer without a view for one that knows
@@ -157,3 +158,20 @@
 	learned := len(f.View.RemovedTargets(fleettest.Service)) == 1
 	assert.Assert(t, err != nil || learned, "counted as an answer, learned nothing")
 }
+
+// Guards against agents of a small data centre that restart in turn and settle for
+// what they know of each other, while an agent of another data centre knows more.
+func TestOtherDataCentresAreAskedBeforeSettling(t *testing.T) {
+	f := startedProcess(t)
+	f.DataCentre, f.Self = fleettest.DataCentre, fleettest.Agent(0)
+	for n, dataCentre := range []string{fleettest.DataCentre, "other"} {
+		target := *fleettest.Target(byte(5+n), fleet.Ready)
+		target.DataCentre = dataCentre
+		f.View.Apply(0, &fleet.Delta{Revision: uint64(10 + n), Changes: []fleet.Change{{ID: target.ID, Revision: uint64(10 + n), Target: &target}}})
+	}
+	peers, alone, _ := f.removalCandidates(false)
+	assert.Assert(t, slices.Equal(peers, []netip.Addr{fleettest.Agent(5)}), "%v", peers)
+	assert.Assert(t, !alone)
+	peers, _, _ = f.removalCandidates(true)
+	assert.Assert(t, slices.Equal(peers, []netip.Addr{fleettest.Agent(5), fleettest.Agent(6)}), "%v", peers)
+}
