--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -200,7 +200,7 @@
 			removed = append(removed, e)
 		}
 	}
-	d.add(now, removed)
+	d.add(now, removed, v.revision)
 	return d
 }
 
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -118,6 +118,18 @@
 	// none has reached its own.
 	probeBudget = 2
 	probeWindow = 30 * time.Second
+	// sharedProbeBudget is the number of probes in probeWindow as long as another
+	// service of the address may hold the flow and probe for it too.
+	sharedProbeBudget = 1
+	// probeDeferral is how long a search waits with probes for the result of another
+	// service. A search takes about 100 ms if some agent does not answer.
+	probeDeferral = 120 * time.Millisecond
+	// deferredHops is the number of hops of a Redirect from a service that waits
+	// with probes for the result. clearedHops is that of its answer if all agents
+	// have answered and some may hold the flow. An earlier release takes both for a
+	// Redirect from a service that does not hold the flow, searches, and probes.
+	deferredHops = 2
+	clearedHops  = 3
 	// probeRepeatInterval is the time after which a search gives a target the
 	// same packet again, because the probe may have been lost.
 	probeRepeatInterval = 2500 * time.Millisecond
@@ -131,9 +143,10 @@
 	// maxJointStart is how long after its start an agent counts the entry of its
 	// target in its first view as evidence that all VMs have restarted.
 	maxJointStart = 2 * time.Second
-	// idleMargin is added to the idle timeout, because a packet may have been
-	// in flight when the agent restarted.
-	idleMargin = time.Second
+	// idleMargin is added to the idle timeout: a caller whose packets get no answer
+	// sends them again for up to 10 s, and until then all of them may be lost before
+	// they reach the agent.
+	idleMargin = 10 * time.Second
 	// targetCheckInterval is the time between checks whether a target that does
 	// not return probes is running.
 	targetCheckInterval = 300 * time.Millisecond
--- a/core/ownership/openflow_platform_test.go
+++ b/core/ownership/openflow_platform_test.go
@@ -329,7 +329,7 @@
 	}
 	s.askingRemovals = true
 	own, gap := p.view.HistoryGap(now)
-	a := removalAttempt{alone: len(peers) == 0 && !p.view.ExpectsTargets(now), needed: 1, own: now}
+	a := removalAttempt{alone: len(peers) == 0 && !p.view.ExpectsTargets(now), needed: 1, own: now, disturbed: p.view.RecentlyDisturbed(now)}
 	if gap {
 		a.needed, a.own = len(peers), own
 	}
@@ -366,13 +366,13 @@
 // alone, or if as many peers as needed have answered and none knew the removals for
 // much longer than this process, which knows them for the time own.
 type removalAttempt struct {
-	alone           bool
-	needed, answers int
-	own, longest    time.Duration
+	alone, disturbed bool
+	needed, answers  int
+	own, longest     time.Duration
 }
 
 func (a removalAttempt) counts() bool {
-	return a.alone || a.answers >= a.needed && a.longest <= a.own+startSpread
+	return a.alone || a.answers >= a.needed && a.longest <= a.own+startSpread && !a.disturbed
 }
 
 // askForRemovals asks peers one after the other.
--- a/node/fleetsync/removals.go
+++ b/node/fleetsync/removals.go
@@ -137,13 +137,14 @@
 // those of the whole retention time. It reports whether the peers that have
 // answered know no more than this process: they started with it or have the same
 // gap. It also does so if there is no peer. It records in asked whom it has asked,
-// and prefers others.
+// and prefers others. If the platform was disturbed recently, it lists few of the
+// agents that run, so those that were asked say nothing about the others.
 func (s *Sync) askForRemovals(ctx context.Context, asked map[netip.Addr]bool) (together bool) {
 	own, gap := s.historyGap()
 	if !gap {
 		own = s.Now()
 	}
-	peers, alone := s.removalCandidates(asked)
+	peers, alone, disturbed := s.removalCandidates(asked)
 	answers, longest := 0, time.Duration(0)
 	for _, peer := range peers {
 		asked[peer] = true
@@ -162,7 +163,7 @@
 	if gap {
 		needed = len(peers)
 	}
-	return alone || answers >= needed && longest <= own+startSpread
+	return alone || answers >= needed && longest <= own+startSpread && !disturbed
 }
 
 func (s *Sync) settleRemovals() {
@@ -179,10 +180,12 @@
 
 // removalCandidates returns the peers to ask: agents of the local data centre and
 // one of another, at random, those first that have not been asked. alone reports
-// that there is no other agent in the fleet.
-func (s *Sync) removalCandidates(asked map[netip.Addr]bool) (peers []netip.Addr, alone bool) {
+// that there is no other agent in the fleet, and disturbed that the platform was
+// disturbed recently.
+func (s *Sync) removalCandidates(asked map[netip.Addr]bool) (peers []netip.Addr, alone, disturbed bool) {
 	s.Lock.Lock()
 	expected := s.View.ExpectsTargets(s.Now())
+	disturbed = s.View.RecentlyDisturbed(s.Now())
 	var near, far []netip.Addr
 	for _, a := range s.View.Agents() {
 		switch {
@@ -200,7 +203,7 @@
 	}
 	elsewhere := far[:min(len(far), max(1, removalPeers-len(near)))]
 	peers = slices.Concat(near[:min(len(near), removalPeers-min(1, len(elsewhere)))], elsewhere)
-	return peers, len(peers) == 0 && !expected
+	return peers, len(peers) == 0 && !expected, disturbed
 }
 
 func btoi(b bool) int {
--- a/node/fleetsync/removals_test.go
+++ b/node/fleetsync/removals_test.go
@@ -126,6 +126,10 @@
 	assert.Assert(t, !f.askForRemovals(context.Background(), map[netip.Addr]bool{}))
 	peer.now = startSpread - 100*time.Millisecond
 	assert.Assert(t, f.askForRemovals(context.Background(), map[netip.Addr]bool{}))
+	// After a disturbance the platform may list only the agents that have just
+	// started, although others run: they say nothing about those.
+	f.View.RecordDisturbance(f.now)
+	assert.Assert(t, !f.askForRemovals(context.Background(), map[netip.Addr]bool{}))
 }
 
 // Guards against a process that takes a peer without a view for one that knows
@@ -169,7 +173,7 @@
 	f.View = fleettest.View(0, targets...)
 	asked := map[netip.Addr]bool{}
 	for range removalAttempts {
-		peers, alone := f.removalCandidates(asked)
+		peers, alone, _ := f.removalCandidates(asked)
 		assert.Assert(t, !alone)
 		assert.Equal(t, len(peers), removalPeers)
 		for i, peer := range peers {
@@ -178,7 +182,7 @@
 			asked[peer] = true
 		}
 	}
-	peers, _ := f.removalCandidates(asked)
+	peers, _, _ := f.removalCandidates(asked)
 	assert.Equal(t, len(peers), removalPeers)
 }
 
