ownership: a flow handed over to an agent that is gone is placed again

Cause: an agent that had handed over a waiting flow sent every later copy of its opening packet to the same agent. If that agent had just died, the flow was lost; found by reading. Change: as its home, the agent waits for the report of the other agent like after a placement. Otherwise copies follow only as long as that report may take, as the home sends them to the other agent itself once it has reported. Result: TestHomePlacesHandedOverFlowAgain and TestWaitingFlowTakesOfferedSlot fail without the change.

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -221,6 +221,9 @@
 	confirmed, waiting bool
 	seq                uint32
 	lastSeen           time.Duration
+	// followUntil is until when copies of the opening packet follow a flow that
+	// this agent has handed over while it waited.
+	followUntil time.Duration
 }
 
 // peer is another agent of the service.
--- a/core/ownership/offers.go
+++ b/core/ownership/offers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"trefoilweir.example/core/fleet"
@@ -115,11 +116,19 @@
 	return to != m.Self && to != msg.RefusedBy && msg.Hops <= maxOfferHops && m.healthy(now, key, to)
 }
 
-// handOverWaiting hands over a flow that waits. Copies of its opening packet
-// follow it.
+// handOverWaiting hands over a flow that waits or would wait. As its home, this
+// agent places it again if the other agent does not report it. Otherwise copies of
+// its opening packet follow it as long as that report may take.
 func (m *Machine) handOverWaiting(now time.Duration, p *flow.Packet, msg *relay.Message, to netip.Addr, reason string, out *plane.Out) {
 	m.handOverAt(now, p, msg, to, reason, out)
-	m.records[p.Key].waiting = true
+	if msg.Home != m.Self {
+		m.records[p.Key].followUntil = now + m.reportTimes.Timeout()
+		return
+	}
+	m.endPlacement(p.Key)
+	m.placements[p.Key] = &placement{raw: slices.Clone(p.Raw), origin: msg.Origin, tried: []netip.Addr{to}, sentAt: now}
+	m.peer(to).unreported++
+	m.peer(to).handedOver--
 }
 
 // ownCandidate returns the load of the own target.
--- a/core/ownership/offers_test.go
+++ b/core/ownership/offers_test.go
@@ -111,6 +111,36 @@
 	assert.Equal(t, len(f.out.ToTarget), 0)
 	assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.Place})
 	assert.Equal(t, f.out.Sends[0].To, fleettest.Agent(2))
+	// If the other agent is gone, a later copy is not sent there.
+	f.advance(maxOwnerTimeout)
+	p.Ack = 2
+	f.out.Clear()
+	f.placeFrom(1, p)
+	assert.Equal(t, len(f.out.ToTarget), 1)
+}
+
+// Guards against a flow that is lost because its home has handed it over to an
+// agent that has just died.
+func TestHomePlacesHandedOverFlowAgain(t *testing.T) {
+	f := newFixture(t, true)
+	f.fillPeers()
+	for port := uint16(100); port < 105; port++ {
+		f.openFlow(port)
+	}
+	f.balancerSends(relay.Place, flow.Packet{Key: fleettest.Key(1), Open: true, Seq: 100})
+	assert.Equal(t, f.Queued(), 1)
+	f.offerFrom(2, 0)
+	assert.Equal(t, f.Queued(), 0)
+	f.heartbeat(1, 0)
+	f.heartbeat(2, 0)
+	f.advance(maxOwnerTimeout)
+	var to []uint16
+	for _, s := range f.out.Sends {
+		if s.Message.Kind == relay.Place {
+			to = append(to, uint16(s.To.As4()[3]))
+		}
+	}
+	assert.DeepEqual(t, to, []uint16{uint16(fleettest.Agent(1).As4()[3])})
 }
 
 // Guards against a flow that leaves its place in the queue for a target that
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -78,10 +78,11 @@
 }
 
 // handlePlaced handles an opening packet that another agent has sent to this
-// target. A copy follows a flow that was handed over while it waited, because two
-// targets would accept the flow otherwise.
+// target. A copy follows a flow that was just handed over, because two targets
+// would accept the flow otherwise. Once the other agent has reported the flow, the
+// home sends copies there itself, so a later copy means that it has not.
 func (m *Machine) handlePlaced(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) {
-	if r := m.records[p.Key]; r != nil && r.waiting && r.seq == p.Seq && r.owner != m.Self && r.owner != msg.RefusedBy && msg.Hops < maxHops {
+	if r := m.records[p.Key]; r != nil && now < r.followUntil && r.seq == p.Seq && r.owner != m.Self && r.owner != msg.RefusedBy && msg.Hops < maxHops {
 		m.forward(r.owner, relay.Place, p, msg, out)
 		return
 	}
