--- a/core/ownership/restore.go
+++ b/core/ownership/restore.go
@@ -43,11 +43,11 @@
 // Restoring reports whether the agent may still get the table of its last run.
 func (m *Machine) Restoring() bool { return m.restore.waiting }
 
-// hold holds a message about a flow that the agent does not know until it has its
+// holdMessage holds a message about a flow that the agent does not know until it has its
 // table or knows that there is none. "May be" would cause probes of other targets,
 // and a denial may be wrong. It reports whether the message needs no further
 // handling now.
-func (m *Machine) hold(from netip.Addr, p *flow.Packet, msg *relay.Message, out *plane.Out) bool {
+func (m *Machine) holdMessage(from netip.Addr, p *flow.Packet, msg *relay.Message, out *plane.Out) bool {
 	if f := m.flows[p.Key]; f != nil && f.matches(p) {
 		return false
 	}
