ownership, relay: one list from each agent answers for many dead flows

Cause: after a loss of all VMs an agent gets packets of thousands of flows that no target holds, and each cost a datagram to every agent of the service. Also, no view names a target whose entry was removed before the loss: agents of its data centre hear its agent within 100 ms, others only after 400 ms, and a search that had asked them one by one before the removals were settled did not ask again.

Change: from eight unknown flows in 50 ms on, an agent asks each agent of the service for the list of the flows that its target holds (HeldQuery, HeldList), at most every 10 ms. An agent whose target is fresh answers with a complete list of at most 280 flows and names the agents that it hears and its view lacks. Lists count as the answers of a search do, under the same conditions, and only for packets that arrived before the question. If an agent is in doubt, does not answer or is of an older build, the flows are searched for as before. Once removals count as settled, a search needs a survey of each other data centre; they settle no earlier than 250 ms after the start, when heartbeats of unlisted agents have come. status shows which peers are fresh.

--- a/core/ownership/holders.go
+++ b/core/ownership/holders.go
@@ -48,6 +48,17 @@
 	return unlisted
 }
 
+// listedAgents returns the agents of the service that the view names or named.
+func (m *Machine) listedAgents() map[netip.Addr]bool {
+	listed := map[netip.Addr]bool{m.Self: true}
+	for _, targets := range [][]*fleet.Target{m.View.Targets(m.Service), m.View.RemovedTargets(m.Service)} {
+		for _, t := range targets {
+			listed[t.Agent()] = true
+		}
+	}
+	return listed
+}
+
 // gone reports whether an agent counts as gone with its target: the entry of the
 // target was removed, and the agent has not answered for goneTimeout.
 func (m *Machine) gone(now time.Duration, a netip.Addr) bool {
@@ -109,18 +120,21 @@
 
 // allDenied reports whether every agent that may hold the flow by the present
 // view has denied it. A target may have been listed or removed since the round
-// began.
+// began. If no process knew which entries were removed before, the agents of a
+// data centre may hear one that no view names. So each other data centre must then
+// have been asked as a whole, by a survey or for lists.
 func (m *Machine) allDenied(now time.Duration, s *search) bool {
-	surveyed, seen := m.currentSurveys(s), map[netip.Addr]bool{m.Self: true}
+	surveyed := m.currentSurveys(s)
+	surveyNeeded := m.View.RemovalsSettled() && !s.byLists
 	for _, targets := range [][]*fleet.Target{m.View.Targets(m.Service), m.View.RemovedTargets(m.Service)} {
 		for _, t := range targets {
-			if a := t.Agent(); a != m.Self && !s.hasDenied(t, surveyed) && !m.gone(now, a) {
+			missing := !s.hasDenied(t, surveyed) || surveyNeeded && t.DataCentre != m.DataCentre && !surveyed[t.DataCentre]
+			if a := t.Agent(); a != m.Self && missing && !m.gone(now, a) {
 				return false
 			}
-			seen[t.Agent()] = true
 		}
 	}
-	return !slices.ContainsFunc(m.unlistedAgents(now, seen), func(a netip.Addr) bool { return !s.denied[a] })
+	return !slices.ContainsFunc(m.unlistedAgents(now, m.listedAgents()), func(a netip.Addr) bool { return !s.denied[a] })
 }
 
 // currentSurveys returns the data centres in which a survey has denied the flow
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -174,6 +174,7 @@
 	surveys    map[flow.Key][]*survey
 	queue      *waitqueue.Queue[flow.Key, queuedFlow]
 	peers      map[netip.Addr]*peer
+	lists      heldLists
 
 	// reportTimes estimates how long agents take to report a flow placed at
 	// their target.
@@ -248,6 +249,8 @@
 		flows: map[flow.Key]*ownedFlow{}, records: map[flow.Key]*record{}, placements: map[flow.Key]*placement{},
 		searches: map[flow.Key]*search{}, surveys: map[flow.Key][]*survey{}, peers: map[netip.Addr]*peer{}, queue: waitqueue.New[flow.Key, queuedFlow](maxQueued), reportTimes: rto.New(minOwnerTimeout, maxOwnerTimeout),
 		firstAnswerTimes: rto.New(0, openingTimeout), roundTripTimes: rto.New(minHalfOpenTimeout, maxHalfOpenTimeout), stats: newStats(now),
+		// A late answer to the previous run of the agent must not count in this one.
+		lists: heldLists{lastNumber: uint32(o.StartedMS), lastStart: now - listInterval},
 	}
 	switch {
 	case o.FirstStart:
@@ -296,6 +299,16 @@
 		m.handleAnswer(now, from, msg, out)
 		return
 	}
+	if msg.Service == m.serviceTag {
+		switch msg.Kind {
+		case relay.HeldQuery:
+			m.handleHeldQuery(now, from, msg, out)
+			return
+		case relay.HeldList:
+			m.handleHeldList(now, from, msg, out)
+			return
+		}
+	}
 	if msg.Service != m.serviceTag {
 		out.Event(plane.Event{Kind: plane.EventDropped, Peer: from, Reason: "other_service"})
 		return
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -67,6 +67,11 @@
 	lastProbes map[netip.Addr]sentProbe
 	// onlySelfAsked says that only the local target has been probed so far.
 	onlySelfAsked bool
+	// batched says that the search waits for the lists of the flows that targets
+	// hold.
+	batched bool
+	// byLists says that the agents denied the flow by their lists.
+	byLists bool
 	// selfDenied says that the local target does not hold the flow.
 	selfDenied bool
 	// doubted says that this agent has told another one, last at doubtedAt, that
@@ -106,17 +111,33 @@
 			return
 		}
 	}
+	m.searchAll(now, p, msg, s, out)
+}
+
+// searchAll asks all agents of the service for a flow, by itself or together with
+// others.
+func (m *Machine) searchAll(now time.Duration, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
+	if m.batchable(now, p.Key) {
+		m.batch(now, p, msg, s, out)
+		return
+	}
 	m.beginRound(now, p, msg, s, out)
 }
 
-// beginRound asks the other agents of the service in the local data centre.
-func (m *Machine) beginRound(now time.Duration, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
-	s.roundStart, s.raw, s.origin, s.done = now, slices.Clone(p.Raw), msg.Origin, false
+// begin resets what the search knows of its last round, and of the agents' answers
+// if they were about another flow.
+func (s *search) begin(now time.Duration, p *flow.Packet, msg *relay.Message) {
+	s.roundStart, s.raw, s.origin, s.done, s.byLists = now, slices.Clone(p.Raw), msg.Origin, false, false
 	s.asked, s.probing, s.maybeOwners = map[netip.Addr]searchScope{}, map[netip.Addr]bool{}, s.maybeOwners[:0]
 	if s.denied == nil || s.ack != p.Ack {
 		s.denied, s.deniedRosters, s.unresolved, s.retries = map[netip.Addr]bool{}, map[string]uint64{}, map[netip.Addr]string{}, 0
 	}
 	s.remote, s.found, s.allAnswered, s.noOwner, s.ack, s.declinedSurveys = false, false, false, false, p.Ack, 0
+}
+
+// beginRound asks the other agents of the service in the local data centre.
+func (m *Machine) beginRound(now time.Duration, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
+	s.begin(now, p, msg)
 	s.incomplete, s.peersKnow = m.incompleteReason(now), m.latestPeerProgress(now)
 	local, _ := m.searchable(now)
 	m.sendSearches(now, local, p, msg, s, out)
@@ -284,7 +305,7 @@
 	}
 	s.retries++
 	s.onlySelfAsked = false
-	m.beginRound(now, &p, &relay.Message{Origin: s.origin, Home: m.Self}, s, out)
+	m.searchAll(now, &p, &relay.Message{Origin: s.origin, Home: m.Self}, s, out)
 }
 
 // checkSearches ends rounds that time out, starts further rounds, and drops old
@@ -293,6 +314,9 @@
 func (m *Machine) checkSearches(now time.Duration, out *plane.Out) {
 	for key, s := range m.searches {
 		m.retrySearch(now, s, out)
+		if s.batched {
+			continue
+		}
 		if !s.done && !s.remote && now-s.roundStart >= searchTimeout {
 			unanswered := len(s.asked)
 			m.searchRemote(now, key, s, out)
--- a/core/ownership/survey_test.go
+++ b/core/ownership/survey_test.go
@@ -196,6 +196,8 @@
 	}
 	for port := range uint16(flows) {
 		s.send(0, relay.Packet, flow.Packet{Key: fleettest.Key(port), Seq: 111, Ack: 5001, Len: 10})
+		// So few flows at a time are searched for one by one.
+		s.agents[fleettest.Agent(0)].lists.unknownFlows = 0
 	}
 	assert.Equal(t, s.resets, flows)
 }
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -15,6 +15,7 @@
 	m.checkHalfOpen(now)
 	m.checkOffers(now, out)
 	m.checkPlacements(now, out)
+	m.checkLists(now, out)
 	m.checkSearches(now, out)
 	m.checkSurveys(now, out)
 	m.checkIncarnation(now, out)
--- a/core/plane/out.go
+++ b/core/plane/out.go
@@ -114,6 +114,11 @@
 	// EventNextService says that no target of the agent's service holds a flow,
 	// so its packet goes to another service of its address.
 	EventNextService EventKind = "next_service"
+	// EventListsAsked says that all agents of the service were asked which flows
+	// their targets hold, and for how many flows. EventListsEnded says for how many
+	// of these the lists showed that no target of the service holds them.
+	EventListsAsked EventKind = "lists_asked"
+	EventListsEnded EventKind = "lists_ended"
 )
 
 // Event is one decision with the values that it was based on.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -62,11 +62,17 @@
 	// another service of its address, because no target of the services in
 	// DeniedServices holds the flow.
 	Redirect
+	// HeldQuery asks an agent which flows its target holds. Only agents that sent
+	// FlagFresh or were not heard lately are asked, and older builds drop it.
+	HeldQuery
+	// HeldList answers a HeldQuery. If it is complete, the sender's target holds
+	// no flows but those that it lists.
+	HeldList
 )
 
 var kindNames = [...]string{Open: "open", Place: "place", Packet: "packet", Search: "search", Probe: "probe",
 	Owner: "owner", NotOwner: "not_owner", MaybeOwner: "maybe_owner", Waiting: "waiting", Heartbeat: "beat", Refused: "refused",
-	Survey: "survey", SurveyResult: "surveyed", Redirect: "redirect"}
+	Survey: "survey", SurveyResult: "surveyed", Redirect: "redirect", HeldQuery: "held_query", HeldList: "held_list"}
 
 // String returns the name of the kind in logs and metrics.
 func (k Kind) String() string {
@@ -145,6 +151,15 @@
 	// DeniedServices has the ServiceTags of the services none of whose targets
 	// holds the flow of a Redirect, at most MaxDeniedServices.
 	DeniedServices []uint64
+	// Round identifies a HeldQuery. The HeldList has the same.
+	Round uint32
+	// HeldComplete says that the target holds no flows but those whose HeldTag is
+	// in Held, which has at most MaxHeld.
+	HeldComplete bool
+	Held         []uint32
+	// Unlisted are the agents of the service that the sender of a HeldList hears and
+	// that its view does not name, at most MaxUnlisted.
+	Unlisted []netip.Addr
 	// Body is the caller's packet.
 	Body []byte
 }
@@ -159,8 +174,20 @@
 	rosterSize = 8
 	tagSize    = 8
 	ageSize    = 2
+	roundSize  = 4
+	heldSize   = 4
 )
 
+// MaxHeld is the greatest length of the list in a HeldList. The datagram then fits
+// into 1,200 bytes.
+const MaxHeld = 280
+
+// MaxUnlisted is the greatest number of agents in a HeldList.
+const MaxUnlisted = 8
+
+// HeldTag returns the number that stands for a flow in a HeldList.
+func HeldTag(k flow.Key) uint32 { return uint32(k.Hash() >> 32) }
+
 // MaxListedAgents is the greatest length of a list in a SurveyResult.
 const MaxListedAgents = 100
 
@@ -201,6 +228,18 @@
 		b = m.Load.append(m.Flow.Append(b))
 		b = appendAddr(b, m.Origin)
 		return appendAddrs(appendAddrs(b, m.MaybeOwners), m.Unanswered)
+	case HeldQuery:
+		return binary.BigEndian.AppendUint32(b, m.Round)
+	case HeldList:
+		b = m.Load.append(binary.BigEndian.AppendUint32(b, m.Round))
+		if !m.HeldComplete {
+			return append(b, 0)
+		}
+		b = appendAddrs(append(b, 1), m.Unlisted[:min(len(m.Unlisted), MaxUnlisted)])
+		for _, tag := range m.Held[:min(len(m.Held), MaxHeld)] {
+			b = binary.BigEndian.AppendUint32(b, tag)
+		}
+		return b
 	case Heartbeat:
 		b = m.Load.append(b)
 		b = appendProgress(b, m.Progress)
@@ -267,6 +306,15 @@
 		if !end || len(rest) > 0 {
 			return m, ErrMalformed
 		}
+	case HeldQuery:
+		if len(rest) != roundSize {
+			return m, ErrMalformed
+		}
+		m.Round = binary.BigEndian.Uint32(rest)
+	case HeldList:
+		if !m.parseHeldList(rest) {
+			return m, ErrMalformed
+		}
 	case Heartbeat:
 		if len(rest) < loadSize {
 			return m, ErrMalformed
@@ -289,6 +337,25 @@
 	m.Origin = parseAddr(b[flow.KeySize+loadSize:])
 }
 
+func (m *Message) parseHeldList(b []byte) (ok bool) {
+	const start = roundSize + loadSize + 1
+	if len(b) < start || b[start-1] > 1 {
+		return false
+	}
+	m.Round, m.Load, m.HeldComplete = binary.BigEndian.Uint32(b), parseLoad(b[roundSize:]), b[start-1] == 1
+	rest := b[start:]
+	if !m.HeldComplete {
+		return len(rest) == 0
+	}
+	if m.Unlisted, rest, ok = parseAddrs(rest); !ok || len(m.Unlisted) > MaxUnlisted || len(rest)%heldSize != 0 || len(rest) > MaxHeld*heldSize {
+		return false
+	}
+	for ; len(rest) > 0; rest = rest[heldSize:] {
+		m.Held = append(m.Held, binary.BigEndian.Uint32(rest))
+	}
+	return true
+}
+
 func parseLoad(b []byte) Load {
 	return Load{
 		Flags: b[0], Busy: binary.BigEndian.Uint16(b[1:]), Expected: binary.BigEndian.Uint16(b[3:]),
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -22,6 +22,10 @@
 	{Kind: SurveyResult, Service: 7, Unanswered: []netip.Addr{netip.MustParseAddr("10.0.0.4")}},
 	{Kind: Redirect, Hops: 1, Service: 7, Origin: netip.MustParseAddr("10.0.0.1"), Home: netip.MustParseAddr("10.0.0.2"), DeniedServices: []uint64{1 << 60, 9}, Body: []byte("packet")},
 	{Kind: Redirect, Service: 7, DeniedServices: []uint64{1, 2, 3, 4, 5, 6, 7, MaxDeniedServices}, Body: []byte{0}},
+	{Kind: HeldQuery, Service: 7, Round: 1 << 31},
+	{Kind: HeldList, Service: 7, Round: 5, Load: Load{Flags: FlagFresh}, HeldComplete: true, Unlisted: []netip.Addr{netip.MustParseAddr("10.0.0.4")}, Held: []uint32{1, 1 << 30}},
+	{Kind: HeldList, Service: 7, Round: 5, HeldComplete: true},
+	{Kind: HeldList, Service: 7, Round: 5},
 	{Kind: Heartbeat, Service: 7, Load: Load{Flags: FlagReplyRequested}, Progress: fleet.Progress{Epoch: 2, Revision: 9, Version: 300}, Age: 5 * time.Millisecond},
 }
 
--- a/node/fleetsync/removals.go
+++ b/node/fleetsync/removals.go
@@ -33,6 +33,10 @@
 	// VMs no search ends before the last attempt: with pauses of 200 ms the first
 	// resets of dead flows came 0.5 s after the first view.
 	removalsRetryInterval = 60 * time.Millisecond
+	// minSettleTime is the time from the start in which the process hears agents
+	// that no view names, before it takes it that nobody knows more. They send their
+	// load to agents of their data centre every 100 ms.
+	minSettleTime = 250 * time.Millisecond
 	// maxRemovalsWait is how long the process looks for a peer that knows the
 	// removals of the whole retention time, if others know only a part.
 	maxRemovalsWait = 10 * time.Second
@@ -59,6 +63,10 @@
 			together++
 		}
 		if together >= removalAttempts || s.Now() > maxRemovalsWait {
+			select {
+			case <-ctx.Done():
+			case <-time.After(minSettleTime - s.Now()):
+			}
 			s.settleRemovals()
 			break
 		}
--- a/node/packetplane/status.go
+++ b/node/packetplane/status.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/plane"
+	"trefoilweir.example/core/relay"
 	"trefoilweir.example/node/telemetry"
 )
 
@@ -53,7 +54,9 @@
 	Reason string `json:"reason,omitempty"`
 	// Busy is the number of requests of its target, Slots the number that the
 	// target runs at a time.
-	Busy  uint16 `json:"busy"`
+	Busy uint16 `json:"busy"`
+	// Fresh says that the agent knows every flow that its target holds.
+	Fresh bool   `json:"fresh"`
 	Slots uint16 `json:"slots"`
 	// ServiceTimeMS is the mean time of a request that does not wait, in
 	// milliseconds.
@@ -73,7 +76,7 @@
 		}
 		out = append(out, PeerStatus{
 			Address: p.Address.String(), SinceHeardMS: heard, Usable: p.Usable, Reason: p.Reason,
-			Busy: p.Load.Busy, Slots: p.Load.Slots, ServiceTimeMS: float64(p.Load.ServiceTime) / loadUnitsPerMS,
+			Fresh: p.Load.Flags&relay.FlagFresh != 0, Busy: p.Load.Busy, Slots: p.Load.Slots, ServiceTimeMS: float64(p.Load.ServiceTime) / loadUnitsPerMS,
 		})
 	}
 	return out
