--- a/core/ownership/heldlists.go
+++ b/core/ownership/heldlists.go
@@ -267,7 +267,7 @@
 // agents denied as long as that does not change.
 func (m *Machine) concludeByLists(now time.Duration, key flow.Key, s *search, r *listRound, out *plane.Out) {
 	own := s.denied
-	s.denied, s.incomplete, s.peersKnow, s.byLists = r.denied, r.incomplete, r.peersKnow, true
+	s.denied, s.incomplete, s.peersKnow = r.denied, r.incomplete, r.peersKnow
 	m.conclude(now, key, s, out)
 	if !s.noOwner {
 		maps.Copy(own, r.denied)
--- a/core/ownership/heldlists_test.go
+++ b/core/ownership/heldlists_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"trefoilweir.example/core/fleet/fleettest"
 	"trefoilweir.example/core/flow"
+	"trefoilweir.example/core/plane"
 	"trefoilweir.example/core/relay"
 )
 
@@ -154,7 +155,10 @@
 	f.burst()
 	f.listFrom(1, 1, true)
 	f.advance(listRetry)
-	assert.Assert(t, slices.Contains(f.listsAsked(), fleettest.Agent(2)))
+	again := slices.ContainsFunc(f.out.Sends, func(s plane.Send) bool {
+		return s.To == fleettest.Agent(2) && s.Message.Kind == relay.HeldQuery && s.Message.Round == 1
+	})
+	assert.Assert(t, again)
 	f.listFrom(2, 1, true)
 	assert.Equal(t, len(f.out.ToCaller), 1)
 }
--- a/core/ownership/holders.go
+++ b/core/ownership/holders.go
@@ -120,16 +120,12 @@
 
 // allDenied reports whether every agent that may hold the flow by the present
 // view has denied it. A target may have been listed or removed since the round
-// began. If no process knew which entries were removed before, the agents of a
-// data centre may hear one that no view names. So each other data centre must then
-// have been asked as a whole, by a survey or for lists.
+// began.
 func (m *Machine) allDenied(now time.Duration, s *search) bool {
 	surveyed := m.currentSurveys(s)
-	surveyNeeded := m.View.RemovalsSettled() && !s.byLists
 	for _, targets := range [][]*fleet.Target{m.View.Targets(m.Service), m.View.RemovedTargets(m.Service)} {
 		for _, t := range targets {
-			missing := !s.hasDenied(t, surveyed) || surveyNeeded && t.DataCentre != m.DataCentre && !surveyed[t.DataCentre]
-			if a := t.Agent(); a != m.Self && missing && !m.gone(now, a) {
+			if a := t.Agent(); a != m.Self && !s.hasDenied(t, surveyed) && !m.gone(now, a) {
 				return false
 			}
 		}
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -70,8 +70,6 @@
 	// batched says that the search waits for the lists of the flows that targets
 	// hold.
 	batched bool
-	// byLists says that the agents denied the flow by their lists.
-	byLists bool
 	// selfDenied says that the local target does not hold the flow.
 	selfDenied bool
 	// doubted says that this agent has told another one, last at doubtedAt, that
@@ -127,7 +125,7 @@
 // begin resets what the search knows of its last round, and of the agents' answers
 // if they were about another flow.
 func (s *search) begin(now time.Duration, p *flow.Packet, msg *relay.Message) {
-	s.roundStart, s.raw, s.origin, s.done, s.byLists = now, slices.Clone(p.Raw), msg.Origin, false, false
+	s.roundStart, s.raw, s.origin, s.done = now, slices.Clone(p.Raw), msg.Origin, false
 	s.asked, s.probing, s.maybeOwners = map[netip.Addr]searchScope{}, map[netip.Addr]bool{}, s.maybeOwners[:0]
 	if s.denied == nil || s.ack != p.Ack {
 		s.denied, s.deniedRosters, s.unresolved, s.retries = map[netip.Addr]bool{}, map[string]uint64{}, map[netip.Addr]string{}, 0
--- a/core/ownership/survey_test.go
+++ b/core/ownership/survey_test.go
@@ -308,3 +308,36 @@
 	answerSurvey()
 	assert.Equal(t, len(f.out.ToCaller) == 1, fresh)
 }
+
+// Guards against the reset of an open flow whose agent only others in its data
+// centre hear. Before the removals were settled the agents there were asked one by
+// one, which does not show that they hear another one.
+func TestSettledSearchNeedsSurveys(t *testing.T) {
+	f := restartedFixture(t)
+	d := &fleet.Delta{Revision: 9, Full: true, Config: &fleet.Config{Version: 1}, ConfigRevision: 1}
+	for n := range byte(4) {
+		target := fleettest.Target(n, fleet.Ready)
+		if n > 1 {
+			target.DataCentre = "dc-1"
+		}
+		d.Changes = append(d.Changes, fleet.Change{ID: target.ID, Revision: uint64(3 + n), Target: target})
+	}
+	f.View.Apply(0, d)
+	f.recordFresh(f.now, "test", 0, &f.out)
+	f.balancerSends(relay.Packet, unknownPacket)
+	f.peerAnswers(1, relay.NotOwner, 1)
+	assert.Equal(t, len(f.searchedAgents()), 2)
+	f.peerAnswers(2, relay.NotOwner, 1)
+	f.peerAnswers(3, relay.NotOwner, 1)
+	f.View.SettleRemovals()
+	f.advance(10 * ms)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+	surveyed := slices.IndexFunc(f.out.Sends, func(s plane.Send) bool { return s.Message.Kind == relay.Survey })
+	assert.Assert(t, surveyed >= 0)
+	to := f.out.Sends[surveyed].To
+	f.out.Clear()
+	f.FromPeer(f.now, to, &relay.Message{Kind: relay.SurveyResult, Service: tag, Flow: unknownPacket.Key, Unanswered: []netip.Addr{fleettest.Agent(7)}}, &f.out)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+	f.peerAnswers(7, relay.Owner, 1)
+	assert.Equal(t, f.records[unknownPacket.Key].owner, fleettest.Agent(7))
+}
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -79,3 +79,8 @@
 for rule in NO_BUDGET OWN_PROBES_ONLY RESET_EARLY SURE_AFTER_RESTART FORGET_ON_COPY; do
 	fails ownership safety "-D$rule"
 done
+
+holds recovery safety
+for rule in FRESH_ON_RESTART EARLIER_LIST FLAG_ONLY NO_ANSWER LISTED_ONLY PARTIAL_LIST; do
+	fails recovery safety "-D$rule"
+done
