--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -196,6 +196,7 @@
 	heldFlows int
 	queue     *waitqueue.Queue[flow.Key, queuedFlow]
 	peers     map[netip.Addr]*peer
+	lists     heldLists
 
 	// reportTimes estimates how long agents take to report a flow placed at
 	// their target.
@@ -292,6 +293,8 @@
 		searches: map[flow.Key]*search{}, surveys: map[flow.Key][]*survey{}, peers: map[netip.Addr]*peer{}, queue: waitqueue.New[flow.Key, queuedFlow](maxQueued), reportTimes: rto.New(minOwnerTimeout, maxOwnerTimeout),
 		firstAnswerTimes: rto.New(0, openingTimeout), roundTripTimes: rto.New(minHalfOpenTimeout, maxHalfOpenTimeout), stats: newStats(now),
 		given: ratelimit.New(now),
+		// A late answer to the previous run of the agent must not count in this one.
+		lists: heldLists{lastNumber: uint32(o.StartedMS), lastStart: now - listInterval},
 	}
 	switch {
 	case o.FirstStart:
@@ -344,6 +347,16 @@
 		m.handleAnswer(now, from, msg, out)
 		return
 	}
+	if msg.Service == m.serviceTag {
+		switch msg.Kind {
+		case relay.HeldQuery:
+			m.handleHeldQuery(now, from, msg, out)
+			return
+		case relay.HeldList:
+			m.handleHeldList(now, from, msg, out)
+			return
+		}
+	}
 	if msg.Service != m.serviceTag {
 		out.Event(plane.Event{Kind: plane.EventDropped, Peer: from, Reason: "other_service"})
 		return
--- a/core/ownership/openflow_platform_test.go
+++ b/core/ownership/openflow_platform_test.go
@@ -300,6 +300,7 @@
 	removalPeers          = 2
 	removalAttempts       = 3
 	gapAttempts           = 10
+	minSettleTime         = 250 * ms
 	maxRemovalsWait       = 10 * time.Second
 	startSpread           = time.Second
 	removalsRetryInterval = 60 * ms
@@ -387,7 +388,7 @@
 		switch {
 		case p.view.RemovalsKnown(p.now()):
 			s.removalAnswers = 0
-		case !gap && (s.removalAnswers >= removalAttempts || p.now() > maxRemovalsWait) || s.removalAnswers >= gapAttempts:
+		case !gap && (s.removalAnswers >= removalAttempts && p.now() >= minSettleTime || p.now() > maxRemovalsWait) || s.removalAnswers >= gapAttempts:
 			p.view.SettleRemovals()
 			s.removalAnswers = 0
 		}
--- a/core/plane/out.go
+++ b/core/plane/out.go
@@ -120,6 +120,11 @@
 	// on without one, for the given reason. The value is the number of messages
 	// that it held until then.
 	EventRestored EventKind = "restored"
+	// EventListsAsked says that all agents of the service were asked which flows
+	// their targets hold, and for how many flows. EventListsEnded says for how many
+	// of these the lists showed that no target of the service holds them.
+	EventListsAsked EventKind = "lists_asked"
+	EventListsEnded EventKind = "lists_ended"
 )
 
 // Event is one decision with the values that it was based on.
--- a/node/fleetsync/removals.go
+++ b/node/fleetsync/removals.go
@@ -40,6 +40,10 @@
 	// pause after a gap, in which the peers may have to learn the changes themselves.
 	removalsRetryInterval = 60 * time.Millisecond
 	gapRetryInterval      = 200 * time.Millisecond
+	// minSettleTime is the time from the start in which the process hears agents
+	// that no view names, before it takes it that nobody knows more. They send their
+	// load to agents of their data centre every 100 ms.
+	minSettleTime = 250 * time.Millisecond
 	// maxRemovalsWait is how long the process looks for a peer that knows the
 	// removals of the whole retention time, if others know only a part.
 	maxRemovalsWait = 10 * time.Second
@@ -81,6 +85,10 @@
 		s.watchGap(ctx)
 		_, gap := s.historyGap()
 		if !gap && (together >= removalAttempts || s.Now() > maxRemovalsWait) || together >= gapAttempts {
+			select {
+			case <-ctx.Done():
+			case <-time.After(minSettleTime - s.Now()):
+			}
 			s.settleRemovals()
 			return
 		}
