fleetsync: a gap in the history is logged and counted

Cause: a process that skipped changes resets nothing until a peer tells them, and nothing showed it. Change: log lines when a gap opens, is filled or is settled, and the counter trefoilweir_fleet_history_gaps_total. Result: TestGapStartsASearch checks the counter; the tests of node/fleetsync pass with -race.

--- a/node/fleetsync/calls.go
+++ b/node/fleetsync/calls.go
@@ -135,12 +135,14 @@
 	s.Lock.Lock()
 	defer s.Lock.Unlock()
 	before, progress := s.View.Version(), s.View.Progress()
+	_, gapBefore := s.View.HistoryGap(s.Now())
 	if from == "platform" && d.Epoch == progress.Epoch {
 		// An answer without newer changes confirms the view's revision.
 		d.Revision = max(d.Revision, progress.Revision)
 	}
 	targets, config := s.View.Apply(s.Now(), d)
 	s.logEpoch(from, d.Epoch, progress)
+	s.logGap(from, gapBefore, progress)
 	s.notifyGap()
 	if s.View.Usable() {
 		s.firstViewOnce.Do(func() { close(s.firstView) })
@@ -153,6 +155,20 @@
 	return targets || config
 }
 
+// logGap logs and counts that the history of the view has a gap, and logs that it was
+// filled.
+func (s *Sync) logGap(from string, before bool, progress fleet.Progress) {
+	_, gap := s.View.HistoryGap(s.Now())
+	switch {
+	case gap && !before:
+		s.historyGaps.Inc()
+		s.Log.Warn("changes were skipped; no search ends with a reset until a peer tells them", zap.String("from", from),
+			zap.Uint64("epoch", progress.Epoch), zap.Uint64("after", progress.Revision), zap.Uint64("revision", s.View.Revision()))
+	case before && !gap:
+		s.Log.Info("skipped changes learned", zap.String("from", from))
+	}
+}
+
 // logEpoch logs that the platform returned from an older copy of its state, if the
 // view's epoch changed, and that it is of an earlier epoch than the view. epoch is
 // that of the applied delta.
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -122,7 +122,7 @@
 	// earlier epoch than the view.
 	platformEarlier bool
 
-	calls, failed, pulls *metrics.Counter
+	calls, failed, pulls, historyGaps *metrics.Counter
 }
 
 // New returns a Sync.
@@ -138,6 +138,8 @@
 		calls:  o.Metrics.GetOrCreateCounter("trefoilweir_platform_calls_total"),
 		failed: o.Metrics.GetOrCreateCounter("trefoilweir_platform_errors_total"),
 		pulls:  o.Metrics.GetOrCreateCounter("trefoilweir_fleet_pulls_total"),
+
+		historyGaps: o.Metrics.GetOrCreateCounter("trefoilweir_fleet_history_gaps_total"),
 	}
 }
 
--- a/node/fleetsync/removals.go
+++ b/node/fleetsync/removals.go
@@ -154,6 +154,9 @@
 func (s *Sync) settleRemovals() {
 	s.Lock.Lock()
 	defer s.Lock.Unlock()
+	if _, gap := s.View.HistoryGap(s.Now()); gap {
+		s.Log.Warn("no peer knows the skipped changes; the history counts as complete")
+	}
 	s.View.SettleRemovals()
 }
 
--- a/node/fleetsync/removals_test.go
+++ b/node/fleetsync/removals_test.go
@@ -283,6 +283,7 @@
 	f.now = time.Second
 	f.apply(&fleet.Delta{Full: true, Revision: 50}, "peer")
 	assert.Equal(t, len(f.gaps), 1)
+	assert.Equal(t, f.historyGaps.Get(), uint64(1))
 	assert.Assert(t, !f.removalsKnown())
 	_, _, err = f.call(t.Context(), 0)
 	assert.NilError(t, err)
