--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -122,8 +122,8 @@
 	// earlier epoch than the view.
 	platformEarlier bool
 
-	calls, failed, pulls         *metrics.Counter
-	drainReads, unreadableDrains *metrics.Counter
+	calls, failed, pulls, historyGaps *metrics.Counter
+	drainReads, unreadableDrains      *metrics.Counter
 }
 
 // New returns a Sync.
@@ -142,6 +142,7 @@
 
 		drainReads:       o.Metrics.GetOrCreateCounter("trefoilweir_drain_reads_total"),
 		unreadableDrains: o.Metrics.GetOrCreateCounter("trefoilweir_drain_requests_unreadable_total"),
+		historyGaps:      o.Metrics.GetOrCreateCounter("trefoilweir_fleet_history_gaps_total"),
 	}
 }
 
