--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -28,7 +28,8 @@
 //   - The epoch and the version of the routes never decrease. Revisions of
 //     different epochs are not compared.
 //   - A new epoch replaces a known state of a target only by a later one, or by
-//     its removal.
+//     its removal. Views with the same progress may differ in a target whose
+//     later incarnation only some of them know, until the target writes again.
 //   - A drain request that is known stays in force until a later state of the
 //     platform lacks it. A new epoch does not undo it before DrainGrace.
 //   - Deltas made from one view lead another view to the same content, in any
