fleet: a delta that does not continue the view leaves its revision

A view took itself for complete up to the revision of any partial delta. If it did not know the changes before those of the delta, it listed too little up to that revision and ignored a target of an earlier revision that it learned later (TestDeltasInAnyOrder: an empty view, changes after revision 1, then the full delta of revision 1).

A partial delta now tells the revision after which it has all changes (field after). A view that is behind it applies the changes, but keeps its revision, is not confirmed by the delta and begins no history of removals by it. Earlier releases ignore the field; a delta without it is applied as before.

No such delta of a peer was found: the revision of a view only rises within an epoch, a peer answers for the progress in the request, and one without a usable view or of another epoch gets a full delta. The position of a watch may be above the view's revision, which is that of the newest entry listed, but only because the view has listed the state at that position. So this guards later changes of the callers and the invariant that the test states.

TestDeltaThatDoesNotContinueTheView fails before.

--- a/core/fleet/delta.go
+++ b/core/fleet/delta.go
@@ -14,7 +14,7 @@
 	if full {
 		after = 0
 	}
-	d := Delta{Epoch: v.epoch, Revision: v.revision, Full: full, Drains: v.drains.stated(), ConfirmedMS: int64(min(v.Age(now), time.Hour) / time.Millisecond)}
+	d := Delta{Epoch: v.epoch, Revision: v.revision, After: after, Full: full, Drains: v.drains.stated(), ConfirmedMS: int64(min(v.Age(now), time.Hour) / time.Millisecond)}
 	if v.wasDisturbed {
 		ms := int64((now - v.disturbedAt) / time.Millisecond)
 		d.DisturbedMS = &ms
@@ -54,6 +54,10 @@
 	return 0
 }
 
+// continues reports whether the view knows all changes before those of a delta of
+// its epoch.
+func (v *View) continues(d *Delta) bool { return d.Full || d.After <= v.revision }
+
 // listedAt returns the revision of the state that a full delta lists.
 func (d *Delta) listedAt() uint64 { return cmp.Or(d.ListingRevision, d.Revision) }
 
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -140,12 +141,41 @@
 	assert.Equal(t, v.Age(5*time.Second), time.Second)
 }
 
+// Guards against a view that takes itself for complete up to the revision of a delta
+// although it does not know the changes before those of the delta. It would ignore
+// targets of an earlier revision that it learns later, as if they had been removed.
+func TestDeltaThatDoesNotContinueTheView(t *testing.T) {
+	source := New()
+	source.Apply(0, &Delta{Revision: 1, Changes: []Change{{ID: "a", Revision: 1, Target: target("a", 1, Ready, 1)}}})
+	full := source.Since(0, Progress{})
+	source.Apply(0, &Delta{Revision: 2, Changes: []Change{{ID: "b", Revision: 2, Target: target("b", 2, Ready, 1)}}})
+	partial := source.Since(0, Progress{Revision: 1})
+
+	v := New()
+	v.Apply(0, &partial)
+	assert.Equal(t, ids(v.Targets("booking")), "b")
+	assert.Equal(t, v.Revision(), uint64(0))
+	assert.Equal(t, v.Age(time.Second) > time.Hour, true, "the view is not confirmed")
+	v.Apply(0, &full)
+	assert.Equal(t, ids(v.Targets("booking")), "ab")
+	assert.Equal(t, v.Revision(), uint64(1))
+	v.Apply(0, &partial)
+	assert.Equal(t, v.Revision(), uint64(2))
+	// A delta of an earlier release does not tell what it continues.
+	old := New()
+	partial.After = 0
+	old.Apply(0, &partial)
+	assert.Equal(t, old.Revision(), uint64(2))
+}
+
 // Guards against views that differ after the same deltas in a different order
-// or with repetitions.
+// or with repetitions, and against a view that lacks changes up to its revision.
 func TestDeltasInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		source := New()
 		var deltas []Delta
+		// listed has the targets that the source lists, by revision.
+		listed := []string{""}
 		for n := range rapid.IntRange(1, 20).Draw(t, "changes") {
 			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
 			c := Change{ID: id, Revision: uint64(n + 1)}
@@ -155,11 +185,19 @@
 			after := source.Revision()
 			source.Apply(0, &Delta{Revision: uint64(n + 1), Changes: []Change{c}})
 			deltas = append(deltas, source.Since(0, Progress{Revision: rapid.Uint64Range(0, after).Draw(t, "after")}))
+			listed = append(listed, ids(source.Targets("booking")))
 		}
 		other := New()
 		for range len(deltas) {
 			d := rapid.SampledFrom(deltas).Draw(t, "delta")
 			other.Apply(0, &d)
+			for _, id := range []string{"a", "b", "c"} {
+				at := other.Revision()
+				if e := other.entries[id]; e != nil {
+					at = max(at, e.revision)
+				}
+				assert.Equal(t, strings.Contains(ids(other.Targets("booking")), id), strings.Contains(listed[at], id), "%s at revision %d", id, at)
+			}
 		}
 		last := source.Since(0, Progress{})
 		other.Apply(0, &last)
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -34,6 +34,8 @@
 //     platform lacks it. A new epoch does not undo it before DrainGrace.
 //   - Deltas made from one view lead another view to the same content, in any
 //     order and with repetitions.
+//   - A view knows all changes up to its revision. A delta that does not continue
+//     from there does not raise the revision.
 package fleet
 
 import (
@@ -158,6 +160,9 @@
 	Epoch uint64 `json:"epoch,omitempty"`
 	// Revision is the revision up to which the sender knows all changes.
 	Revision uint64 `json:"revision"`
+	// After is the revision after which the delta has all changes, unless it is
+	// full. It is 0 if the sender is of a release that does not tell it.
+	After uint64 `json:"after,omitempty"`
 	// Full says that targets not named in Changes are removed.
 	// ListingRevision is the revision of the listing if the delta was made
 	// from a listing at the platform, otherwise 0.
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -105,7 +105,10 @@
 	}
 	v.addToldServices(now, d)
 	v.applyDrains(now, d)
-	v.recordHistory(now, d)
+	continues := d.Epoch != v.epoch || v.continues(d)
+	if continues {
+		v.recordHistory(now, d)
+	}
 	if d.Full && d.Epoch > v.epoch {
 		v.startEpoch(now, d.Epoch)
 	}
@@ -134,6 +137,10 @@
 		}
 		v.floor = max(v.floor, at)
 	}
+	if !continues {
+		// The view does not know the changes before those of the delta.
+		return targets, config
+	}
 	if d.Patch != nil && d.Patch.Version > v.Version() {
 		// The patch does not apply to the view's version. The revision stays,
 		// so that the routes are fetched again.
