fleetsync: a late answer of the platform lists no removed targets

An answer of the platform counted as complete up to the view's revision, so that it confirms the view. If it was older than the view (a slow listing or watch, or one of the duplicates of which platform/store.go knows, after a peer has given a later view), targets in it that were removed before the view's revision and that the view never had were listed. Changes after that revision do not remove them; only the next watch of this process does, and a process that is no reader makes none.

The process now confirms the view after the delta is applied, and the delta keeps its own revision. So such a target counts as removed, like one in the late delta of a peer. A listing is compared by the revision at which it was read, because the newest entry that it names may be older than the view.

--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -209,6 +209,16 @@
 	})
 }
 
+// Guards against a listing that is taken for older than the view because no entry
+// has changed since the view's revision: a target that it lists and that the view
+// does not know would count as removed.
+func TestListingWithoutNewerEntriesIsNotBehind(t *testing.T) {
+	v := New()
+	v.Apply(0, &Delta{Full: true, Revision: 10})
+	v.Apply(0, &Delta{Full: true, ListingRevision: 12, Revision: 9, Changes: []Change{{ID: "a", Revision: 9, Target: target("a", 1, Ready, 1)}}})
+	assert.Equal(t, ids(v.Targets("booking")), "a")
+}
+
 // Guards against a first home that changes although its agent is still listed.
 func TestHomesAreStable(t *testing.T) {
 	var targets []*Target
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -117,7 +117,7 @@
 	}
 	// The routes come first, because they name the services of the entries.
 	targets, config = v.applyConfig(now, d)
-	behind := d.Revision < v.revision
+	behind := max(d.Revision, d.ListingRevision) < v.revision
 	for i := range d.Changes {
 		c := &d.Changes[i]
 		if known := v.entries[c.ID]; behind && c.Revision <= v.revision && (known == nil || known.unseen) && c.Last == nil {
--- a/node/fleetsync/calls.go
+++ b/node/fleetsync/calls.go
@@ -123,11 +123,12 @@
 	defer s.Lock.Unlock()
 	before, progress, drained := s.View.Version(), s.View.Progress(), s.View.DrainedDataCentres()
 	s.unreadableDrains.Add(d.UnreadableDrains)
-	if from == "platform" && d.Epoch == progress.Epoch {
-		// An answer without newer changes confirms the view's revision.
-		d.Revision = max(d.Revision, progress.Revision)
-	}
 	targets, config := s.View.Apply(s.Now(), d)
+	if from == "platform" && d.Epoch == s.View.Progress().Epoch {
+		// An answer without newer changes confirms the view's revision. It may be
+		// older than the view, so this must not make it count as complete up to there.
+		s.View.Confirm(s.Now(), time.Duration(d.ConfirmedMS)*time.Millisecond, s.View.Progress())
+	}
 	s.logEpoch(from, d.Epoch, progress)
 	s.notifyGap()
 	if s.View.Usable() {
--- a/node/fleetsync/fleetsync_test.go
+++ b/node/fleetsync/fleetsync_test.go
@@ -99,6 +99,27 @@
 	assert.Equal(t, len(f.platform.snapshots), 2)
 }
 
+// Guards against a target that a process lists although it was removed: a listing
+// or a watch is answered late, after a peer has given a later view that never had
+// the target. Changes after the view's revision would not remove it.
+func TestLateAnswerOfPlatform(t *testing.T) {
+	for name, listing := range map[string]uint64{"listing": 9, "watch": 0} {
+		f := newFixture(2)
+		peer := f.platform.delta
+		peer.Revision, peer.ListingRevision, peer.Changes = 20, 0, peer.Changes[:1]
+		f.apply(&peer, "10.0.0.1:80")
+		f.now += time.Second
+		late := f.platform.delta
+		late.Full, late.ListingRevision, late.ConfirmedMS = listing > 0, listing, 100
+		f.apply(&late, "platform")
+		assert.Equal(t, len(f.View.Targets(fleettest.Service)), 1, name)
+		assert.Equal(t, len(f.View.RemovedTargets(fleettest.Service)), 1, name)
+		assert.Equal(t, f.View.Revision(), uint64(20), name)
+		// The platform had no later change when it was asked.
+		assert.Equal(t, f.View.Age(f.now), 100*time.Millisecond, name)
+	}
+}
+
 // Guards against every process fetching a change from another data centre,
 // because a peer there announces it first.
 func TestChangesComeFromNearPeers(t *testing.T) {
