fleet: a removal tells the last incarnation to views that know an earlier one

A view that knew one incarnation of a target and then learned the removal of a later one kept the earlier one as the state before the removal. So the later one was not among the removed targets, which a search asks, and an older copy of the platform could list the earlier one again in this view and not in others. The view now records the state that the removal names if it is the later one.

--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -219,6 +219,17 @@
 	v.index.add(e)
 }
 
+// learnLast records the state of a removed entry before its removal if it is later
+// than the one that the view has seen.
+func (v *View) learnLast(e *entry, c *Change) {
+	if c.Last == nil || e.target == nil || !e.target.precedes(c.Last) {
+		return
+	}
+	v.index.remove(e)
+	e.target = v.index.intern(c.Last, e.id)
+	v.index.add(e)
+}
+
 // learnGone adds the entry of a change from a view that is behind this one, in
 // which the entry is listed. Otherwise an entry that was removed just before a
 // process read the platform would be missing from its view, although a peer tells
--- a/core/fleet/removals_test.go
+++ b/core/fleet/removals_test.go
@@ -61,3 +61,22 @@
 	assert.Assert(t, v.RemovalsKnown(now))
 	assert.Equal(t, len(v.RemovedTargets("booking")), 1)
 }
+
+// Guards against a removed entry of which a view knows only an earlier incarnation,
+// because it has missed the later one: an older copy of the platform would list the
+// earlier one again, and the later one may hold flows at another address.
+func TestRemovalTellsTheLastIncarnation(t *testing.T) {
+	v := New()
+	v.Apply(0, &Delta{Full: true, Revision: 1, Changes: []Change{{ID: "a", Revision: 1, Target: target("a", 1, Ready, 1)}}})
+	v.Apply(0, &Delta{Revision: 3, Changes: []Change{{ID: "a", Revision: 3, Last: target("a", 2, Draining, 5)}}})
+	assert.Equal(t, len(v.Targets("booking")), 0)
+	removed := v.RemovedTargets("booking")
+	assert.Equal(t, len(removed), 1)
+	assert.Equal(t, removed[0].StartUnixMS, int64(5))
+	assert.Equal(t, removed[0].Address, target("a", 2, Draining, 5).Address)
+	v.Apply(0, listing(1, target("a", 1, Ready, 1)))
+	assert.Equal(t, len(v.Targets("booking")), 0)
+	// The sender may know only an earlier incarnation.
+	v.Apply(0, &Delta{Epoch: 1, Revision: 4, Changes: []Change{{ID: "a", Revision: 4, Last: target("a", 1, Ready, 1)}}})
+	assert.Equal(t, v.RemovedTargets("booking")[0].StartUnixMS, int64(5))
+}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -187,7 +187,9 @@
 		return false
 	}
 	if c.Target == nil {
-		return v.remove(now, e, c.Revision)
+		changed := v.remove(now, e, c.Revision)
+		v.learnLast(e, c)
+		return changed
 	}
 	ofEarlierEpoch := e.revision == 0
 	v.setRevision(e, c.Revision)
