Merge views that agree in any order of deltas

Result: fleet and fleetsync pass; TestViewsAgreeAcrossEpochs and TestDeltasInAnyOrder pass 50,000 cases each (both failed now and then before).

--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -105,7 +105,10 @@
 	}
 	v.addToldServices(now, d)
 	v.applyDrains(now, d)
-	v.recordHistory(now, d)
+	continues := d.Epoch != v.epoch || v.continues(d)
+	if continues {
+		v.recordHistory(now, d)
+	}
 	if d.Full && d.Epoch > v.epoch {
 		v.startEpoch(now, d.Epoch)
 	}
@@ -114,7 +117,7 @@
 	}
 	// The routes come first, because they name the services of the entries.
 	targets, config = v.applyConfig(now, d)
-	behind := d.Revision < v.revision
+	behind := max(d.Revision, d.ListingRevision) < v.revision
 	for i := range d.Changes {
 		c := &d.Changes[i]
 		if known := v.entries[c.ID]; behind && c.Revision <= v.revision && (known == nil || known.unseen) && c.Last == nil {
@@ -134,6 +137,10 @@
 		}
 		v.floor = max(v.floor, at)
 	}
+	if !continues {
+		// The view does not know the changes before those of the delta.
+		return targets, config
+	}
 	if d.Patch != nil && d.Patch.Version > v.Version() {
 		// The patch does not apply to the view's version. The revision stays,
 		// so that the routes are fetched again.
@@ -180,7 +187,9 @@
 		return false
 	}
 	if c.Target == nil {
-		return v.remove(now, e, c.Revision)
+		changed := v.remove(now, e, c.Revision)
+		v.learnLast(e, c)
+		return changed
 	}
 	ofEarlierEpoch := e.revision == 0
 	v.setRevision(e, c.Revision)
