ownership: the first view's entry counts only if most targets warm up

Cause: an agent took its target for fresh by the entry in its first view if all peers that were asked had started with it. If only the processes were killed, that holds too, and a clock that was set back by the age of a new target then made the agent deny the flows of that target.

Change: most of the other targets of the service must be warming up as well. If only the processes were killed, they have run for longer, whatever the clock of this VM says.

--- a/core/ownership/fresh.go
+++ b/core/ownership/fresh.go
@@ -26,14 +26,32 @@
 // checkJointStart detects that all VMs have restarted, if the target wrote its
 // entry before the agent had a view. Then the entry does not show by itself that
 // it is new, and the time of day may have jumped between the two starts. So it
-// counts only if all peers that were asked started with this agent as well.
+// counts only if all peers that were asked started with this agent as well, and if
+// most other targets of the service are warming up too: if only the processes were
+// killed, the others have run for longer, whatever this VM's clock says.
 func (m *Machine) checkJointStart(now time.Duration, t *fleet.Target, out *plane.Out) {
 	age, sinceStart := m.ageOf(t), now-m.startedAt
-	if t.WarmupMS > 0 && sinceStart <= maxJointStart && age <= maxStartSkew && -age <= sinceStart+maxStartSkew {
+	if t.WarmupMS > 0 && sinceStart <= maxJointStart && age <= maxStartSkew && -age <= sinceStart+maxStartSkew && m.mostOthersWarmUp() {
 		m.recordFresh(now, "all_started_together", age.Milliseconds(), out)
 	}
 }
 
+// mostOthersWarmUp reports whether more than half of the other listed targets of
+// the service are warming up.
+func (m *Machine) mostOthersWarmUp() bool {
+	warmingUp, warm := 0, 0
+	for _, t := range m.View.Targets(m.Service) {
+		switch {
+		case t.Agent() == m.Self:
+		case t.WarmupMS > 0:
+			warmingUp++
+		default:
+			warm++
+		}
+	}
+	return warmingUp > warm
+}
+
 // ageOf returns by how much a target started before this agent, by the time of
 // day.
 func (m *Machine) ageOf(t *fleet.Target) time.Duration {
--- a/core/ownership/fresh_test.go
+++ b/core/ownership/fresh_test.go
@@ -64,15 +64,19 @@
 		startUnixMS int64
 		warmup      int
 		settled     bool
-		fresh       bool
+		// others is the remaining warm-up of the two other targets.
+		others [2]int
+		fresh  bool
 	}{
-		"all started together":           {started - 20, 1500, true, true},
-		"a peer knows the time before":   {started - 20, 1500, false, false},
-		"target is older":                {started - maxStartSkew.Milliseconds() - 1, 1500, true, false},
-		"target is not warming up":       {started - 20, 0, true, false},
-		"start lies in the future":       {started + 2000, 1500, true, false},
-		"start time of the entry is 0":   {0, 1500, true, false},
-		"target started after its agent": {started + 30, 1500, true, true},
+		"all started together":           {started - 20, 1500, true, [2]int{1500, 1400}, true},
+		"a peer knows the time before":   {started - 20, 1500, false, [2]int{1500, 1400}, false},
+		"target is older":                {started - maxStartSkew.Milliseconds() - 1, 1500, true, [2]int{1500, 1400}, false},
+		"target is not warming up":       {started - 20, 0, true, [2]int{1500, 1400}, false},
+		"start lies in the future":       {started + 2000, 1500, true, [2]int{1500, 1400}, false},
+		"start time of the entry is 0":   {0, 1500, true, [2]int{1500, 1400}, false},
+		"target started after its agent": {started + 30, 1500, true, [2]int{1500, 1400}, true},
+		"only the processes were killed": {started - 20, 1500, true, [2]int{0, 0}, false},
+		"another target lived on":        {started - 20, 1500, true, [2]int{0, 1500}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			target := fleettest.Target(0, fleet.Ready)
@@ -80,7 +84,8 @@
 			v := fleet.New()
 			f := &fixture{T: t, Machine: New(0, Options{Self: fleettest.Agent(0), DataCentre: fleettest.DataCentre, Service: fleettest.Service,
 				Target: netip.AddrPortFrom(fleettest.Agent(0), 80), StartedMS: started, Codec: flowtest.Codec{}, View: v})}
-			v.Apply(0, &fleet.Delta{Revision: 9, Full: true, Config: &fleet.Config{Version: 1}, ConfigRevision: 1, Changes: []fleet.Change{{ID: "a", Revision: 3, Target: target}}})
+			v.Apply(0, &fleet.Delta{Revision: 9, Full: true, Config: &fleet.Config{Version: 1}, ConfigRevision: 1, Changes: []fleet.Change{
+				{ID: "a", Revision: 3, Target: target}, {ID: "b", Revision: 4, Target: warming(1, c.others[0])}, {ID: "c", Revision: 5, Target: warming(2, c.others[1])}}})
 			f.advance(50 * ms)
 			assert.Assert(t, f.mayHoldUnknownFlows(f.now))
 			if c.settled {
@@ -93,6 +98,12 @@
 	}
 }
 
+func warming(n byte, leftMS int) *fleet.Target {
+	t := fleettest.Target(n, fleet.Ready)
+	t.WarmupMS = leftMS
+	return t
+}
+
 // Guards against an agent that doubts its target although the VM has just
 // started, and against one that trusts a target because it does not know when the
 // VM started, or because the VM has run for longer than an agent needs to restart.
--- a/core/ownership/recovery_test.go
+++ b/core/ownership/recovery_test.go
@@ -236,14 +236,21 @@
 
 // Guards against resets of open flows after a loss in which not all targets were
 // lost: all processes killed and the targets live on, some VMs or a data centre
-// lost, a holder whose entry was removed before, and any mixture of these.
+// lost, a holder whose entry was removed before, any mixture of these, and
+// processes killed when some targets are new and clocks step.
 func TestFlowsOfLiveTargetsSurviveLoss(t *testing.T) {
 	dataCentreLost := func(_ *world, v *vm) fate {
 		return map[bool]fate{true: vmLost, false: processKilled}[v.dataCentre == "dc-0"]
 	}
 	holder := func(w *world) *vm { return w.vms[5] }
 	for name, fates := range map[string]func(w *world, v *vm) fate{
-		"processes killed":          func(*world, *vm) fate { return processKilled },
+		"processes killed": func(*world, *vm) fate { return processKilled },
+		"processes killed beside new targets while clocks step": func(w *world, v *vm) fate {
+			if w.oneIn(3) {
+				w.stepClock()
+			}
+			return processKilled
+		},
 		"half lost, others killed":  func(w *world, v *vm) fate { return processKilled + fate(w.IntN(2)) },
 		"half lost, others live on": func(w *world, v *vm) fate { return vmLost * fate(w.IntN(2)) },
 		"one data centre lost":      dataCentreLost,
@@ -257,6 +264,12 @@
 			for seed := range 2 * lossSeeds() {
 				w := newWorld(seed + 1)
 				l := loss{fates, w.between(-50*ms, 100*ms), w.between(0, 800*ms), w.oneIn(2), lossCallers}
+				if name == "processes killed beside new targets while clocks step" {
+					for range 3 {
+						w.after(w.between(300*ms, 2*time.Second), w.crashTarget)
+						w.after(w.between(2*time.Second, lossAt+lossTime), w.stepClock)
+					}
+				}
 				if name == "unlisted holder lives on" {
 					w.after(2*time.Second, func() {
 						holder(w).target.cutUntil = w.now + time.Hour
