--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -114,6 +114,11 @@
 	return d.Full && (d.Epoch > v.epoch || d.listedAt() > v.revision)
 }
 
+// ToleratesGap reports whether the view takes a full delta that skips changes at
+// once: it does not know all removals anyway, for example because the process has
+// just started. After a loss of all VMs all views differ and are young.
+func (v *View) ToleratesGap(now time.Duration) bool { return !v.RemovalsKnown(now) }
+
 // LeavesGap reports whether a full delta of the view, applied by a process that
 // confirmed its own view at an age before now, skips changes that the view does not
 // know, and the process should wait for another peer. A process that has just
--- a/core/ownership/holders.go
+++ b/core/ownership/holders.go
@@ -148,10 +148,11 @@
 // search goes on.
 func (m *Machine) conclude(now time.Duration, key flow.Key, s *search, out *plane.Out) {
 	reason := m.unsureReason(now, s)
+	s.behindPeer = false
 	switch {
 	case reason != "":
 	case s.peersKnow.AheadOf(m.View.Progress()):
-		reason = "peer_ahead"
+		reason, s.behindPeer = "peer_ahead", true
 	case !m.allDenied(now, s):
 		reason = "not_asked"
 	}
--- a/core/ownership/incomplete_test.go
+++ b/core/ownership/incomplete_test.go
@@ -291,3 +291,30 @@
 	f.peerAnswers(2, relay.NotOwner, 1)
 	assert.Equal(t, len(f.out.ToCaller), 0)
 }
+
+// Guards against callers of dead flows that wait for the next round of a search
+// after a loss of all VMs: the fleet changes all the time, so the view is behind
+// some peer when the agents have answered. The search ends as soon as the view has
+// caught up, and only if the targets listed by then were asked.
+func TestSearchEndsWhenTheViewCatchesUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		changes []fleet.Change
+		resets  int
+	}{
+		"nothing else":                {nil, 1},
+		"a target that was not asked": {[]fleet.Change{{ID: "d", Revision: 101, Target: fleettest.Target(3, fleet.Ready)}}, 0},
+	} {
+		f := newFixture(t, true)
+		later := f.View.Progress()
+		later.Revision++
+		f.FromPeer(f.now, fleettest.Agent(1), &relay.Message{Kind: relay.Heartbeat, Service: tag, Load: relay.Load{Flags: relay.FlagAgent}, Progress: later}, &f.out)
+		f.balancerSends(relay.Packet, unknownPacket)
+		f.peerAnswers(1, relay.NotOwner, 1)
+		f.peerAnswers(2, relay.NotOwner, 1)
+		f.advance(10 * ms)
+		assert.Equal(t, len(f.out.ToCaller), 0, name)
+		f.View.Apply(f.now, &fleet.Delta{Revision: later.Revision, Changes: c.changes})
+		f.advance(10 * ms)
+		assert.Equal(t, len(f.out.ToCaller), c.resets, name)
+	}
+}
--- a/core/ownership/openflow_platform_test.go
+++ b/core/ownership/openflow_platform_test.go
@@ -267,7 +267,7 @@
 		return
 	}
 	p.sync.fetching = true
-	after, age := fleet.Progress{}, p.view.Age(p.now())
+	after, age, toleratesGap := fleet.Progress{}, p.view.Age(p.now()), p.view.ToleratesGap(p.now())
 	if p.view.Usable() {
 		after = p.view.Progress()
 	}
@@ -279,7 +279,7 @@
 	w.after(w.between(low, high), func() {
 		var d *fleet.Delta
 		if peer.up && w.now >= peer.frozenUntil && peer.view.Usable() {
-			if delta := peer.view.Since(peer.now(), after); !peer.view.LeavesGap(peer.now(), &delta, age) {
+			if delta := peer.view.Since(peer.now(), after); toleratesGap || !peer.view.LeavesGap(peer.now(), &delta, age) {
 				d = &delta
 			}
 		}
--- a/core/ownership/recovery_test.go
+++ b/core/ownership/recovery_test.go
@@ -195,34 +195,38 @@
 // its VM started, there is nothing from which the agent learns in time that the
 // target is fresh.
 func TestDeadFlowsAfterLossOfAllVMs(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		loss
-		// settled is the least share of the dead flows that are reset in time, in
-		// percent, and probes the highest number of probes per flow.
-		settled, probes int
-	}{
-		{"target listens late", loss{everyVMIsLost, 100 * ms, 800 * ms, false, lossCallers}, 98, 1},
-		{"target listens early, entry at once", loss{everyVMIsLost, -20 * ms, 0, false, lossCallers}, 98, 2},
-		{"target listens early, entry late, start of the VM known", loss{everyVMIsLost, -20 * ms, 800 * ms, true, lossCallers}, 98, 1},
-		{"target listens early, entry late", loss{everyVMIsLost, -20 * ms, 800 * ms, false, lossCallers}, 80, 7},
+	for name, l := range map[string]loss{
+		"target listens late":                                     {everyVMIsLost, 100 * ms, 800 * ms, false, lossCallers},
+		"target listens early, entry at once":                     {everyVMIsLost, -20 * ms, 0, false, lossCallers},
+		"target listens early, entry late, start of the VM known": {everyVMIsLost, -20 * ms, 800 * ms, true, lossCallers},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			var sum lossResult
-			for seed := range lossSeeds() {
-				w := newWorld(seed + 1)
-				// A search takes some 20 datagrams, and each one that is lost delays it by
-				// 80 ms.
-				w.lossless = true
-				sum.add(c.play(t, w))
-			}
-			t.Log(sum)
-			assert.Assert(t, 100*sum.settled >= c.settled*sum.dead)
-			assert.Assert(t, sum.probes < c.probes*sum.dead)
-		})
+		t.Run(name, func(t *testing.T) { l.checkRecovery(t) })
 	}
 }
 
+// Guards against the same wait if no agent can tell for up to a heartbeat that its
+// target is fresh: the target listens before its agent looks and reports late.
+func TestDeadFlowsIfTargetsReportLate(t *testing.T) {
+	loss{everyVMIsLost, -20 * ms, 800 * ms, false, lossCallers}.checkRecovery(t)
+}
+
+// checkRecovery checks the share of the dead flows that are reset in time, and the
+// number of probes for each of them.
+func (l loss) checkRecovery(t *testing.T) {
+	const minSettledPercent, maxProbesPerFlow = 95, 1
+	var sum lossResult
+	for seed := range lossSeeds() {
+		w := newWorld(seed + 1)
+		// A search takes some 20 datagrams, and each one that is lost delays it by
+		// 80 ms.
+		w.lossless = true
+		sum.add(l.play(t, w))
+	}
+	t.Log(sum)
+	assert.Assert(t, 100*sum.settled >= minSettledPercent*sum.dead)
+	assert.Assert(t, sum.probes < maxProbesPerFlow*sum.dead)
+}
+
 // Guards against a datagram to each agent for each dead flow, of which there are
 // thousands after a loss of all VMs: 21 datagrams for each flow of this run if each
 // is searched for alone.
@@ -236,14 +240,21 @@
 
 // Guards against resets of open flows after a loss in which not all targets were
 // lost: all processes killed and the targets live on, some VMs or a data centre
-// lost, a holder whose entry was removed before, and any mixture of these.
+// lost, a holder whose entry was removed before, any mixture of these, and
+// processes killed when some targets are new and clocks step.
 func TestFlowsOfLiveTargetsSurviveLoss(t *testing.T) {
 	dataCentreLost := func(_ *world, v *vm) fate {
 		return map[bool]fate{true: vmLost, false: processKilled}[v.dataCentre == "dc-0"]
 	}
 	holder := func(w *world) *vm { return w.vms[5] }
 	for name, fates := range map[string]func(w *world, v *vm) fate{
-		"processes killed":          func(*world, *vm) fate { return processKilled },
+		"processes killed": func(*world, *vm) fate { return processKilled },
+		"processes killed beside new targets while clocks step": func(w *world, v *vm) fate {
+			if w.oneIn(3) {
+				w.stepClock()
+			}
+			return processKilled
+		},
 		"half lost, others killed":  func(w *world, v *vm) fate { return processKilled + fate(w.IntN(2)) },
 		"half lost, others live on": func(w *world, v *vm) fate { return vmLost * fate(w.IntN(2)) },
 		"one data centre lost":      dataCentreLost,
@@ -257,6 +268,12 @@
 			for seed := range 2 * lossSeeds() {
 				w := newWorld(seed + 1)
 				l := loss{fates, w.between(-50*ms, 100*ms), w.between(0, 800*ms), w.oneIn(2), lossCallers}
+				if name == "processes killed beside new targets while clocks step" {
+					for range 3 {
+						w.after(w.between(300*ms, 2*time.Second), w.crashTarget)
+						w.after(w.between(2*time.Second, lossAt+lossTime), w.stepClock)
+					}
+				}
 				if name == "unlisted holder lives on" {
 					w.after(2*time.Second, func() {
 						holder(w).target.cutUntil = w.now + time.Hour
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -59,6 +59,9 @@
 	// when it began.
 	incomplete string
 	peersKnow  fleet.Progress
+	// behindPeer says that all agents have denied the flow, and the view has to
+	// catch up with peersKnow before the search can end.
+	behindPeer bool
 	// noOwner says that all agents have answered and no target holds the flow.
 	// It applies to packets with the acknowledgement ack.
 	noOwner bool
@@ -148,7 +151,7 @@
 // beginRound asks the other agents of the service in the local data centre.
 func (m *Machine) beginRound(now time.Duration, p *flow.Packet, msg *relay.Message, s *search, out *plane.Out) {
 	s.begin(now, p, msg)
-	s.incomplete, s.peersKnow = m.incompleteReason(now), m.latestPeerProgress(now)
+	s.incomplete, s.peersKnow, s.behindPeer = m.incompleteReason(now), m.latestPeerProgress(now), false
 	local, _ := m.searchable(now)
 	m.sendSearches(now, local, p, msg, s, out)
 	if m.mayHold(now, p.Key) {
@@ -323,6 +326,9 @@
 // asks the other data centres, because the owner may be there.
 func (m *Machine) checkSearches(now time.Duration, out *plane.Out) {
 	for key, s := range m.searches {
+		if s.behindPeer && s.done && !s.found && !s.noOwner && !s.peersKnow.AheadOf(m.View.Progress()) {
+			m.conclude(now, key, s, out)
+		}
 		m.retrySearch(now, s, out)
 		if s.batched {
 			continue
--- a/node/fleetsync/pull.go
+++ b/node/fleetsync/pull.go
@@ -82,7 +82,9 @@
 func (s *Sync) pull(ctx context.Context, from netip.AddrPort) error {
 	progress, age := s.localProgress()
 	parameters := progressParameters(progress)
-	parameters[queryAge] = strconv.FormatInt(age.Milliseconds(), 10)
+	if !s.toleratesGap() {
+		parameters[queryAge] = strconv.FormatInt(age.Milliseconds(), 10)
+	}
 	d, err := s.get(ctx, from, parameters)
 	if err != nil {
 		return err
@@ -91,6 +93,12 @@
 	return nil
 }
 
+func (s *Sync) toleratesGap() bool {
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	return s.View.ToleratesGap(s.Now())
+}
+
 // progressParameters returns the parameters of a request for the changes after a
 // progress.
 func progressParameters(after fleet.Progress) map[string]string {
