flowtable: agents whose entries have lapsed are keepers too

Cause: in an outage of the platform in which all entries lapse, an agent that stopped had nobody to send its table to, and one that started had nobody to ask.

Change: while the platform counts as disturbed, agents of ready targets whose entries were removed are keepers as well.

Result: TestKeepersDuringAnOutage fails before and passes now.

--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -94,3 +94,17 @@
 	v.entries[c.ID] = e
 	v.learnRemoved(now, e, &Change{ID: c.ID, Revision: c.Revision - 1, Last: c.Target})
 }
+
+// LapsedAgents returns the agents of all targets whose entries may be listed again,
+// because the platform was disturbed within ReturnGrace.
+func (v *View) LapsedAgents(now time.Duration) (members []Member) {
+	if !v.RecentlyDisturbed(now) {
+		return nil
+	}
+	for _, e := range v.removals {
+		if e.removed && e.target != nil && e.target.State == Ready {
+			members = append(members, Member{VM: e.target.Agent(), DataCentre: e.target.DataCentre})
+		}
+	}
+	return members
+}
--- a/core/flowtable/flowtable_test.go
+++ b/core/flowtable/flowtable_test.go
@@ -227,3 +227,20 @@
 		assert.Assert(t, found, "sent to %v, asked %v", sent, asked)
 	})
 }
+
+// Guards against an agent that has no keepers because the entries of all targets
+// lapsed in an outage of the platform.
+func TestKeepersDuringAnOutage(t *testing.T) {
+	v := fleettest.View(0, fleettest.Ready(5)...)
+	owner := fleet.Member{VM: agent, DataCentre: fleettest.DataCentre}
+	before := Keepers(Members(v, 0), owner)
+	assert.Equal(t, len(before), 4)
+	d := &fleet.Delta{Revision: fleettest.Revision + 5}
+	for n, target := range fleettest.Ready(5) {
+		d.Changes = append(d.Changes, fleet.Change{ID: target.ID, Revision: fleettest.Revision + 1 + uint64(n)})
+	}
+	v.Apply(time.Second, d)
+	assert.Equal(t, len(Members(v, time.Second)), 0)
+	v.RecordDisturbance(time.Second)
+	assert.Equal(t, fmt.Sprint(Keepers(Members(v, time.Second), owner)), fmt.Sprint(before))
+}
--- a/core/flowtable/keepers.go
+++ b/core/flowtable/keepers.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"trefoilweir.example/core/fleet"
@@ -61,3 +62,17 @@
 // hashSeed makes the order of keepers independent of the order of homes and of
 // the tree that distributes changes.
 const hashSeed = 0x666c6f7774616273
+
+// Members returns the agents that may be keepers: those of the listed targets of a
+// view, and of those whose entries have lapsed, because an outage of the platform may
+// take all entries away while their agents run.
+func Members(v *fleet.View, now time.Duration) []fleet.Member {
+	agents := v.Agents()
+	members := make([]fleet.Member, 0, len(agents))
+	for _, a := range agents {
+		if t := v.TargetAt(a); t != nil {
+			members = append(members, fleet.Member{VM: a, DataCentre: t.DataCentre})
+		}
+	}
+	return append(members, v.LapsedAgents(now)...)
+}
--- a/core/flowtable/retention.go
+++ b/core/flowtable/retention.go
@@ -5,8 +5,6 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"trefoilweir.example/core/fleet"
 )
 
 const (
@@ -174,15 +172,3 @@
 	slices.SortFunc(left, func(a, b KeptEntry) int { return a.Agent.Compare(b.Agent) })
 	return left
 }
-
-// Members returns the agents of the listed targets of a view.
-func Members(v *fleet.View) []fleet.Member {
-	agents := v.Agents()
-	members := make([]fleet.Member, 0, len(agents))
-	for _, a := range agents {
-		if t := v.TargetAt(a); t != nil {
-			members = append(members, fleet.Member{VM: a, DataCentre: t.DataCentre})
-		}
-	}
-	return members
-}
--- a/core/ownership/openflow_tables_test.go
+++ b/core/ownership/openflow_tables_test.go
@@ -72,7 +72,7 @@
 	if t := p.view.TargetAt(owner); t != nil {
 		dataCentre = t.DataCentre
 	}
-	return flowtable.Keepers(flowtable.Members(p.view), fleet.Member{VM: owner, DataCentre: dataCentre})
+	return flowtable.Keepers(flowtable.Members(p.view, p.now()), fleet.Member{VM: owner, DataCentre: dataCentre})
 }
 
 // handOverTables sends the table of a stopping agent and those that it keeps for
--- a/node/packetplane/flowtables.go
+++ b/node/packetplane/flowtables.go
@@ -176,7 +176,7 @@
 		dataCentre = target.DataCentre
 	}
 	var keepers []netip.Addr
-	for _, a := range flowtable.Keepers(flowtable.Members(t.view), fleet.Member{VM: owner, DataCentre: dataCentre}) {
+	for _, a := range flowtable.Keepers(flowtable.Members(t.view, t.now()), fleet.Member{VM: owner, DataCentre: dataCentre}) {
 		if a != t.Settings.IP {
 			keepers = append(keepers, a)
 		}
