--- a/spec/check.sh
+++ b/spec/check.sh
@@ -84,3 +84,8 @@
 for rule in FRESH_ON_RESTART EARLIER_LIST FLAG_ONLY NO_ANSWER LISTED_ONLY PARTIAL_LIST; do
 	fails recovery safety "-D$rule"
 done
+
+holds flowtable safety
+for rule in NO_RUNS FIRST_ANSWER GIVE_AGAIN NO_NAMES PART PASS_ON NO_DOUBT TWO_CUT; do
+	fails flowtable safety "-D$rule"
+done
