ownership: further rounds of searches begin in the order of the flows

Change: the searches that are due are sorted.

Measured: of the four cases of TestDeadFlowsAfterLossOfAllVMs three repeat exactly. The one in which targets listen late still differs between runs (390 to 398 of 400 flows in time), in two of six runs also without lists, and in none of six before this work; the cause is not found. Ten runs with -short pass.

--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"bytes"
 	"net/netip"
 	"slices"
 	"time"
@@ -285,33 +286,47 @@
 	m.probeMaybeOwners(now, key, s, out)
 }
 
-// retrySearch begins another round of an incomplete search, in which an agent
-// did not answer or a probe was not returned. After an outage agents and
-// targets come back one by one, and the caller's next packet may come too late.
-// A round that began without a sufficient view is followed by another as soon as
-// the view is sufficient.
-func (m *Machine) retrySearch(now time.Duration, s *search, out *plane.Out) {
-	if !s.done || s.found || s.noOwner || len(s.raw) == 0 || s.retries >= maxSearchRetries {
-		return
+// retrySearches begins further rounds of incomplete searches, in which an agent
+// did not answer or a probe was not returned. After an outage agents and targets
+// come back one by one, and the caller's next packet may come too late. The order
+// is that of the flows, because the first ones of a burst are searched for alone
+// and a run in model time must be repeatable.
+func (m *Machine) retrySearches(now time.Duration, out *plane.Out) {
+	var due []flow.Key
+	for key, s := range m.searches {
+		if m.retryDue(now, s) {
+			due = append(due, key)
+		}
 	}
-	if viewSuffices := s.incomplete != "" && m.incompleteReason(now) == ""; !viewSuffices && now-s.roundStart < searchRetryDelay<<(s.retries/2) {
-		return
+	slices.SortFunc(due, func(a, b flow.Key) int { return bytes.Compare(a.Append(nil), b.Append(nil)) })
+	for _, key := range due {
+		s := m.searches[key]
+		p, err := m.Codec.FromCaller(s.raw)
+		if err != nil {
+			continue
+		}
+		s.retries++
+		s.onlySelfAsked = false
+		m.searchAll(now, &p, &relay.Message{Origin: s.origin, Home: m.Self}, s, out)
 	}
-	p, err := m.Codec.FromCaller(s.raw)
-	if err != nil {
-		return
+}
+
+// retryDue reports whether another round of a search is due. A round that began
+// without a sufficient view is followed by another as soon as the view is
+// sufficient.
+func (m *Machine) retryDue(now time.Duration, s *search) bool {
+	if !s.done || s.found || s.noOwner || len(s.raw) == 0 || s.retries >= maxSearchRetries {
+		return false
 	}
-	s.retries++
-	s.onlySelfAsked = false
-	m.searchAll(now, &p, &relay.Message{Origin: s.origin, Home: m.Self}, s, out)
+	return s.incomplete != "" && m.incompleteReason(now) == "" || now-s.roundStart >= searchRetryDelay<<(s.retries/2)
 }
 
 // checkSearches ends rounds that time out, starts further rounds, and drops old
 // results. If an agent of the local data centre does not answer, the round still
 // asks the other data centres, because the owner may be there.
 func (m *Machine) checkSearches(now time.Duration, out *plane.Out) {
+	m.retrySearches(now, out)
 	for key, s := range m.searches {
-		m.retrySearch(now, s, out)
 		if s.batched {
 			continue
 		}
