ownership: a flow that the target has got is not refused by its agent

If a target did not accept a flow within 25 ms and no other target could take it, the agent refused the flow, although the target had got the opening packet and accepted it a moment later. The caller's copy after 200 ms was refused by the same path, because the target still counted as silent, and so was a copy that waited for a slot.

Such a packet is dropped now. The balancer is told that it need not place the flow; the home is not, because it would delete its record and refuse the flow when the network duplicates the packet. The home's own time-out then places the flow again or drops it. A flow that the target has not got, or has returned, is refused at once as before.

Open: an agent to which a flow was handed over, or which its home chose second, does not know whether the target before has got the packet, and may refuse.

--- a/core/ownership/copies_test.go
+++ b/core/ownership/copies_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"net/netip"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -92,4 +93,79 @@
 	assert.Equal(t, len(f.out.ToTarget), 1)
 	f.advance(acceptTimeout + ms)
 	assert.Equal(t, len(f.out.ToCaller), 0)
+	// Neither is a duplicate of the network or a copy of the caller.
+	for copies := range uint32(2) {
+		f.balancerSends(relay.Place, flow.Packet{Key: fleettest.Key(1), Open: true, Seq: 100, Ack: copies})
+		assert.Equal(t, len(f.out.ToCaller)+len(f.out.ToTarget), 0)
+		assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.Refused})
+	}
+	// A flow that the target has not got is refused at once.
+	f.balancerSends(relay.Place, flow.Packet{Key: fleettest.Key(2), Open: true, Seq: 100})
+	assert.DeepEqual(t, f.refusals(), []string{"silent"})
+	f.targetSends(flow.Packet{Key: fleettest.Key(1), Open: true, Seq: 5000, Ack: 101})
+	assert.Equal(t, len(f.out.ToCaller), 1)
+	assert.DeepEqual(t, f.sentKinds(), []relay.Kind{relay.Owner})
+}
+
+// Guards against a caller that waits for its deadline although the target has
+// returned the opening packet, so that nothing has run.
+func TestReturnedFlowIsRefused(t *testing.T) {
+	f := newFixture(t, true)
+	f.removeTargets(1, 2)
+	f.balancerSends(relay.Place, flow.Packet{Key: fleettest.Key(1), Open: true, Seq: 100})
+	f.targetSends(flow.Packet{Key: fleettest.Key(1), Open: true, Seq: 100, Returned: true})
+	assert.DeepEqual(t, f.refusals(), []string{"target_full"})
+}
+
+// Guards against the refusal of a flow that waits for a slot although the target
+// got an earlier copy of its opening packet, when it was silent.
+func TestQueuedCopyOfOfferedFlowIsNotRefused(t *testing.T) {
+	f := newFixture(t, true)
+	f.removeTargets(1, 2)
+	f.balancerSends(relay.Place, flow.Packet{Key: fleettest.Key(1), Open: true, Seq: 100})
+	f.advance(acceptTimeout + ms)
+	for port := uint16(100); port < 105; port++ {
+		f.now += silentRetryInterval
+		f.openFlow(port)
+	}
+	f.balancerSends(relay.Place, flow.Packet{Key: fleettest.Key(1), Open: true, Seq: 100, Ack: 2})
+	assert.Equal(t, f.Queued(), 1)
+	f.removeTargets(0)
+	f.advance(ms)
+	assert.Equal(t, f.Queued(), 0)
+	assert.Equal(t, len(f.out.ToCaller), 0)
+}
+
+// Guards against a home that refuses a flow of which the chosen target has got the
+// opening packet, when the network duplicates the packet after the target's agent
+// has given up the wait.
+func TestHomeDoesNotRefuseOfferedFlow(t *testing.T) {
+	home, owner := newFixture(t, true), newFixture(t, true)
+	owner.Self, owner.Target = fleettest.Agent(1), netip.AddrPortFrom(fleettest.Agent(1), 80)
+	home.Leave()
+	for _, f := range []*fixture{home, owner} {
+		f.removeTargets(2)
+	}
+	owner.removeTargets(0)
+	opening := flow.Packet{Key: fleettest.Key(1), Open: true, Seq: 100}
+	home.balancerSends(relay.Open, opening)
+	assert.DeepEqual(t, home.sentKinds(), []relay.Kind{relay.Place})
+	place := home.out.Sends[0].Message
+	owner.out.Clear()
+	owner.FromPeer(owner.now, home.Self, &place, &owner.out)
+	assert.Equal(t, len(owner.out.ToTarget), 1)
+	owner.advance(acceptTimeout + ms)
+	assert.Equal(t, len(owner.out.ToCaller), 0)
+	home.now = owner.now
+	for _, s := range owner.out.Sends {
+		if message := s.Message; s.To == home.Self {
+			home.FromPeer(home.now, owner.Self, &message, &home.out)
+		}
+	}
+	home.removeTargets(1)
+	home.balancerSends(relay.Open, opening)
+	assert.Equal(t, len(home.out.ToCaller), 0)
+	home.advance(maxOwnerTimeout)
+	home.balancerSends(relay.Open, opening)
+	assert.Equal(t, len(home.out.ToCaller), 0)
 }
--- a/core/ownership/eligible.go
+++ b/core/ownership/eligible.go
@@ -86,3 +86,11 @@
 	f := m.flows[p.Key]
 	return f != nil && f.openSeqKnown && f.openSeq == p.Seq && (f.accepted || f.phase == phaseOffered)
 }
+
+// targetHasGot reports whether the target has got the opening packet of a flow and
+// has not returned it. It may accept the flow late, after the agent has given up the
+// wait or has sent the packet elsewhere.
+func (m *Machine) targetHasGot(p *flow.Packet) bool {
+	f := m.flows[p.Key]
+	return f != nil && f.openSeqKnown && f.openSeq == p.Seq
+}
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -178,10 +178,14 @@
 	out.ToTarget = append(out.ToTarget, m.Codec.Clean(p.Raw))
 }
 
-// handOver forwards an opening packet to the agent of another target, or
-// refuses the flow if there is none.
+// handOver forwards an opening packet to the agent of another target. If there is
+// none, it refuses the flow, unless a target may have got the packet.
 func (m *Machine) handOver(now time.Duration, p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
 	to, ok := m.handOverTo(now, p, msg)
+	if !ok && m.targetHasGot(p) {
+		m.leaveToTarget(p, msg, reason, out)
+		return
+	}
 	if !ok && isWithheld(reason) && m.mayBeElsewhere(p, msg) {
 		m.giveUp(p, msg, reason, out)
 		return
@@ -230,6 +234,18 @@
 	m.release(p, msg, out)
 }
 
+// leaveToTarget drops an opening packet of a flow that the target of this agent
+// has got and may still accept. Only the balancer is notified. The home keeps its
+// record, which tells it that the flow has been placed: without one it would refuse
+// the flow if the network duplicated the packet.
+func (m *Machine) leaveToTarget(p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
+	out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: reason})
+	if msg.Origin.IsValid() && msg.Origin != m.Self {
+		out.Send(msg.Origin, relay.Message{Kind: relay.Refused, Service: m.serviceTag, Flow: p.Key, Load: m.Load(), Origin: msg.Origin})
+	}
+	m.endPlacement(p.Key)
+}
+
 // release notifies the balancer and the home that this agent does not place a
 // flow, and ends its own placement, so that no timer places the flow again.
 func (m *Machine) release(p *flow.Packet, msg *relay.Message, out *plane.Out) {
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -178,14 +178,18 @@
 	}
 }
 
-// refuseQueued refuses a queued flow. The flow has reached no target through this
-// agent. If its caller has sent copies that did not come here, another target may
+// refuseQueued refuses a queued flow. If the target has got an earlier copy of the
+// opening packet, or the caller has sent copies that did not come here, a target may
 // have accepted one, so the caller gets no answer from this agent.
 func (m *Machine) refuseQueued(now time.Duration, it *waitqueue.Item[flow.Key, queuedFlow], reason string, out *plane.Out) {
 	p, err := m.Codec.FromCaller(it.Value.raw)
 	if err != nil {
 		return
 	}
+	if m.targetHasGot(&p) {
+		m.leaveToTarget(&p, &it.Value.msg, reason, out)
+		return
+	}
 	if copiesElsewhere(now, it) || isWithheld(reason) && it.Value.msg.RefusedBy.IsValid() {
 		m.giveUp(&p, &it.Value.msg, "copy_elsewhere", out)
 		return
