--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -184,9 +184,10 @@
 	}
 }
 
-// refuseQueued refuses a queued flow, or drops a held request. The flow has reached no target through this
-// agent. If its caller has sent copies that did not come here, another target may
-// have accepted one, so the caller gets no answer from this agent.
+// refuseQueued refuses a queued flow, or drops a held request. If the target has got
+// an earlier copy of the opening packet, or the caller has sent copies that did not
+// come here, a target may have accepted one, so the caller gets no answer from this
+// agent.
 func (m *Machine) refuseQueued(now time.Duration, it *waitqueue.Item[flow.Key, queuedFlow], reason string, out *plane.Out) {
 	if it.Value.held {
 		m.dropHeld(it.Key, reason, out)
@@ -196,6 +197,10 @@
 	if err != nil {
 		return
 	}
+	if m.targetHasGot(&p) {
+		m.leaveToTarget(&p, &it.Value.msg, reason, out)
+		return
+	}
 	if copiesElsewhere(now, it) || isWithheld(reason) && it.Value.msg.RefusedBy.IsValid() {
 		m.giveUp(&p, &it.Value.msg, "copy_elsewhere", out)
 		return
--- a/lab/policybench/spread.go
+++ b/lab/policybench/spread.go
@@ -25,11 +25,13 @@
 	reported    []float64
 	placed      [][]float64
 	serviceTime []float64
+	// rates has the rate at which each home places requests.
+	rates []spread.Rate
 }
 
 func newLoadSpread(s *sim) *loadSpread {
 	n := s.spec.Targets
-	p := &loadSpread{reported: make([]float64, n), placed: make([][]float64, n), serviceTime: make([]float64, n)}
+	p := &loadSpread{reported: make([]float64, n), placed: make([][]float64, n), serviceTime: make([]float64, n), rates: make([]spread.Rate, n)}
 	for home := range p.placed {
 		p.placed[home] = make([]float64, n)
 	}
@@ -61,7 +63,9 @@
 		}
 		candidates[t] = spread.Candidate{Slots: spec.Slots, Busy: busy, ServiceTime: time.Duration(p.serviceTime[t])}
 	}
-	chosen := spread.Choose(candidates, r.flow^uint64(r.work))
+	rate := &p.rates[home]
+	rate.Add(p.sim.now)
+	chosen := spread.Choose(candidates, rate.PerSecond(p.sim.now), r.flow^uint64(r.work))
 	p.placed[home][chosen]++
 	return chosen
 }
