ownership: a flow that another target has got is not refused after a hand-over

An agent to which a flow was handed over did not know whether the target before had got the opening packet, and refused the flow if it could not take it either. RefusedBy does not tell: most agents hand over without giving the packet to their target. The same held for the second target that a home chose after a time-out, and for flows that waited there.

An Open or a Place now says whether a target may have got the packet (Offered). It takes the byte of the header that has the number of probes in answers; these kinds left it 0, and earlier releases ignore it there. So an earlier release refuses as before, and what it sends counts as not offered. A flow that is offered before gets no refusal; the balancer is told that it need not place it. A flow that was only handed over is refused at once as before.

TestHandedOverFlowIsRefusedOnlyIfNoTargetGotIt is new. In half of the cases of TestDrainsInAnyOrder, targets now accept later than agents wait.

--- a/core/dispatch/opening.go
+++ b/core/dispatch/opening.go
@@ -49,7 +49,7 @@
 	home := o.homes[o.nextHome%len(o.homes)]
 	o.nextHome++
 	o.sentAt = now
-	out.Send(home, relay.Message{Kind: relay.Open, Service: relay.ServiceTag(o.service), Origin: m.self, Home: home, RefusedBy: o.failedHome, Body: o.raw})
+	out.Send(home, relay.Message{Kind: relay.Open, Service: relay.ServiceTag(o.service), Origin: m.self, Home: home, RefusedBy: o.failedHome, Offered: o.failedHome.IsValid(), Body: o.raw})
 }
 
 // refuseUnknownRoute refuses an opening packet for an address without a route.
--- a/core/ownership/copies_test.go
+++ b/core/ownership/copies_test.go
@@ -169,3 +169,65 @@
 	home.balancerSends(relay.Open, opening)
 	assert.Equal(t, len(home.out.ToCaller), 0)
 }
+
+// Guards against the refusal of a flow by an agent to which it was handed over,
+// although the target before it has got the opening packet, and against a caller
+// that waits although no target has got it.
+func TestHandedOverFlowIsRefusedOnlyIfNoTargetGotIt(t *testing.T) {
+	opening := flow.Packet{Key: fleettest.Key(1), Open: true, Seq: 100}
+	handOver := func(first *fixture) relay.Message {
+		for _, s := range first.out.Sends {
+			if s.Message.Kind == relay.Place {
+				got, err := relay.Decode(s.Message.Append(nil))
+				assert.NilError(t, err)
+				return got
+			}
+		}
+		t.Fatal("not handed over")
+		return relay.Message{}
+	}
+	silent := newFixture(t, true)
+	silent.balancerSends(relay.Place, opening)
+	silent.advance(acceptTimeout)
+	leaving := newFixture(t, true)
+	leaving.Leave()
+	leaving.balancerSends(relay.Place, opening)
+	// The home has tried a target that does not report.
+	home := newFixture(t, true)
+	home.Leave()
+	home.balancerSends(relay.Open, opening)
+	home.advance(maxOwnerTimeout)
+	for name, c := range map[string]struct {
+		first    *fixture
+		refusals int
+	}{"silent": {silent, 0}, "leaving": {leaving, 1}, "not reported": {home, 0}} {
+		msg := handOver(c.first)
+		second := newFixture(t, true)
+		second.Leave()
+		second.removeTargets(1, 2)
+		second.out.Clear()
+		second.FromPeer(second.now, fleettest.Agent(1), &msg, &second.out)
+		assert.Equal(t, len(second.out.ToCaller), c.refusals, name)
+		// A flow that waits at the second target is handled alike.
+		waiting := newFixture(t, true)
+		for port := uint16(100); !waiting.full(); port++ {
+			waiting.openFlow(port)
+		}
+		waiting.fillPeers()
+		msg.Hops = maxHops
+		waiting.FromPeer(waiting.now, fleettest.Agent(1), &msg, &waiting.out)
+		assert.Equal(t, waiting.Queued(), 1, name)
+		waiting.removeTargets(0, 1, 2)
+		waiting.advance(ms)
+		assert.Equal(t, waiting.Queued(), 0, name)
+		assert.Equal(t, len(waiting.out.ToCaller), c.refusals, name)
+		// The target returns the packet.
+		full := newFixture(t, true)
+		full.FromPeer(full.now, fleettest.Agent(1), &msg, &full.out)
+		assert.Equal(t, len(full.out.ToTarget), 1, name)
+		returned := opening
+		returned.Returned = true
+		full.targetSends(returned)
+		assert.Equal(t, len(full.out.ToCaller), c.refusals, name)
+	}
+}
--- a/core/ownership/drained_rapid_test.go
+++ b/core/ownership/drained_rapid_test.go
@@ -18,7 +18,7 @@
 
 // drainWorld is a balancer and agents that learn of drains at different times, and a
 // network that loses, duplicates and reorders datagrams. Targets accept each flow
-// within 20 ms.
+// within 20 ms, or later if late is set.
 type drainWorld struct {
 	*rapid.T
 	now      time.Duration
@@ -36,6 +36,8 @@
 	copies   []uint32
 	openedAt []time.Duration
 	drains   fleet.Drains
+	// late says that targets may take longer to accept than their agents wait.
+	late bool
 }
 
 func newDrainWorld(t *rapid.T) *drainWorld {
@@ -130,6 +132,10 @@
 		w.accepting[n] = nil
 		for _, key := range keys {
 			m := w.agents[n]
+			if w.late && rapid.IntRange(0, 3).Draw(w.T, "late") > 0 {
+				w.accepting[n] = append(w.accepting[n], key)
+				continue
+			}
 			w.atAgent(m, func(out *plane.Out) {
 				m.FromTarget(w.now, flowtest.Encode(flow.Packet{Key: key, Open: true, Seq: 5000, Ack: 1}), out)
 			})
@@ -158,6 +164,7 @@
 func TestDrainsInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newDrainWorld(t)
+		w.late = rapid.Bool().Draw(t, "late targets")
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0:
--- a/core/ownership/flows.go
+++ b/core/ownership/flows.go
@@ -43,6 +43,8 @@
 	openRaw   []byte
 	hops      uint8
 	refusedBy netip.Addr
+	// offeredBefore says that another target may have got the opening packet.
+	offeredBefore bool
 }
 
 // handlePacket handles a packet of an open flow.
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -376,7 +376,7 @@
 }
 
 func (m *Machine) forward(to netip.Addr, kind relay.Kind, p *flow.Packet, msg *relay.Message, out *plane.Out) {
-	out.Send(to, relay.Message{Kind: kind, Hops: msg.Hops + 1, Service: m.serviceTag, Origin: msg.Origin, Home: msg.Home, RefusedBy: msg.RefusedBy, DeniedServices: msg.DeniedServices, Body: p.Raw})
+	out.Send(to, relay.Message{Kind: kind, Hops: msg.Hops + 1, Service: m.serviceTag, Origin: msg.Origin, Home: msg.Home, RefusedBy: msg.RefusedBy, Offered: msg.Offered, DeniedServices: msg.DeniedServices, Body: p.Raw})
 }
 
 // FromTarget handles a packet from the target.
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -74,7 +74,7 @@
 	placed := *msg
 	placed.Home = m.Self
 	if len(tried) > 0 {
-		placed.RefusedBy = tried[len(tried)-1]
+		placed.RefusedBy, placed.Offered = tried[len(tried)-1], true
 	}
 	if to == m.Self {
 		m.offer(now, p, &placed, out)
@@ -159,7 +159,7 @@
 			return
 		}
 		m.offering.Placed(now, msg.Home)
-		f = &ownedFlow{origin: msg.Origin, home: msg.Home, hops: msg.Hops, refusedBy: msg.RefusedBy}
+		f = &ownedFlow{origin: msg.Origin, home: msg.Home, hops: msg.Hops, refusedBy: msg.RefusedBy, offeredBefore: msg.Offered}
 		m.flows[p.Key] = f
 	}
 	f.lastSeen, f.origin, f.home = now, msg.Origin, msg.Home
@@ -182,7 +182,7 @@
 // none, it refuses the flow, unless a target may have got the packet.
 func (m *Machine) handOver(now time.Duration, p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
 	to, ok := m.handOverTo(now, p, msg)
-	if !ok && m.targetHasGot(p) {
+	if !ok && (msg.Offered || m.targetHasGot(p)) {
 		m.leaveToTarget(p, msg, reason, out)
 		return
 	}
@@ -200,7 +200,7 @@
 // handOverAt hands a new flow over to an agent.
 func (m *Machine) handOverAt(now time.Duration, p *flow.Packet, msg *relay.Message, to netip.Addr, reason string, out *plane.Out) {
 	forwarded := *msg
-	forwarded.RefusedBy = m.Self
+	forwarded.RefusedBy, forwarded.Offered = m.Self, msg.Offered || m.targetHasGot(p)
 	m.records[p.Key] = &record{owner: to, seq: p.Seq, lastSeen: now}
 	m.peer(to).handedOver++
 	out.Event(plane.Event{Kind: plane.EventHandedOver, Flow: p.Key, PacketSeq: p.Seq, Peer: to, Reason: reason})
@@ -234,8 +234,8 @@
 	m.release(p, msg, out)
 }
 
-// leaveToTarget drops an opening packet of a flow that the target of this agent
-// has got and may still accept. Only the balancer is notified. The home keeps its
+// leaveToTarget drops an opening packet of a flow that a target has got and may
+// still accept. Only the balancer is notified. The home keeps its
 // record, which tells it that the flow has been placed: without one it would refuse
 // the flow if the network duplicated the packet.
 func (m *Machine) leaveToTarget(p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
@@ -285,7 +285,7 @@
 	if f == nil || f.accepted {
 		return
 	}
-	msg := relay.Message{Origin: f.origin, Home: f.home, Hops: f.hops, RefusedBy: f.refusedBy}
+	msg := f.openingMessage()
 	m.recordHandOverTime(now, f, out)
 	m.forget(now, p.Key, f)
 	clean := *p
@@ -293,6 +293,12 @@
 	m.handOver(now, &clean, &msg, "target_full", out)
 }
 
+// openingMessage returns the message with which the opening packet of a flow came,
+// without the packet.
+func (f *ownedFlow) openingMessage() relay.Message {
+	return relay.Message{Origin: f.origin, Home: f.home, Hops: f.hops, RefusedBy: f.refusedBy, Offered: f.offeredBefore}
+}
+
 func (m *Machine) recordHandOverTime(now time.Duration, f *ownedFlow, out *plane.Out) {
 	out.Latencies = append(out.Latencies, plane.Latency{Kind: plane.LatencyHandedOver, Service: m.Service, Took: now - f.phaseSince})
 }
@@ -325,7 +331,7 @@
 		if err != nil {
 			continue
 		}
-		msg := relay.Message{Origin: f.origin, Home: f.home, Hops: f.hops, RefusedBy: f.refusedBy}
+		msg := f.openingMessage()
 		m.handOver(now, &p, &msg, "target_silent", out)
 	}
 }
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -122,7 +122,7 @@
 		}
 		it := waitqueue.Item[flow.Key, queuedFlow]{
 			Key: p.Key, Since: since, Objective: defaultObjective, Timeout: defaultTimeout,
-			Value: queuedFlow{slices.Clone(p.Raw), relay.Message{Origin: msg.Origin, Home: msg.Home, Hops: msg.Hops, RefusedBy: msg.RefusedBy}, p.Ack},
+			Value: queuedFlow{slices.Clone(p.Raw), relay.Message{Origin: msg.Origin, Home: msg.Home, Hops: msg.Hops, RefusedBy: msg.RefusedBy, Offered: msg.Offered}, p.Ack},
 		}
 		if r, ok := m.View.Route(p.Key.Service()); ok {
 			it.Priority = r.Priority
@@ -186,7 +186,7 @@
 	if err != nil {
 		return
 	}
-	if m.targetHasGot(&p) {
+	if it.Value.msg.Offered || m.targetHasGot(&p) {
 		m.leaveToTarget(&p, &it.Value.msg, reason, out)
 		return
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -129,6 +129,10 @@
 	Home netip.Addr
 	// RefusedBy is an agent that could not take the flow, or the zero Addr.
 	RefusedBy netip.Addr
+	// Offered says in an Open or a Place that a target may have got the opening
+	// packet before, so that the flow must not be refused. Earlier releases neither
+	// set nor read it.
+	Offered bool
 	// Flow is the key of the flow that an answer is about.
 	Flow flow.Key
 	// Load is the sender's load.
@@ -185,7 +189,14 @@
 
 // Append appends the encoded message to b.
 func (m *Message) Append(b []byte) []byte {
-	b = append(b, Version, byte(m.Kind), m.Hops, m.Probes)
+	count := m.Probes
+	if m.Kind == Open || m.Kind == Place {
+		count = 0
+		if m.Offered {
+			count = 1
+		}
+	}
+	b = append(b, Version, byte(m.Kind), m.Hops, count)
 	b = binary.BigEndian.AppendUint64(b, m.Service)
 	switch m.Kind {
 	case Open, Place, Packet, Search, Probe:
@@ -227,6 +238,9 @@
 		return m, ErrMalformed
 	}
 	m.Kind, m.Hops, m.Probes, m.Service = Kind(b[1]), b[2], b[3], binary.BigEndian.Uint64(b[4:])
+	if m.Kind == Open || m.Kind == Place {
+		m.Offered, m.Probes = m.Probes != 0, 0
+	}
 	rest := b[commonSize:]
 	switch m.Kind {
 	case Open, Place, Packet, Search, Probe:
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -13,6 +13,7 @@
 
 var messages = []Message{
 	{Kind: Open, Hops: 2, Service: 7, Origin: netip.MustParseAddr("10.0.0.1"), Home: netip.MustParseAddr("10.0.0.2"), Body: []byte("packet")},
+	{Kind: Place, Hops: 1, Service: 7, RefusedBy: netip.MustParseAddr("10.0.0.3"), Offered: true, Body: []byte("packet")},
 	{Kind: Packet, Service: 1 << 60, RefusedBy: netip.MustParseAddr("10.0.0.3"), Body: []byte{0}},
 	{Kind: Owner, Service: 7, Flow: flow.Key{CallerPort: 5, ServicePort: 6}, Load: Load{Flags: FlagAgent, Busy: 1, Expected: 2, Slots: 3, ServiceTime: 4}, Origin: netip.MustParseAddr("10.0.0.1")},
 	{Kind: Survey, Service: 7, Home: netip.MustParseAddr("10.0.0.2"), Progress: fleet.Progress{Epoch: 1 << 60, Revision: 1 << 40, Version: 1 << 20}, Roster: 1 << 50, Body: []byte("packet")},
