ownership: a home keeps its record of a flow that another agent gave up

An agent that dropped an opening packet because a target may have got it told the home that the flow was refused.

Such an agent now notifies the balancer only. The home's time-out places the flow again, or drops it, as the home knows that it has been placed.

TestHomeDoesNotRefuseFlowThatWasGivenUp fails before.

--- a/core/ownership/drained_test.go
+++ b/core/ownership/drained_test.go
@@ -218,6 +218,29 @@
 	dropped(f)
 }
 
+// Guards against the refusal of a flow by its home when the network duplicates the
+// opening packet: an agent in a drained data centre handed the flow over, and the
+// next one gave it up because a target may have got it.
+func TestHomeDoesNotRefuseFlowThatWasGivenUp(t *testing.T) {
+	home, second := drainedFixture(t), drainedFixture(t)
+	home.drain("dc")
+	home.opening(relay.Open, 1, 0)
+	assert.DeepEqual(t, home.sentKinds(), []relay.Kind{relay.Place})
+	second.Self, second.DataCentre, second.Target = fleettest.Agent(2), "east", netip.AddrPortFrom(fleettest.Agent(2), 80)
+	second.drain("dc", "east", "west")
+	second.out.Clear()
+	second.FromPeer(second.now, fleettest.Agent(3), &relay.Message{Kind: relay.Place, Hops: 2, Service: tag, Origin: balancer, Home: home.Self, RefusedBy: fleettest.Agent(3),
+		Body: flowtest.Encode(flow.Packet{Key: fleettest.Key(1), Open: true, Seq: 100})}, &second.out)
+	for _, s := range second.out.Sends {
+		if message := s.Message; s.To == home.Self {
+			home.FromPeer(home.now, second.Self, &message, &home.out)
+		}
+	}
+	home.drain("dc", "east", "west")
+	home.opening(relay.Open, 1, 0)
+	assert.Equal(t, len(home.out.ToCaller), 0)
+}
+
 // Guards against flows that wait at a drained target until their deadline, and
 // against the reset of one whose copies may have been accepted elsewhere.
 func TestWaitingFlowsOfDrainedTarget(t *testing.T) {
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -182,11 +182,7 @@
 // none, it refuses the flow, unless a target may have got the packet.
 func (m *Machine) handOver(now time.Duration, p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
 	to, ok := m.handOverTo(now, p, msg)
-	if !ok && (msg.Offered || m.targetHasGot(p)) {
-		m.leaveToTarget(p, msg, reason, out)
-		return
-	}
-	if !ok && isWithheld(reason) && m.mayBeElsewhere(p, msg) {
+	if !ok && (msg.Offered || m.targetHasGot(p) || isWithheld(reason) && m.mayBeElsewhere(p, msg)) {
 		m.giveUp(p, msg, reason, out)
 		return
 	}
@@ -227,18 +223,11 @@
 	}
 }
 
-// giveUp drops a new flow without an answer to its caller, because a target may
-// have accepted it. The record of the flow stays, because it tells which one.
+// giveUp drops an opening packet without an answer to its caller, because a target
+// may have got it and may accept it. Only the balancer is notified. The home keeps
+// its record, which tells it that the flow has been placed: without one it would
+// refuse the flow if the network duplicated the packet.
 func (m *Machine) giveUp(p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
-	out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: reason})
-	m.release(p, msg, out)
-}
-
-// leaveToTarget drops an opening packet of a flow that a target has got and may
-// still accept. Only the balancer is notified. The home keeps its
-// record, which tells it that the flow has been placed: without one it would refuse
-// the flow if the network duplicated the packet.
-func (m *Machine) leaveToTarget(p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
 	out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: reason})
 	if msg.Origin.IsValid() && msg.Origin != m.Self {
 		out.Send(msg.Origin, relay.Message{Kind: relay.Refused, Service: m.serviceTag, Flow: p.Key, Load: m.Load(), Origin: msg.Origin})
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -187,7 +187,7 @@
 		return
 	}
 	if it.Value.msg.Offered || m.targetHasGot(&p) {
-		m.leaveToTarget(&p, &it.Value.msg, reason, out)
+		m.giveUp(&p, &it.Value.msg, reason, out)
 		return
 	}
 	if copiesElsewhere(now, it) || isWithheld(reason) && it.Value.msg.RefusedBy.IsValid() {
