--- a/core/ownership/flows.go
+++ b/core/ownership/flows.go
@@ -45,6 +45,8 @@
 	refusedBy netip.Addr
 	// held has the packets of a request that waits for a slot.
 	held [][]byte
+	// offeredBefore says that another target may have got the opening packet.
+	offeredBefore bool
 }
 
 // handlePacket handles a packet of an open flow.
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -128,7 +128,7 @@
 		}
 		it := waitqueue.Item[flow.Key, queuedFlow]{
 			Key: p.Key, Since: since,
-			Value: queuedFlow{raw: slices.Clone(p.Raw), msg: relay.Message{Origin: msg.Origin, Home: msg.Home, Hops: msg.Hops, RefusedBy: msg.RefusedBy}, copies: p.Ack},
+			Value: queuedFlow{raw: slices.Clone(p.Raw), msg: relay.Message{Origin: msg.Origin, Home: msg.Home, Hops: msg.Hops, RefusedBy: msg.RefusedBy, Offered: msg.Offered}, copies: p.Ack},
 		}
 		m.setRouteTimes(&it)
 		evicted, full := m.queue.Push(it, now, m.answerTime())
@@ -197,8 +197,8 @@
 	if err != nil {
 		return
 	}
-	if m.targetHasGot(&p) {
-		m.leaveToTarget(&p, &it.Value.msg, reason, out)
+	if it.Value.msg.Offered || m.targetHasGot(&p) {
+		m.giveUp(&p, &it.Value.msg, reason, out)
 		return
 	}
 	if copiesElsewhere(now, it) || isWithheld(reason) && it.Value.msg.RefusedBy.IsValid() {
