ownership, packetplane: split long files by task

node/packetplane now has one file each for the sender, the claims and the keeper's side of the transfer. core/ownership has messages.go for the dispatch of datagrams and searchtimeouts.go for the rounds that end by time; the type peer is in peers.go, and the times of a route are in waiting.go beside their constants.

--- a/core/ownership/hold.go
+++ b/core/ownership/hold.go
@@ -1,7 +1,6 @@
 package ownership
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -99,14 +98,3 @@
 	m.heldFlows--
 	m.queue.Remove(key)
 }
-
-// setRouteTimes sets the priority, the objective and the timeout of a waiting
-// flow by its route.
-func (m *Machine) setRouteTimes(it *waitqueue.Item[flow.Key, queuedFlow]) {
-	it.Objective, it.Timeout = defaultObjective, defaultTimeout
-	if r, ok := m.View.Route(it.Key.Service()); ok {
-		it.Priority = r.Priority
-		it.Objective = cmp.Or(time.Duration(r.ObjectiveMS)*time.Millisecond, defaultObjective)
-		it.Timeout = min(openingTimeout, cmp.Or(time.Duration(r.TimeoutMS)*time.Millisecond, defaultTimeout))
-	}
-}
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -34,7 +34,6 @@
 
 	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/flow"
-	"trefoilweir.example/core/plane"
 	"trefoilweir.example/core/ratelimit"
 	"trefoilweir.example/core/relay"
 	"trefoilweir.example/core/rto"
@@ -266,27 +265,6 @@
 	followUntil time.Duration
 }
 
-// peer is another agent of the service.
-type peer struct {
-	load      relay.Load
-	lastHeard time.Duration
-	everHeard bool
-	// progress is the progress of the peer's view in its last heartbeat.
-	progress fleet.Progress
-	// unanswered says that the peer has not answered a question. The first one
-	// was sent at askedAt, the last one at lastAsked, and the last one that the
-	// peer had the time to answer at ignoredAt.
-	unanswered                    bool
-	askedAt, lastAsked, ignoredAt time.Duration
-	suspectUntil                  time.Duration
-	// unreported counts the flows that this agent placed there and that the
-	// peer has not reported yet.
-	unreported int
-	// handedOver counts the flows that this agent has handed over there since the
-	// peer's last load.
-	handedOver int
-}
-
 // New returns a Machine that starts at the time now.
 func New(now time.Duration, o Options) *Machine {
 	m := &Machine{
@@ -334,92 +312,6 @@
 // Idle reports whether no request is in progress at the target or held for it.
 func (m *Machine) Idle() bool { return m.stats.pending() == 0 && m.heldFlows == 0 }
 
-// FromPeer handles a datagram from another process.
-func (m *Machine) FromPeer(now time.Duration, from netip.Addr, msg *relay.Message, out *plane.Out) {
-	m.handlePeerMessage(now, from, msg, out)
-	m.admit(now, out)
-}
-
-func (m *Machine) handlePeerMessage(now time.Duration, from netip.Addr, msg *relay.Message, out *plane.Out) {
-	switch msg.Kind {
-	case relay.Heartbeat:
-		m.handleHeartbeat(now, from, msg, out)
-		return
-	case relay.Owner, relay.NotOwner, relay.MaybeOwner, relay.Waiting, relay.Refused, relay.SurveyResult:
-		m.handleAnswer(now, from, msg, out)
-		return
-	}
-	if msg.Service == m.serviceTag {
-		switch msg.Kind {
-		case relay.HeldQuery:
-			m.handleHeldQuery(now, from, msg, out)
-			return
-		case relay.HeldList:
-			m.handleHeldList(now, from, msg, out)
-			return
-		}
-	}
-	if msg.Service != m.serviceTag {
-		out.Event(plane.Event{Kind: plane.EventDropped, Peer: from, Reason: "other_service"})
-		return
-	}
-	p, err := m.Codec.FromCaller(msg.Body)
-	if err != nil {
-		out.Event(plane.Event{Kind: plane.EventDropped, Peer: from, Reason: "malformed"})
-		return
-	}
-	if m.restore.waiting && m.holdMessage(from, &p, msg, out) {
-		return
-	}
-	switch msg.Kind {
-	case relay.Open:
-		m.handleOpening(now, &p, msg, out)
-	case relay.Place:
-		m.handlePlaced(now, &p, msg, out)
-	case relay.Packet, relay.Redirect:
-		m.handlePacket(now, &p, msg, out)
-	case relay.Search:
-		m.handleSearch(now, from, &p, msg, out)
-	case relay.Survey:
-		m.handleSurvey(now, from, &p, msg, out)
-	case relay.Probe:
-		m.handleProbe(now, from, &p, msg, out)
-	}
-}
-
-// handleHeartbeat stores the load of a peer.
-func (m *Machine) handleHeartbeat(now time.Duration, from netip.Addr, msg *relay.Message, out *plane.Out) {
-	if msg.Load.Flags&relay.FlagAgent == 0 || msg.Service != m.serviceTag {
-		return
-	}
-	p := m.peer(from)
-	p.heard(now, msg.Load)
-	p.progress = msg.Progress
-	if msg.Load.Flags&relay.FlagSlotFree != 0 {
-		m.handleOffer(now, from, out)
-	}
-}
-
-func (m *Machine) peer(a netip.Addr) *peer {
-	p := m.peers[a]
-	if p == nil {
-		p = &peer{}
-		m.peers[a] = p
-	}
-	return p
-}
-
-func (m *Machine) forward(to netip.Addr, kind relay.Kind, p *flow.Packet, msg *relay.Message, out *plane.Out) {
-	out.Send(to, relay.Message{Kind: kind, Hops: msg.Hops + 1, Service: m.serviceTag, Origin: msg.Origin, Home: msg.Home, RefusedBy: msg.RefusedBy, Offered: msg.Offered, DeniedServices: msg.DeniedServices, Body: p.Raw})
-}
-
-// FromTarget handles a packet from the target.
-func (m *Machine) FromTarget(now time.Duration, raw []byte, out *plane.Out) {
-	m.targetHeard = true
-	m.handleTargetPacket(now, raw, out)
-	m.admit(now, out)
-}
-
 // maxInFlightBytes bounds the data in flight. The acknowledgements of a caller
 // may be this far behind the first packet of the target that a restarted agent
 // sees. If that packet is a retransmission, they may be this far beyond it.
--- a/core/ownership/peers.go
+++ b/core/ownership/peers.go
@@ -5,11 +5,42 @@
 	"slices"
 	"time"
 
+	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/plane"
 	"trefoilweir.example/core/relay"
 )
 
+// peer is another agent of the service.
+type peer struct {
+	load      relay.Load
+	lastHeard time.Duration
+	everHeard bool
+	// progress is the progress of the peer's view in its last heartbeat.
+	progress fleet.Progress
+	// unanswered says that the peer has not answered a question. The first one
+	// was sent at askedAt, the last one at lastAsked, and the last one that the
+	// peer had the time to answer at ignoredAt.
+	unanswered                    bool
+	askedAt, lastAsked, ignoredAt time.Duration
+	suspectUntil                  time.Duration
+	// unreported counts the flows that this agent placed there and that the
+	// peer has not reported yet.
+	unreported int
+	// handedOver counts the flows that this agent has handed over there since the
+	// peer's last load.
+	handedOver int
+}
+
+func (m *Machine) peer(a netip.Addr) *peer {
+	p := m.peers[a]
+	if p == nil {
+		p = &peer{}
+		m.peers[a] = p
+	}
+	return p
+}
+
 // heard records a datagram of the peer.
 func (p *peer) heard(now time.Duration, load relay.Load) {
 	p.load, p.lastHeard, p.everHeard, p.unanswered, p.handedOver = load, now, true, false, 0
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -88,6 +89,9 @@
 	return ahead
 }
 
+// minAhead returns how many flows are admitted beyond the slots at least.
+func minAhead(slots int) int { return 1 + slots/8 }
+
 // mustWait reports whether a new flow that the target may get has to wait.
 func (m *Machine) mustWait(now time.Duration) bool { return m.waitReason(now) != "" }
 
@@ -104,9 +108,6 @@
 	return ""
 }
 
-// minAhead returns how many flows are admitted beyond the slots at least.
-func minAhead(slots int) int { return 1 + slots/8 }
-
 // queueIfFull queues a new flow if the target is full. It reports whether the
 // flow is queued or was refused. In both cases the target does not get it now.
 func (m *Machine) queueIfFull(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) bool {
@@ -144,6 +145,17 @@
 	return true
 }
 
+// setRouteTimes sets the priority, the objective and the timeout of a waiting
+// flow by its route.
+func (m *Machine) setRouteTimes(it *waitqueue.Item[flow.Key, queuedFlow]) {
+	it.Objective, it.Timeout = defaultObjective, defaultTimeout
+	if r, ok := m.View.Route(it.Key.Service()); ok {
+		it.Priority = r.Priority
+		it.Objective = cmp.Or(time.Duration(r.ObjectiveMS)*time.Millisecond, defaultObjective)
+		it.Timeout = min(openingTimeout, cmp.Or(time.Duration(r.TimeoutMS)*time.Millisecond, defaultTimeout))
+	}
+}
+
 // admit gives queued flows to the target, and offers the slots that remain.
 func (m *Machine) admit(now time.Duration, out *plane.Out) {
 	m.admitQueued(now, out)
