ownership, fleet, spread: names and comments that need no explanation

Several names had two meanings or none: "offered" stood for a free slot and for an opening packet, "held" for messages, requests and flows, "given" for a limiter. Comments on the queue and on the grace period described code from before waits for a view, warm-up limits and flow tables, and comments spoke of both earlier builds and earlier releases.

The names say what they are: targetGotOpening, warmTargetFor, warmupLimiter, queueIfMustWait, awaitsAcceptance, checkOfferedFlows, maxHeldMessages, namesService, dataCentres, learnUnseen, meanWindow. The package comments of ownership and fleet define doubt, fresh, held list, held request, offered flow, cold and history. Logic that stood several times has one function each: searchResult, listedAndRemoved and targetGotOpening.

--- a/core/dispatch/opening.go
+++ b/core/dispatch/opening.go
@@ -69,8 +69,8 @@
 }
 
 // refuseWithoutTarget refuses an opening packet for a service without targets that
-// may get a new flow. A copy is dropped without an answer, because an earlier copy may have reached a
-// target of the service that the route had then.
+// may get a new flow. A copy is dropped without an answer, because an earlier copy
+// may have reached a target of the service that the route had then.
 func (m *Machine) refuseWithoutTarget(p *flow.Packet, reason string, out *plane.Out) {
 	if p.Ack > 0 {
 		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: "copy_" + reason, Value: int64(m.view.Version())})
--- a/core/fleet/drains.go
+++ b/core/fleet/drains.go
@@ -132,7 +132,7 @@
 		return nil
 	}
 	var names []string
-	for _, name := range slices.Sorted(maps.Keys(v.drains.names())) {
+	for _, name := range slices.Sorted(maps.Keys(v.drains.dataCentres())) {
 		if v.Drained(name) {
 			names = append(names, name)
 		}
@@ -192,8 +192,8 @@
 	return ok && !state.removed
 }
 
-// names returns all data centres that may be drained.
-func (d *drains) names() map[string]bool {
+// dataCentres returns the names of all data centres that may be drained.
+func (d *drains) dataCentres() map[string]bool {
 	names := map[string]bool{}
 	for name := range d.requests {
 		names[name] = true
@@ -276,7 +276,7 @@
 // copy's if it is not above the last one that the view knew. If it is above, it was
 // written after the return.
 func (d *drains) startEpoch(now time.Duration, s *Drains) {
-	known := d.names()
+	known := d.dataCentres()
 	held := map[string]heldDrain{}
 	named := make(map[string]bool, len(s.Requests))
 	for _, r := range s.Requests {
--- a/core/fleet/drains_test.go
+++ b/core/fleet/drains_test.go
@@ -147,7 +147,7 @@
 	assert.Equal(t, drained(v), "z")
 }
 
-// Guards against a delta of an old build that leads a view to a revision at which
+// Guards against a delta of an earlier release that leads a view to a revision at which
 // it wrongly takes its drain requests for complete, or that removes them.
 func TestDrainsOfAnOldBuild(t *testing.T) {
 	s, v, old := newDrainStore(), New(), New()
@@ -264,7 +264,7 @@
 
 // Guards against views that go back to an older state of a drain request, or that
 // do not agree in the end, for random orders of listings, watches and deltas of
-// peers, some of old builds.
+// peers, some of earlier releases.
 func TestDrainsNeverGoBackInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newDrainStore()
--- a/core/fleet/named.go
+++ b/core/fleet/named.go
@@ -24,8 +24,9 @@
 	return names
 }
 
-// names reports whether the routes name a service, as far as they tell.
-func (v *View) names(service string) bool { return v.named == nil || v.named[service] }
+// namesService reports whether the routes name a service. It is true for every
+// service if they do not tell their services.
+func (v *View) namesService(service string) bool { return v.named == nil || v.named[service] }
 
 // setUnnamed keeps the state of an entry whose service no version names. The entry
 // must not hide another one at its address, so it is not listed. It reports whether
@@ -50,11 +51,11 @@
 	}
 	for _, e := range v.entries {
 		switch t := e.listed(); {
-		case t != nil && !v.names(t.Service):
+		case t != nil && !v.namesService(t.Service):
 			e.unnamed = t
 			v.unlist(now, e)
 			changed = true
-		case e.unnamed != nil && v.names(e.unnamed.Service):
+		case e.unnamed != nil && v.namesService(e.unnamed.Service):
 			v.list(e, e.unnamed)
 			changed = true
 		}
--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -235,11 +235,11 @@
 	v.index.add(e)
 }
 
-// learnGone adds the entry of a change from a view that is behind this one, in
+// learnUnseen adds the entry of a change from a view that is behind this one, in
 // which the entry is listed. Otherwise an entry that was removed just before a
 // process read the platform would be missing from its view, although a peer tells
 // it all removals. A later view that lists the entry unchanged lists it here too.
-func (v *View) learnGone(now time.Duration, c *Change) {
+func (v *View) learnUnseen(now time.Duration, c *Change) {
 	if c.Target == nil || c.Revision == 0 || v.entries[c.ID] != nil {
 		return
 	}
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -20,6 +20,11 @@
 //     views. The process is their child.
 //   - A drain request asks that targets of a data centre get no new flows. The
 //     data centre is drained.
+//   - A target is cold while it is warming up. Its warm-up limit bounds the new
+//     flows that it gets in a second until then.
+//   - The history of a view is the time for which it knows which entries were
+//     removed and to which services addresses led. It has a gap if the view has
+//     skipped changes.
 //   - The platform is disturbed when a reader cannot reach it, or not in time.
 //
 // Invariants:
--- a/core/fleet/versions.go
+++ b/core/fleet/versions.go
@@ -15,44 +15,44 @@
 }
 
 // Add adds a version with its revision.
-func (s *Versions) Add(c *Config, revision uint64) {
-	if s.latest != nil && c.Version < s.latest.Version {
-		s.addServices(c)
+func (v *Versions) Add(c *Config, revision uint64) {
+	if v.latest != nil && c.Version < v.latest.Version {
+		v.addServices(c)
 		return
 	}
-	if s.latest != nil {
-		s.addServices(s.latest)
+	if v.latest != nil {
+		v.addServices(v.latest)
 	}
-	s.latest, s.revision = c, revision
+	v.latest, v.revision = c, revision
 }
 
 // Services returns the number of services that are kept for earlier versions.
-func (s *Versions) Services() int { return len(s.services) }
+func (v *Versions) Services() int { return len(v.services) }
 
-func (s *Versions) addServices(c *Config) {
-	if s.services == nil {
-		s.services = map[PastService]bool{}
+func (v *Versions) addServices(c *Config) {
+	if v.services == nil {
+		v.services = map[PastService]bool{}
 	}
 	for i := range c.Routes {
 		for _, service := range c.Routes[i].services() {
-			s.services[PastService{Address: c.Routes[i].Address, Service: service}] = true
+			v.services[PastService{Address: c.Routes[i].Address, Service: service}] = true
 		}
 	}
 }
 
 // AddTo sets the routes of a delta to the latest version, and the past services to
 // those of the others.
-func (s *Versions) AddTo(d *Delta) {
-	d.Config, d.ConfigRevision = s.latest, s.revision
-	if s.latest == nil {
+func (v *Versions) AddTo(d *Delta) {
+	d.Config, d.ConfigRevision = v.latest, v.revision
+	if v.latest == nil {
 		return
 	}
-	for i := range s.latest.Routes {
-		for _, service := range s.latest.Routes[i].services() {
-			delete(s.services, PastService{Address: s.latest.Routes[i].Address, Service: service})
+	for i := range v.latest.Routes {
+		for _, service := range v.latest.Routes[i].services() {
+			delete(v.services, PastService{Address: v.latest.Routes[i].Address, Service: service})
 		}
 	}
-	for p := range s.services {
+	for p := range v.services {
 		d.PastServices = append(d.PastServices, p)
 	}
 	slices.SortFunc(d.PastServices, func(a, b PastService) int {
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -124,7 +124,7 @@
 			// The view is complete up to its revision, so the entry was removed.
 			// The sender may not know that yet, and this view may not have seen
 			// the entry, so its target may run and hold flows.
-			v.learnGone(now, c)
+			v.learnUnseen(now, c)
 			continue
 		}
 		targets = v.applyChange(now, c) || targets
@@ -198,7 +198,7 @@
 		return false
 	}
 	e.writtenAt = now - min(time.Duration(c.AgeMS), maxStateAge/time.Millisecond)*time.Millisecond
-	if !v.names(c.Target.Service) {
+	if !v.namesService(c.Target.Service) {
 		return v.setUnnamed(now, e, c)
 	}
 	v.list(e, v.index.intern(c.Target, e.id))
--- a/core/fleet/warmup_test.go
+++ b/core/fleet/warmup_test.go
@@ -27,7 +27,7 @@
 		assert.Assert(t, listed)
 		assert.Equal(t, until, 5*time.Second)
 	}
-	// A peer of an old build does not tell the age: the target counts as cold for
+	// A peer of an earlier release does not tell the age: the target counts as cold for
 	// longer, never for a shorter time.
 	told := reader.Since(3*time.Second, Progress{})
 	told.Changes[0].AgeMS = 0
--- a/core/ownership/eligible.go
+++ b/core/ownership/eligible.go
@@ -81,16 +81,16 @@
 func isWithheld(reason string) bool { return reason == reasonDrained || reason == reasonRegion }
 
 // isOffered reports whether the target has accepted the flow of an opening packet,
-// or has got the packet and may still accept it.
+// or has got the packet and the agent waits for the acceptance.
 func (m *Machine) isOffered(p *flow.Packet) bool {
 	f := m.flows[p.Key]
-	return f != nil && f.openSeqKnown && f.openSeq == p.Seq && (f.accepted || f.phase == phaseOffered)
+	return m.targetGotOpening(p) && (f.accepted || f.phase == phaseOffered)
 }
 
-// targetHasGot reports whether the target has got the opening packet of a flow and
+// targetGotOpening reports whether the target has got the opening packet of a flow and
 // has not returned it. It may accept the flow late, after the agent has given up the
 // wait or has sent the packet elsewhere.
-func (m *Machine) targetHasGot(p *flow.Packet) bool {
+func (m *Machine) targetGotOpening(p *flow.Packet) bool {
 	f := m.flows[p.Key]
 	return f != nil && f.openSeqKnown && f.openSeq == p.Seq
 }
--- a/core/ownership/fresh.go
+++ b/core/ownership/fresh.go
@@ -73,7 +73,7 @@
 // about flows that other agents have asked for.
 func (m *Machine) recordFresh(now time.Duration, reason string, value int64, out *plane.Out) {
 	m.unknownFlowsUntil = 0
-	m.given.NothingBefore()
+	m.warmupLimiter.NothingBefore()
 	out.Event(plane.Event{Kind: plane.EventTargetFresh, Reason: reason, Value: value})
 	for key, s := range m.searches {
 		s.doubted = false
--- a/core/ownership/holders.go
+++ b/core/ownership/holders.go
@@ -19,22 +19,26 @@
 func (m *Machine) searchable(now time.Duration) (local []netip.Addr, remote map[string][]netip.Addr) {
 	remote = map[string][]netip.Addr{}
 	seen := map[netip.Addr]bool{m.Self: true}
-	for _, targets := range [][]*fleet.Target{m.View.Targets(m.Service), m.View.RemovedTargets(m.Service)} {
-		for _, t := range targets {
-			a := t.Agent()
-			switch {
-			case seen[a]:
-			case t.DataCentre == m.DataCentre:
-				local = append(local, a)
-			default:
-				remote[t.DataCentre] = append(remote[t.DataCentre], a)
-			}
-			seen[a] = true
+	for _, t := range m.listedAndRemoved() {
+		a := t.Agent()
+		switch {
+		case seen[a]:
+		case t.DataCentre == m.DataCentre:
+			local = append(local, a)
+		default:
+			remote[t.DataCentre] = append(remote[t.DataCentre], a)
 		}
+		seen[a] = true
 	}
 	return append(local, m.unlistedAgents(now, seen)...), remote
 }
 
+// listedAndRemoved returns the targets of the service that the view names or named,
+// listed ones first.
+func (m *Machine) listedAndRemoved() []*fleet.Target {
+	return slices.Concat(m.View.Targets(m.Service), m.View.RemovedTargets(m.Service))
+}
+
 // unlistedAgents returns the agents of the service that were heard lately and are
 // not in seen, sorted. After a loss of all other VMs no view names a target whose
 // entry was removed before, and its agent knows the others.
@@ -51,10 +55,8 @@
 // listedAgents returns the agents of the service that the view names or named.
 func (m *Machine) listedAgents() map[netip.Addr]bool {
 	listed := map[netip.Addr]bool{m.Self: true}
-	for _, targets := range [][]*fleet.Target{m.View.Targets(m.Service), m.View.RemovedTargets(m.Service)} {
-		for _, t := range targets {
-			listed[t.Agent()] = true
-		}
+	for _, t := range m.listedAndRemoved() {
+		listed[t.Agent()] = true
 	}
 	return listed
 }
@@ -123,11 +125,9 @@
 // began.
 func (m *Machine) allDenied(now time.Duration, s *search) bool {
 	surveyed := m.currentSurveys(s)
-	for _, targets := range [][]*fleet.Target{m.View.Targets(m.Service), m.View.RemovedTargets(m.Service)} {
-		for _, t := range targets {
-			if a := t.Agent(); a != m.Self && !s.hasDenied(t, surveyed) && !m.gone(now, a) {
-				return false
-			}
+	for _, t := range m.listedAndRemoved() {
+		if a := t.Agent(); a != m.Self && !s.hasDenied(t, surveyed) && !m.gone(now, a) {
+			return false
 		}
 	}
 	return !slices.ContainsFunc(m.unlistedAgents(now, m.listedAgents()), func(a netip.Addr) bool { return !s.denied[a] })
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -17,6 +17,15 @@
 //   - A probe gives a packet to a target that may hold the flow, because its
 //     agent has restarted. The target returns the packet unless it holds the
 //     flow.
+//   - An agent is in doubt while its target may hold flows that it does not know.
+//     The target is fresh if it holds no flow from before the start of the agent.
+//   - A held list has the flows that a fresh target holds. An agent gives it to a
+//     searcher in place of an answer for each flow.
+//   - A flow is offered once the target has got its opening packet, and accepted
+//     once the target has answered it. The offer of a slot is something else: by
+//     it a target tells one agent that it has a free slot.
+//   - A held request is a request on an open flow whose packets wait at the agent
+//     because the target is full.
 //
 // Invariants:
 //   - A packet of an open flow reaches a target only at the flow's owner, or as
@@ -200,11 +209,11 @@
 	// reportTimes estimates how long agents take to report a flow placed at
 	// their target.
 	reportTimes *rto.Estimator
-	// given limits the new flows that the target gets while it is warming up.
+	// warmupLimiter limits the new flows that the target gets while it is warming up.
 	// coldUntil is until when it is, by its last listed entry, if there was one.
-	given     *ratelimit.Limiter
-	coldUntil time.Duration
-	coldKnown bool
+	warmupLimiter *ratelimit.Limiter
+	coldUntil     time.Duration
+	coldKnown     bool
 	// firstAnswerTimes estimates the time from the admission of a flow to the
 	// first answer of the target.
 	firstAnswerTimes *rto.Estimator
@@ -272,16 +281,16 @@
 		flows: map[flow.Key]*ownedFlow{}, records: map[flow.Key]*record{}, placements: map[flow.Key]*placement{},
 		searches: map[flow.Key]*search{}, surveys: map[flow.Key][]*survey{}, peers: map[netip.Addr]*peer{}, queue: waitqueue.New[flow.Key, queuedFlow](maxQueued), reportTimes: rto.New(minOwnerTimeout, maxOwnerTimeout),
 		firstAnswerTimes: rto.New(0, openingTimeout), roundTripTimes: rto.New(minHalfOpenTimeout, maxHalfOpenTimeout), stats: newStats(now),
-		given: ratelimit.New(now),
+		warmupLimiter: ratelimit.New(now),
 		// A late answer to the previous run of the agent must not count in this one.
 		lists: heldLists{lastNumber: uint32(o.StartedMS), lastStart: now - listInterval},
 	}
 	switch {
 	case o.FirstStart:
-		m.given.NothingBefore()
+		m.warmupLimiter.NothingBefore()
 	case o.SinceBoot > 0 && o.SinceBoot <= maxStartSkew:
 		m.startedWithVM = true
-		m.given.NothingBefore()
+		m.warmupLimiter.NothingBefore()
 	default:
 		m.unknownFlowsUntil, m.unknownFlowsSince = now+cmp.Or(o.FlowTTL, defaultFlowTTL), now
 		m.restore.waiting = o.AwaitTable
@@ -301,10 +310,12 @@
 
 // HasTimeouts reports whether there are short timeouts that Tick must check.
 func (m *Machine) HasTimeouts() bool {
-	return m.restore.waiting || len(m.placements) > 0 || len(m.searches) > 0 || len(m.surveys) > 0 || m.queue.Len() > 0 || m.hasOffers()
+	return m.restore.waiting || len(m.placements) > 0 || len(m.searches) > 0 || len(m.surveys) > 0 || m.queue.Len() > 0 || m.awaitsAcceptance()
 }
 
-func (m *Machine) hasOffers() bool { return m.stats.count[phaseOffered] > 0 }
+// awaitsAcceptance reports whether the target was offered a flow that it has not
+// accepted yet.
+func (m *Machine) awaitsAcceptance() bool { return m.stats.count[phaseOffered] > 0 }
 
 // Leave makes the agent refuse new flows. Open flows continue.
 func (m *Machine) Leave() { m.leaving = true }
--- a/core/ownership/offers.go
+++ b/core/ownership/offers.go
@@ -13,8 +13,8 @@
 	"trefoilweir.example/core/waitqueue"
 )
 
-// maxOfferHops bounds how often a flow was forwarded that is handed over to a
-// free slot. The agent there may have to forward it once more.
+// maxOfferHops is how often a flow may have been forwarded before it is handed over
+// to a free slot. The agent there may have to forward it once more.
 const maxOfferHops = maxHops - 2
 
 // offerSlots offers the free slots of the target, each to one agent.
@@ -127,6 +127,7 @@
 	}
 	m.endPlacement(p.Key)
 	m.placements[p.Key] = &placement{raw: slices.Clone(p.Raw), origin: msg.Origin, tried: []netip.Addr{to}, sentAt: now}
+	// handOverAt has counted the flow as handed over.
 	m.peer(to).unreported++
 	m.peer(to).handedOver--
 }
--- a/core/ownership/placing.go
+++ b/core/ownership/placing.go
@@ -130,11 +130,11 @@
 		m.handOver(now, p, msg, "failing", out)
 		return
 	}
-	if to, ok := m.insteadOfWarmingUp(now, p, msg); ok {
+	if to, ok := m.warmTargetFor(now, p, msg); ok {
 		m.handOverAt(now, p, msg, to, reasonWarmingUp, out)
 		return
 	}
-	if m.queueIfFull(now, p, msg, out) {
+	if m.queueIfMustWait(now, p, msg, out) {
 		return
 	}
 	m.deliverOpening(now, p, msg, out)
@@ -172,7 +172,7 @@
 	if !f.accepted && f.phase != phaseOffered {
 		f.openRaw = slices.Clone(p.Raw)
 		m.stats.setPhase(now, p.Key, f, phaseOffered)
-		m.given.Record(now)
+		m.warmupLimiter.Record(now)
 	}
 	if m.silent {
 		m.retryAt = now + silentRetryInterval
@@ -184,7 +184,7 @@
 // none, it refuses the flow, unless a target may have got the packet.
 func (m *Machine) handOver(now time.Duration, p *flow.Packet, msg *relay.Message, reason string, out *plane.Out) {
 	to, ok := m.handOverTo(now, p, msg)
-	if !ok && (msg.Offered || m.targetHasGot(p) || isWithheld(reason) && m.mayBeElsewhere(p, msg)) {
+	if !ok && (msg.Offered || m.targetGotOpening(p) || isWithheld(reason) && m.mayBeElsewhere(p, msg)) {
 		m.giveUp(p, msg, reason, out)
 		return
 	}
@@ -198,7 +198,7 @@
 // handOverAt hands a new flow over to an agent.
 func (m *Machine) handOverAt(now time.Duration, p *flow.Packet, msg *relay.Message, to netip.Addr, reason string, out *plane.Out) {
 	forwarded := *msg
-	forwarded.RefusedBy, forwarded.Offered = m.Self, msg.Offered || m.targetHasGot(p)
+	forwarded.RefusedBy, forwarded.Offered = m.Self, msg.Offered || m.targetGotOpening(p)
 	m.records[p.Key] = &record{owner: to, seq: p.Seq, lastSeen: now}
 	m.peer(to).handedOver++
 	out.Event(plane.Event{Kind: plane.EventHandedOver, Flow: p.Key, PacketSeq: p.Seq, Peer: to, Reason: reason})
@@ -302,9 +302,9 @@
 	}
 }
 
-// checkOffers hands over the flows that the target has not accepted in time.
-func (m *Machine) checkOffers(now time.Duration, out *plane.Out) {
-	if !m.hasOffers() {
+// checkOfferedFlows hands over the flows that the target has not accepted in time.
+func (m *Machine) checkOfferedFlows(now time.Duration, out *plane.Out) {
+	if !m.awaitsAcceptance() {
 		return
 	}
 	for key, f := range m.flows {
--- a/core/ownership/probe.go
+++ b/core/ownership/probe.go
@@ -86,11 +86,7 @@
 		m.reportOwner(f, from, p.Key, out)
 		return
 	}
-	s := m.searches[p.Key]
-	if s == nil {
-		s = &search{roundStart: now, done: true}
-		m.searches[p.Key] = s
-	}
+	s := m.searchResult(now, p.Key)
 	s.prober, s.origin = from, msg.Origin
 	if !m.mayHold(now, p.Key) {
 		m.answerNotHeld(now, p.Key, s, out)
@@ -121,11 +117,7 @@
 // handleNotHeld handles a packet that the target returned because it does not
 // hold the flow.
 func (m *Machine) handleNotHeld(now time.Duration, p *flow.Packet, out *plane.Out) {
-	s := m.searches[p.Key]
-	if s == nil {
-		s = &search{roundStart: now, done: true}
-		m.searches[p.Key] = s
-	}
+	s := m.searchResult(now, p.Key)
 	s.selfDenied = true
 	if s.onlySelfAsked {
 		m.searchOthers(now, s, out)
--- a/core/ownership/restore.go
+++ b/core/ownership/restore.go
@@ -18,10 +18,10 @@
 	// restoreMargin is added to the time in which the table of the last run is
 	// looked for, which ends by itself.
 	restoreMargin = 100 * time.Millisecond
-	// maxHeld bounds the messages that are held, each of at most a datagram. At 20
+	// maxHeldMessages bounds the messages that are held, each of at most a datagram. At 20
 	// requests a second for each of 20,000 flows, 2,048 arrive in 5 ms, so most
 	// callers of a busy target send again.
-	maxHeld = 2048
+	maxHeldMessages = 2048
 )
 
 // restore is the state of an agent that may get the flow table of its last run.
@@ -43,10 +43,10 @@
 // Restoring reports whether the agent may still get the table of its last run.
 func (m *Machine) Restoring() bool { return m.restore.waiting }
 
-// holdMessage holds a message about a flow that the agent does not know until it has its
-// table or knows that there is none. "May be" would cause probes of other targets,
-// and a denial may be wrong. It reports whether the message needs no further
-// handling now.
+// holdMessage holds a message about a flow that the agent does not know until it
+// has its table or knows that there is none: "may be" would cause probes of other
+// targets, and a denial may be wrong. It reports whether the message needs no
+// further handling now.
 func (m *Machine) holdMessage(from netip.Addr, p *flow.Packet, msg *relay.Message, out *plane.Out) bool {
 	if f := m.flows[p.Key]; f != nil && f.matches(p) {
 		return false
@@ -64,7 +64,7 @@
 	default:
 		return false
 	}
-	if len(m.restore.held) >= maxHeld {
+	if len(m.restore.held) >= maxHeldMessages {
 		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Peer: from, Reason: "restoring"})
 		return true
 	}
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -225,12 +225,19 @@
 // recordDoubt records that this agent tells another one that the target may hold
 // a flow.
 func (m *Machine) recordDoubt(now time.Duration, key flow.Key) {
+	s := m.searchResult(now, key)
+	s.doubted, s.doubtedAt = true, now
+}
+
+// searchResult returns the search for a flow, or a new one in which no round has
+// begun. It records what is known of the flow without a search.
+func (m *Machine) searchResult(now time.Duration, key flow.Key) *search {
 	s := m.searches[key]
 	if s == nil {
 		s = &search{roundStart: now, done: true}
 		m.searches[key] = s
 	}
-	s.doubted, s.doubtedAt = true, now
+	return s
 }
 
 func (m *Machine) resetUnowned(now time.Duration, s *search, out *plane.Out) {
--- a/core/ownership/table.go
+++ b/core/ownership/table.go
@@ -44,8 +44,8 @@
 
 // ImportTable takes over the table of the last run, which was exported an age ago,
 // and ends the wait for it. It returns why the table cannot be used, or an empty
-// string. The agent may have seen flows since its start, which the table does not
-// have. The table may come after the wait, because the first view came late.
+// string. Flows that the agent has seen since its start are kept. The table may
+// come after the wait, because the first view came late.
 func (m *Machine) ImportTable(now time.Duration, t *flowtable.Table, age time.Duration, out *plane.Out) (refused string) {
 	if refused = m.tableRefusal(t); refused != "" {
 		m.EndRestore(now, refused, out)
@@ -138,11 +138,7 @@
 // importProbes takes over what the last run knew about probes of a flow. Their
 // age grows while the agent is down.
 func (m *Machine) importProbes(now time.Duration, x *flowtable.Probes, age time.Duration) {
-	s := m.searches[x.Key]
-	if s == nil {
-		s = &search{roundStart: now, done: true}
-		m.searches[x.Key] = s
-	}
+	s := m.searchResult(now, x.Key)
 	var times probeTimes
 	for _, at := range x.Ages {
 		times = append(times, now-age-at)
--- a/core/ownership/table_test.go
+++ b/core/ownership/table_test.go
@@ -97,10 +97,10 @@
 // there is no table or no view. Without a table it is in doubt.
 func TestWaitForTheTableIsBounded(t *testing.T) {
 	f, _ := fixtureWithTable(t)
-	for port := range uint16(maxHeld + 10) {
+	for port := range uint16(maxHeldMessages + 10) {
 		f.balancerSends(relay.Packet, flow.Packet{Key: fleettest.Key(100 + port), Seq: 111, Ack: 6201, Len: 10})
 	}
-	assert.Equal(t, len(f.restore.held), maxHeld)
+	assert.Equal(t, len(f.restore.held), maxHeldMessages)
 	assert.Equal(t, f.out.Events[0].Reason, "restoring")
 	f.advance(0)
 	f.advance(flowtable.RestoreTimeout + restoreMargin)
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -14,7 +14,7 @@
 	m.updateReportedTime(now)
 	m.longestIdleTimeout = m.idleTimeout()
 	m.checkHalfOpen(now)
-	m.checkOffers(now, out)
+	m.checkOfferedFlows(now, out)
 	m.checkPlacements(now, out)
 	m.checkLists(now, out)
 	m.checkSearches(now, out)
--- a/core/ownership/waiting.go
+++ b/core/ownership/waiting.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// maxQueued bounds the new flows that wait for a slot at the target.
+	// maxQueued bounds the new flows and held requests that wait at the agent.
 	maxQueued = 256
 	// defaultObjective and defaultTimeout apply to flows of a route that is not
 	// known or does not set them.
@@ -31,7 +31,7 @@
 	secondCopyAge = 600 * time.Millisecond
 )
 
-// queuedFlow is a new flow that waits for a slot.
+// queuedFlow is a new flow, or a request on an open flow, that waits at the agent.
 type queuedFlow struct {
 	raw []byte
 	msg relay.Message
@@ -108,9 +108,9 @@
 	return ""
 }
 
-// queueIfFull queues a new flow if the target is full. It reports whether the
-// flow is queued or was refused. In both cases the target does not get it now.
-func (m *Machine) queueIfFull(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) bool {
+// queueIfMustWait queues a new flow that has to wait, or hands it over if another
+// target has a free slot. It reports whether the target does not get the flow now.
+func (m *Machine) queueIfMustWait(now time.Duration, p *flow.Packet, msg *relay.Message, out *plane.Out) bool {
 	if f := m.flows[p.Key]; f != nil {
 		// The caller has reused the port for another flow.
 		m.clearHeld(p.Key, f)
@@ -209,7 +209,7 @@
 	if err != nil {
 		return
 	}
-	if it.Value.msg.Offered || m.targetHasGot(&p) {
+	if it.Value.msg.Offered || m.targetGotOpening(&p) {
 		m.giveUp(&p, &it.Value.msg, reason, out)
 		return
 	}
--- a/core/ownership/warmup.go
+++ b/core/ownership/warmup.go
@@ -26,14 +26,14 @@
 	if m.coldKnown && now >= m.coldUntil {
 		return false
 	}
-	return !m.given.Allows(now, limit)
+	return !m.warmupLimiter.Allows(now, limit)
 }
 
-// insteadOfWarmingUp returns the agent that gets a new flow because the target may
-// not get it now, and whether there is one: that of a target that can take the flow
-// and is not warming up. Otherwise the flow waits. A flow is handed over only once
-// for this reason, so that it does not go around between targets that warm up.
-func (m *Machine) insteadOfWarmingUp(now time.Duration, p *flow.Packet, msg *relay.Message) (netip.Addr, bool) {
+// warmTargetFor returns the agent of a target that is not warming up and gets a new
+// flow in place of this target, which is at its warm-up limit, and whether there is
+// one. A flow is handed over only once for this reason, so that it does not go
+// around between targets that warm up.
+func (m *Machine) warmTargetFor(now time.Duration, p *flow.Packet, msg *relay.Message) (netip.Addr, bool) {
 	if m.isOffered(p) || !m.atWarmupLimit(now) || msg.RefusedBy.IsValid() || msg.Hops >= maxHops {
 		return netip.Addr{}, false
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -63,7 +63,7 @@
 	// DeniedServices holds the flow.
 	Redirect
 	// HeldQuery asks an agent which flows its target holds. Only agents that sent
-	// FlagFresh or were not heard lately are asked, and older builds drop it.
+	// FlagFresh or were not heard lately are asked, and earlier releases drop it.
 	HeldQuery
 	// HeldList answers a HeldQuery. If it is complete, the sender's target holds
 	// no flows but those that it lists.
--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// memory is the number of requests over which a mean is taken. The deviation
+	// meanWindow is the number of requests over which a mean is taken. The deviation
 	// of one logarithm is about 0.6, so that of the mean is about 0.06.
-	memory = 100
+	meanWindow = 100
 	// priorWeight is the number of requests that count as much as the mean of the
 	// service: the variance of one logarithm, 0.36, divided by that between
 	// targets of a service, 0.04.
@@ -33,9 +33,9 @@
 	// requests. Random deviations of the recent mean are about 0.13.
 	recentWeight    = 0.1
 	changeThreshold = 0.5
-	// memoryAfterChange is the number of requests that the means stand for after
+	// meanWindowAfterChange is the number of requests that the means stand for after
 	// a change.
-	memoryAfterChange = 20
+	meanWindowAfterChange = 20
 	// logMeanOffset is the difference between the logarithm of the mean time and
 	// the mean of the logarithms, for times with a deviation of 0.5 of which 3%
 	// are seven times longer. The same value at all targets adds no noise.
@@ -49,7 +49,7 @@
 type average struct{ mean, n float64 }
 
 func (a *average) add(x float64) {
-	a.n = min(a.n+1, memory)
+	a.n = min(a.n+1, meanWindow)
 	a.mean += (x - a.mean) / a.n
 }
 
@@ -94,10 +94,10 @@
 func (e *Estimator[R]) shift() {
 	for _, r := range e.routes {
 		r.mean += e.recent
-		r.n = min(r.n, memoryAfterChange)
+		r.n = min(r.n, meanWindowAfterChange)
 	}
 	e.all.mean += e.recent
-	e.all.n = min(e.all.n, memoryAfterChange)
+	e.all.n = min(e.all.n, meanWindowAfterChange)
 	e.recent = 0
 }
 
--- a/core/speed/speed_test.go
+++ b/core/speed/speed_test.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// Guards against a report that does not mean the same as that of earlier builds,
+// Guards against a report that does not mean the same as that of earlier releases,
 // which send the mean time. The work has a mean of 0.041 s.
 func TestEstimateIsTheMeanTime(t *testing.T) {
 	mean, _ := deviation(300)
--- a/core/spread/offers.go
+++ b/core/spread/offers.go
@@ -113,11 +113,11 @@
 		o.valid = append(o.valid, now+offerTTL)
 		n := random % sum
 		for _, w := range waiting {
-			if flows := uint64(max(w.Flows, 0)); n < flows {
+			flows := uint64(max(w.Flows, 0))
+			if n < flows {
 				return w.Agent, true
-			} else {
-				n -= flows
 			}
+			n -= flows
 		}
 	}
 	if len(o.homes) == 0 {
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -61,15 +61,14 @@
 )
 
 // Choose returns the index of the candidate that gets a flow, or -1 if there are
-// no candidates. The loads are old and known to all homes, so the lowest cost of
-// all would get the flows of all homes. Choose therefore places the flows that
-// other homes place meanwhile besides this one, each at the lowest cost after
-// those before it, and this flow at a random position among them. There are as
-// many homes as candidates, and each places as many flows as this one: rate is the
-// number of flows that it places in a second. If a target has offered a free slot
-// and its cost is not higher than that at this position, it gets the flow, because
-// nobody else was offered that slot. random is any number that differs from flow
-// to flow.
+// no candidates. All homes know the same loads, so the flow is placed at a random
+// position among those that the other homes are assumed to place meanwhile, each
+// at the lowest cost after those before it. An offered slot that costs no more
+// goes first, because nobody else was offered it.
+//
+// rate is the number of flows that this home places in a second. As many homes as
+// there are candidates are assumed to place as many each. random is any number that
+// differs from flow to flow.
 func Choose(candidates []Candidate, rate float64, random uint64) int {
 	if len(candidates) == 0 {
 		return -1
--- a/node/fleetsync/drains_test.go
+++ b/node/fleetsync/drains_test.go
@@ -27,14 +27,14 @@
 	return &fleet.Delta{Drains: &p.drains}, p.err
 }
 
-// pullFrom applies what a peer of this or of an old build answers.
+// pullFrom applies what a peer of this or of an earlier release answers.
 func (f *fixture) pullFrom(t *testing.T, d fleet.Delta) {
 	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { assert.NilError(t, json.NewEncoder(w).Encode(d)) }))
 	defer peer.Close()
 	assert.NilError(t, f.pull(t.Context(), netip.MustParseAddrPort(strings.TrimPrefix(peer.URL, "http://"))))
 }
 
-// Guards against a process that follows peers of an old build and does not learn
+// Guards against a process that follows peers of an earlier release and does not learn
 // of a drain, and against one that calls the platform although its peers tell it.
 func TestDrainsAreReadIfPeersDoNotTell(t *testing.T) {
 	f := newFixture(4)
--- a/node/packetplane/plane.go
+++ b/node/packetplane/plane.go
@@ -50,7 +50,7 @@
 	reloadSignal = "signal"
 	reloadFile   = "file"
 	// graceMargin is how long before the end of the grace period a stopping
-	// process ends at the latest.
+	// process ends its work at the latest. An agent then sends its flow table.
 	graceMargin = 500 * time.Millisecond
 )
 
