--- a/spec/flowtable.pml
+++ b/spec/flowtable.pml
@@ -7,15 +7,15 @@
  * keepers. It then opens flows, and ends: it is killed, or it stops and sends its
  * table to two keepers. A transfer may be cut off or arrive at any later time, even
  * after the next run has started. At each time one keeper at most is cut off: it
- * gets no claim. The answer of any keeper may be lost after it has recorded the claim. A run repeats its claims until it is
- * killed, but it need not get that far.
+ * gets no claim. The answer of any keeper may be lost after it has recorded the
+ * claim. A run repeats its claims until it is killed, but it need not get that far.
  *
  * A keeper has one table, gives it only to the first run that claims it, and
  * remembers which runs have claimed. A table names the earlier runs that its agent
  * knew. A run uses a table only if more than half of the keepers have answered, and
- * none of them knows another run that the table does not name. A run without a table is in doubt about all flows that it
- * does not know. A run that is killed by then has opened nothing: it takes flows
- * only after its first claims.
+ * none of them knows another run that the table does not name. A run without a
+ * table is in doubt about all flows that it does not know. A run that is killed by
+ * then has opened nothing: it takes flows only after its first claims.
  *
  * Property: a run that is not in doubt knows all flows that the target holds.
  *
