ownership: searches do not wait for a leaving agent whose target is not listed

Cause: after a loss of all processes searches also ask agents that are heard and not listed. One whose target has left the service stops a moment later, and until heartbeatTimeout no search ended: no dead flow was reset and few open flows were found for 0.6 s at a time. Change: such an agent is not asked once it tells that it is leaving. Result: TestLeavingAgentOfAnUnlistedTargetIsNotAsked.

--- a/core/ownership/holders.go
+++ b/core/ownership/holders.go
@@ -9,6 +9,7 @@
 	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/flow"
 	"trefoilweir.example/core/plane"
+	"trefoilweir.example/core/relay"
 )
 
 // searchable returns the other agents whose targets may hold flows of the
@@ -44,7 +45,10 @@
 // entry was removed before, and its agent knows the others.
 func (m *Machine) unlistedAgents(now time.Duration, seen map[netip.Addr]bool) (unlisted []netip.Addr) {
 	for a, p := range m.peers {
-		if !seen[a] && p.everHeard && now-p.lastHeard <= heartbeatTimeout {
+		// An agent that stops while its target is not listed leaves with its target,
+		// as after a scale-in. Searches would wait for it until heartbeatTimeout.
+		leaving := p.load.Flags&relay.FlagLeaving != 0
+		if !seen[a] && p.everHeard && now-p.lastHeard <= heartbeatTimeout && !leaving {
 			unlisted = append(unlisted, a)
 		}
 	}
--- a/core/ownership/incomplete_test.go
+++ b/core/ownership/incomplete_test.go
@@ -318,3 +318,15 @@
 		assert.Equal(t, len(f.out.ToCaller), c.resets, name)
 	}
 }
+
+// Guards against searches that wait for an agent whose target has left the service
+// and which stops now, as after a scale-in: no dead flow was reset meanwhile.
+func TestLeavingAgentOfAnUnlistedTargetIsNotAsked(t *testing.T) {
+	f := newFixture(t, true)
+	f.FromPeer(f.now, fleettest.Agent(7), &relay.Message{Kind: relay.Heartbeat, Service: tag, Load: relay.Load{Flags: relay.FlagAgent | relay.FlagLeaving, Slots: 4}}, &f.out)
+	f.balancerSends(relay.Packet, unknownPacket)
+	assert.Assert(t, !slices.Contains(f.searchedAgents(), fleettest.Agent(7)))
+	f.peerAnswers(1, relay.NotOwner, 1)
+	f.peerAnswers(2, relay.NotOwner, 1)
+	assert.Equal(t, len(f.out.ToCaller), 1)
+}
