--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -54,8 +54,8 @@
 	starts     int
 	missed     int
 	probed     bool
-	// kept says that the process is not restarted when it exits.
-	kept bool
+	// planned says that the last signal was SIGTERM.
+	planned bool
 }
 
 // fleet is a small deployment: the store, the routers, the servers and the processes
@@ -222,7 +222,7 @@
 	m.command, m.exited = command, make(chan struct{})
 	m.starts++
 	if m.starts > 1 {
-		f.rec.trouble(false, "process of %s starts again", m.name)
+		f.event(m.planned, "process of %s starts again", m.name)
 	}
 	go f.await(m, command, m.exited)
 	return nil
@@ -237,12 +237,12 @@
 	stopping := f.stopping
 	f.mu.Unlock()
 	m.mu.Lock()
-	kept := m.kept
+	planned := m.planned
 	m.mu.Unlock()
-	if stopping || kept {
+	if stopping {
 		return
 	}
-	f.rec.trouble(false, "process of %s has exited: %v", m.name, err)
+	f.event(planned, "process of %s has exited: %v", m.name, err)
 	time.Sleep(restartTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -254,11 +254,21 @@
 	}
 }
 
-// signal sends a signal to the process of a machine.
+// event records a step of planned work, or of an unplanned disruption.
+func (f *fleet) event(planned bool, format string, arguments ...any) {
+	if planned {
+		f.rec.note(format, arguments...)
+		return
+	}
+	f.rec.trouble(false, format, arguments...)
+}
+
+// signal sends a signal to the process of a machine. SIGTERM is planned work.
 func (f *fleet) signal(m *machine, s syscall.Signal) {
-	f.rec.trouble(false, "%s to the process of %s", s, m.name)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.planned = s == syscall.SIGTERM
+	f.event(m.planned, "%s to the process of %s", s, m.name)
 	_ = m.command.Process.Signal(s)
 }
 
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -17,7 +17,8 @@
 )
 
 var cases = map[string]func(f *fleet, trouble bool) error{
-	"stale-table": staleTable,
+	"stale-table":  staleTable,
+	"stray-probes": strayProbes,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin2/record.go
+++ b/review/standin2/record.go
@@ -25,8 +25,9 @@
 	begin      time.Time
 	violations int
 	owners     map[flowID]*ownedFlow
-	// troubleAt is when the last disruption or signal began or ended, troubled says
-	// that one lasts.
+	// troubleAt is when the last unplanned disruption began or ended, troubled says
+	// that one lasts. Planned restarts do not count: "under planned work it always
+	// counts".
 	troubleAt time.Time
 	troubled  bool
 	excused   int
@@ -56,7 +57,7 @@
 	r.logf(format, arguments...)
 }
 
-// trouble records a disruption or a signal. lasting says that it goes on.
+// trouble records an unplanned disruption. lasting says that it goes on.
 func (r *record) trouble(lasting bool, format string, arguments ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -64,8 +65,9 @@
 	r.logf(format, arguments...)
 }
 
-// inTouch reports whether all machines are in touch. The caller holds the lock.
-func (r *record) inTouch() bool { return !r.troubled && time.Since(r.troubleAt) >= touchWindow }
+// inTouch reports whether all machines were in touch at a time, but for planned work.
+// The caller holds the lock.
+func (r *record) inTouch(at time.Time) bool { return !r.troubled && at.Sub(r.troubleAt) >= touchWindow }
 
 func (r *record) violation(rule, format string, arguments ...any) {
 	r.mu.Lock()
@@ -156,7 +158,7 @@
 	defer r.mu.Unlock()
 	switch {
 	case len(f.strays) < strayPackets || f.strays[0].After(first):
-	case !r.inTouch():
+	case !r.inTouch(first):
 		r.excused++
 		r.logf("excused   strays of flow %s: not all machines are in touch", id.client)
 	default:
@@ -180,7 +182,7 @@
 	if f.closing {
 		return
 	}
-	if !r.inTouch() {
+	if !r.inTouch(time.Now()) {
 		r.excused++
 		r.logf("excused   reset of flow %s: not all machines are in touch", id.client)
 		return
