--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -67,8 +67,10 @@
 	fronts, sides    []*machine
 	addresses        map[string]netip.AddrPort
 	configVersion    int
-	mu               sync.Mutex
-	stopping         bool
+	// splits has the services, with their weights, of routes that lead to several.
+	splits   map[string]map[string]int
+	mu       sync.Mutex
+	stopping bool
 	// silentServers says that the servers do not write to the store.
 	silentServers bool
 	expired       map[string]time.Time
@@ -154,8 +156,18 @@
 	f.configVersion += 3
 	routes, services := []map[string]any{}, []map[string]any{}
 	for name, address := range f.addresses {
-		routes = append(routes, map[string]any{"name": "r-" + name, "host": address.Addr().String(), "prefix": fmt.Sprintf("/%d/", address.Port()), "route-type": "safe",
-			"timeout-ms": 1200, "target-latency-ms": 120, "priority": 2, "service": name, "max-attempts": 2})
+		route := map[string]any{"name": "r-" + name, "host": address.Addr().String(), "prefix": fmt.Sprintf("/%d/", address.Port()), "route-type": "safe",
+			"timeout-ms": 1200, "target-latency-ms": 120, "priority": 2, "max-attempts": 2}
+		if split := f.splits[name]; split == nil {
+			route["service"] = name
+		} else {
+			shares := []map[string]any{}
+			for service, weight := range split {
+				shares = append(shares, map[string]any{"service": service, "weight": weight})
+			}
+			route["split"] = shares
+		}
+		routes = append(routes, route)
 		services = append(services, map[string]any{"name": name, "health-path": "/health", "max-conns": 2000, "protocol": "h1", "tls": false})
 	}
 	value, _ := json.Marshal(map[string]any{"version": f.configVersion, "routes": routes, "services": services, "limits": map[string]int{"idle-timeout-ms": idleMS}})
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(f *fleet, trouble bool) error{
 	"stale-table":  staleTable,
 	"stray-probes": strayProbes,
+	"split-budget": splitBudget,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin2/strayprobes.go
+++ b/review/standin2/strayprobes.go
@@ -29,6 +29,17 @@
 // strayProbes kills all processes, and then restarts the agents of one zone twice in
 // turn, in a planned way, while clients use flows again that were idle.
 func strayProbes(f *fleet, trouble bool) error {
+	return f.wakeAfterKill(trouble, []time.Duration{firstRoll, secondRoll})
+}
+
+// splitBudget does the same on a route that leads to two services, and restarts the
+// agents once.
+func splitBudget(f *fleet, trouble bool) error {
+	f.splits = map[string]map[string]int{"rondeportaal": {"rondeportaal": 90, "dossierarchief": 10}}
+	return f.wakeAfterKill(trouble, []time.Duration{firstRoll})
+}
+
+func (f *fleet) wakeAfterKill(trouble bool, rolls []time.Duration) error {
 	services := []service{{"rondeportaal", []int{3, 2, 2}, 3, 22 * time.Millisecond}, {"dossierarchief", []int{1, 1, 1}, 3, 5 * time.Millisecond}}
 	if err := f.start(services, []int{2, 1, 1}); err != nil {
 		return err
@@ -64,7 +75,7 @@
 		work.Go(func() { c.repeat("rondeportaal", kill.Add(2*time.Second), kill.Add(wakeTo+time.Second)) })
 	}
 	work.Go(func() {
-		for _, roll := range []time.Duration{firstRoll, secondRoll} {
+		for _, roll := range rolls {
 			step := 0
 			for _, m := range f.sides {
 				if m.zone == zone && m.server.service == "rondeportaal" {
