platform, fleet: odd entries of another writer name no target

Deep nesting, incomplete entries and entries of unnamed services did no harm.

Cause: only the types of the fields were checked. Sums and products of such numbers overflow (slots and the flows that may wait beyond them, durations), and a start in the far future hides the entry of the running target, also that it drains.

A delta of a peer is checked too, because an earlier release may have read such an entry. The routes of lab/rig name their services, as the platform's do.

--- a/lab/rig/router.go
+++ b/lab/rig/router.go
@@ -132,7 +132,11 @@
 			RouteType: "safe", TimeoutMS: 2500, Objective: 250, Priority: 1, Service: service,
 		})
 	}
-	data, err := json.Marshal(map[string]any{"version": s.routeVersion, "routes": routes, "services": []any{}, "limits": map[string]int{"idle-timeout-ms": idleMS}})
+	services := []map[string]string{}
+	for i := range s.Services {
+		services = append(services, map[string]string{"name": s.Services[i].Name})
+	}
+	data, err := json.Marshal(map[string]any{"version": s.routeVersion, "routes": routes, "services": services, "limits": map[string]int{"idle-timeout-ms": idleMS}})
 	if err != nil {
 		s.failures = append(s.failures, err.Error())
 		return
--- a/node/fleetsync/pull.go
+++ b/node/fleetsync/pull.go
@@ -139,6 +139,9 @@
 	if err := d.Validate(); err != nil {
 		return nil, trace.Wrap(err, "peer returned an invalid delta")
 	}
+	if dropped := d.DropUnusableTargets(time.Now()); dropped > 0 {
+		s.Log.Warn("peer tells targets that cannot be used; treating them as removed", telemetry.Peer(from.String()), zap.Int("targets", dropped))
+	}
 	return &d, nil
 }
 
--- a/node/fleetsync/pull_test.go
+++ b/node/fleetsync/pull_test.go
@@ -40,3 +40,24 @@
 		})
 	}
 }
+
+// Guards against a peer of an earlier release that tells a target with numbers that
+// overflow, and against losing the other targets of its answer.
+func TestUnusableTargetOfPeer(t *testing.T) {
+	const answer = `{"revision":7,"full":true,"config":{"version":1},"config_revision":2,"changes":[
+		{"id":"a","revision":6,"target":{"id":"a","service":"s","address":"10.0.0.1:80","data_centre":"dc","slots":1,"state":"ready","born":1}},
+		{"id":"x","revision":7,"target":{"id":"x","service":"s","address":"10.0.0.2:80","data_centre":"dc","slots":9223372036854775807,"state":"ready","born":1}}]}`
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, err := w.Write([]byte(answer))
+		assert.NilError(t, err)
+	}))
+	defer peer.Close()
+	f := newFixture(0)
+	assert.NilError(t, f.pull(t.Context(), netip.MustParseAddrPort(strings.TrimPrefix(peer.URL, "http://"))))
+	f.Lock.Lock()
+	defer f.Lock.Unlock()
+	assert.Equal(t, f.View.Revision(), uint64(7))
+	targets := f.View.Targets("s")
+	assert.Equal(t, len(targets), 1)
+	assert.Equal(t, targets[0].ID, "a")
+}
