ownership: a target that another entry hides is searched for open flows

Cause: of two listed entries at one address the later one counts, across services.

Change: the view tells the hidden targets of a service. Searches ask their agents, and the agents do not count as gone, so that they may restart meanwhile. Hidden targets get no new flows and are no homes. After a crash the hidden entry is that of the target before, on the same VM; it lapses within some heartbeats.

--- a/core/fleet/index.go
+++ b/core/fleet/index.go
@@ -24,10 +24,11 @@
 // serviceIndex holds the entries of a service, including the removed ones.
 type serviceIndex struct {
 	entries []*entry
-	// listed holds the listed targets, unlisted the removed ones whose address
-	// no listed entry has. Both are recomputed on use if stale is set.
-	listed, unlisted []*Target
-	stale            bool
+	// listed holds the listed targets, hidden those whose address a newer listed
+	// entry has, and unlisted the removed ones whose address no listed entry has.
+	// They are recomputed on use if stale is set.
+	listed, hidden, unlisted []*Target
+	stale                    bool
 }
 
 func newIndex() index {
@@ -156,23 +157,28 @@
 	if !s.stale {
 		return s
 	}
-	s.listed, s.unlisted, s.stale = nil, nil, false
+	s.listed, s.hidden, s.unlisted, s.stale = nil, nil, nil, false
 	for _, e := range s.entries {
 		switch newest := x.newest(e.target.Address); {
 		case !e.removed && newest == e:
 			s.listed = append(s.listed, e.target)
-		case e.removed && newest == nil:
+		case !e.removed:
+			s.hidden = append(s.hidden, e.target)
+		case newest == nil:
 			s.unlisted = append(s.unlisted, e.target)
 		}
 	}
 	byID := func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) }
-	slices.SortFunc(s.listed, byID)
-	slices.SortFunc(s.unlisted, byID)
+	for _, list := range [][]*Target{s.listed, s.hidden, s.unlisted} {
+		slices.SortFunc(list, byID)
+	}
 	return s
 }
 
 func (x *index) targets(service string) []*Target { return x.service(service).listed }
 
+func (x *index) hiddenTargets(service string) []*Target { return x.service(service).hidden }
+
 // removedTargets checks the addresses again, because a target of another
 // service may have taken one since the lists were computed.
 func (x *index) removedTargets(service string) []*Target {
--- a/core/fleet/lookup.go
+++ b/core/fleet/lookup.go
@@ -76,6 +76,11 @@
 	return names
 }
 
+// HiddenTargets returns the listed targets of a service whose address a newer listed
+// entry has, of any service. Usually they have crashed and their entries lapse soon.
+// If the newer entry is another writer's, they run and have open flows.
+func (v *View) HiddenTargets(service string) []*Target { return v.index.hiddenTargets(service) }
+
 // RemovedTargets returns the targets of a service that were removed within
 // RemovedEntryRetention. They may still have open flows.
 func (v *View) RemovedTargets(service string) []*Target { return v.index.removedTargets(service) }
--- a/core/fleet/named_test.go
+++ b/core/fleet/named_test.go
@@ -161,3 +161,27 @@
 		}
 	})
 }
+
+// Guards against a running target that nobody searches, because the entry of another
+// writer for another named service has its address.
+func TestHiddenTargets(t *testing.T) {
+	for _, start := range []int64{1, 2} {
+		v := New()
+		v.Apply(0, &Delta{Revision: 6, Changes: []Change{{ID: "a", Revision: 5, Target: target("a", 1, Ready, 1)}, {ID: "x", Revision: 6, Target: targetOf("gallery", "x", 1, start)}}})
+		assert.Equal(t, len(v.Targets("booking")), 0)
+		assert.Equal(t, ids(v.HiddenTargets("booking")), "a")
+		assert.Equal(t, len(v.HiddenTargets("gallery")), 0)
+		// A lapsed target gets new flows, a hidden one does not.
+		v.RecordDisturbance(0)
+		assert.Equal(t, len(v.LapsedTargets(0, "booking")), 0)
+		v.Apply(0, &Delta{Revision: 7, Changes: []Change{{ID: "x", Revision: 7}}})
+		assert.Equal(t, ids(v.Targets("booking")), "a")
+		assert.Equal(t, len(v.HiddenTargets("booking")), 0)
+		assert.Equal(t, ids(v.HiddenTargets("gallery")), "")
+	}
+	// The entry of a target that has left is no longer hidden once it is removed.
+	v := New()
+	v.Apply(0, &Delta{Revision: 6, Changes: []Change{{ID: "a", Revision: 5, Target: target("a", 1, Ready, 1)}, {ID: "b", Revision: 6, Target: targetOf("gallery", "b", 1, 2)}}})
+	v.Apply(0, &Delta{Revision: 7, Changes: []Change{{ID: "a", Revision: 7}}})
+	assert.Equal(t, len(v.HiddenTargets("booking"))+len(v.RemovedTargets("booking")), 0)
+}
--- a/core/ownership/holders.go
+++ b/core/ownership/holders.go
@@ -14,13 +14,14 @@
 
 // searchable returns the other agents whose targets may hold flows of the
 // service: those in the local data centre, and the others by data centre, those
-// of listed targets first. A removed target may still run: its entry lapses or
-// is withdrawn if it cannot reach the platform. An agent that is heard and not
-// in the view counts as local, as its data centre is not known.
+// of listed targets first. A target that is hidden or removed may still run: the
+// entry that hides it may be another writer's, and its entry lapses or is withdrawn
+// if it cannot reach the platform. An agent that is heard and not in the view
+// counts as local, as its data centre is not known.
 func (m *Machine) searchable(now time.Duration) (local []netip.Addr, remote map[string][]netip.Addr) {
 	remote = map[string][]netip.Addr{}
 	seen := map[netip.Addr]bool{m.Self: true}
-	for _, t := range m.listedAndRemoved() {
+	for _, t := range m.possibleHolders() {
 		a := t.Agent()
 		switch {
 		case seen[a]:
@@ -34,10 +35,10 @@
 	return append(local, m.unlistedAgents(now, seen)...), remote
 }
 
-// listedAndRemoved returns the targets of the service that the view names or named,
+// possibleHolders returns the targets of the service that the view names or named,
 // listed ones first.
-func (m *Machine) listedAndRemoved() []*fleet.Target {
-	return slices.Concat(m.View.Targets(m.Service), m.View.RemovedTargets(m.Service))
+func (m *Machine) possibleHolders() []*fleet.Target {
+	return slices.Concat(m.View.Targets(m.Service), m.View.HiddenTargets(m.Service), m.View.RemovedTargets(m.Service))
 }
 
 // unlistedAgents returns the agents of the service that were heard lately and are
@@ -59,20 +60,23 @@
 // listedAgents returns the agents of the service that the view names or named.
 func (m *Machine) listedAgents() map[netip.Addr]bool {
 	listed := map[netip.Addr]bool{m.Self: true}
-	for _, t := range m.listedAndRemoved() {
+	for _, t := range m.possibleHolders() {
 		listed[t.Agent()] = true
 	}
 	return listed
 }
 
 // gone reports whether an agent counts as gone with its target: the entry of the
-// target was removed, and the agent has not answered for goneTimeout.
+// target was removed, and the agent has not answered for goneTimeout. A target whose
+// entry is hidden may run while its agent restarts.
 func (m *Machine) gone(now time.Duration, a netip.Addr) bool {
 	if m.peer(a).silentFor(now) < goneTimeout {
 		return false
 	}
-	t := m.View.TargetAt(a)
-	return t == nil || t.Service != m.Service
+	if t := m.View.TargetAt(a); t != nil && t.Service == m.Service {
+		return false
+	}
+	return !slices.ContainsFunc(m.View.HiddenTargets(m.Service), func(t *fleet.Target) bool { return t.Agent() == a })
 }
 
 // ask records a question to an agent. It returns whether to send it, and whether
@@ -129,7 +133,7 @@
 // began.
 func (m *Machine) allDenied(now time.Duration, s *search) bool {
 	surveyed := m.currentSurveys(s)
-	for _, t := range m.listedAndRemoved() {
+	for _, t := range m.possibleHolders() {
 		if a := t.Agent(); a != m.Self && !s.hasDenied(t, surveyed) && !m.gone(now, a) {
 			return false
 		}
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -268,7 +268,7 @@
 		}
 	}
 	b.Listed = len(known) - 1
-	for _, t := range m.View.RemovedTargets(m.Service) {
+	for _, t := range slices.Concat(m.View.HiddenTargets(m.Service), m.View.RemovedTargets(m.Service)) {
 		if !known[t.Agent()] && !s.hasDenied(t, surveyed) {
 			b.NotAsked++
 		}
