ownership: a flow is not reset while a service of its address may be forgotten

Cause: a view keeps 16 earlier services of an address. The bound was safe only if each of them has targets, because a packet may visit eight services before it is dropped. Services without targets are not visited, so a search could end with a reset although a forgotten service held the flow.

Change: a full history may have forgotten a service. A flow of such an address that nobody is found to hold is dropped, with the reason services_forgotten, and not reset.

Result: without the change TestFlowOfForgottenServiceIsNotReset fails with a reset, and TestFullHistoryMayHaveForgottenServices fails.

--- a/core/fleet/services.go
+++ b/core/fleet/services.go
@@ -8,10 +8,7 @@
 	"time"
 )
 
-// maxPastServices bounds the earlier services that a view keeps for an address. It
-// is above the number of services that a packet may visit (eight and the last), so
-// that a packet whose flow may be held by a forgotten service is dropped, and its
-// flow is not reset.
+// maxPastServices bounds the earlier services that a view keeps for an address.
 const maxPastServices = 16
 
 // pastService is a service to which an address no longer leads.
@@ -38,6 +35,13 @@
 	return services
 }
 
+// MayHaveForgottenServices reports whether the view keeps as many earlier services of
+// an address as it may. A service that it has forgotten may have open flows of the
+// address, although it is not among ServicesOf.
+func (v *View) MayHaveForgottenServices(address netip.AddrPort) bool {
+	return len(v.pastServices[address]) >= maxPastServices
+}
+
 // services returns the services of a route. One without a weight is among them,
 // because it may have had a weight in an earlier version.
 func (r *Route) services() []string {
--- a/core/fleet/services_test.go
+++ b/core/fleet/services_test.go
@@ -177,3 +177,21 @@
 	assert.Equal(t, len(services), 1+maxPastServices)
 	assert.Equal(t, services[1], fmt.Sprint(3*maxPastServices-2))
 }
+
+// Guards against a history that counts as complete although it has forgotten a
+// service of the address: open flows of that service were reset.
+func TestFullHistoryMayHaveForgottenServices(t *testing.T) {
+	var routes []*Route
+	for n := range maxPastServices {
+		assert.Assert(t, !routesOver(routes...).MayHaveForgottenServices(address))
+		routes = append(routes, &Route{Service: fmt.Sprint(n)})
+	}
+	v := routesOver(append(routes, &Route{Service: "a"}, &Route{Service: "b"})...)
+	assert.Assert(t, v.MayHaveForgottenServices(address))
+	peer := New()
+	d := v.Since(time.Minute/2, Progress{})
+	peer.Apply(time.Minute/2, &d)
+	assert.Assert(t, peer.MayHaveForgottenServices(address))
+	v.Expire(10*time.Second + RetiredRouteRetention)
+	assert.Assert(t, !v.MayHaveForgottenServices(address))
+}
--- a/core/ownership/nextservice_test.go
+++ b/core/ownership/nextservice_test.go
@@ -224,3 +224,20 @@
 	assert.Equal(t, s.resets, 0)
 	assert.Assert(t, s.packetsToTargets() > 0 && s.packetsToTargets() <= probeBudget, "%d probes", s.packetsToTargets())
 }
+
+// Guards against the reset of an open flow of a service that the view has forgotten,
+// because the address has led to too many services since.
+func TestFlowOfForgottenServiceIsNotReset(t *testing.T) {
+	const manyServices = 16
+	s := newSplitCluster(t, routesTo(otherService))
+	s.openAt(firstOther)
+	for n := range manyServices {
+		s.setRoutes(routesTo(fmt.Sprint("service-", n)))
+	}
+	s.setRoutes(routesTo(fleettest.Service))
+	for range 3 {
+		s.send(0, relay.Packet, heldPacket)
+		assert.Equal(t, s.resets, 0)
+	}
+	assert.Equal(t, s.packetsToTargets(), 0)
+}
--- a/core/ownership/search.go
+++ b/core/ownership/search.go
@@ -253,6 +253,10 @@
 	if m.sendToNextService(p, s, out) {
 		return
 	}
+	if m.View.MayHaveForgottenServices(p.Key.Service()) {
+		out.Event(plane.Event{Kind: plane.EventDropped, Flow: p.Key, PacketSeq: p.Seq, Reason: "services_forgotten"})
+		return
+	}
 	m.reset(p, "no_target_holds_flow", out)
 	out.Events[len(out.Events)-1].Search = m.searchBasis(now, s)
 }
