fleet: a patch of a peer of an earlier release leaves a gap in the history

Change: a delta with a version and without the revision after which it is complete is of an earlier release. It opens a gap, so that no search ends with a reset until a peer has told the history. All later releases tell both.

Result: TestPatchOfAnEarlierRelease fails without the change (the history counts as known) and passes with it.

--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -110,10 +110,18 @@
 		return false
 	case d.Epoch < v.epoch:
 		return d.configVersion() > v.Version()
+	case d.hidesVersions():
+		return v.config != nil && d.configVersion() > v.Version()
 	}
 	return d.Full && (d.Epoch > v.epoch || d.listedAt() > v.revision)
 }
 
+// hidesVersions reports whether a delta is of a peer of a release that does not tell
+// the services of the versions between that of the receiver and its own.
+func (d *Delta) hidesVersions() bool {
+	return !d.Full && d.After == 0 && d.WatchedAfter == 0 && d.PastServices == nil
+}
+
 // ToleratesGap reports whether the view takes a full delta that skips changes at
 // once: it does not know all removals anyway, for example because the process has
 // just started. After a loss of all VMs all views differ and are young.
--- a/core/fleet/services_test.go
+++ b/core/fleet/services_test.go
@@ -195,3 +195,29 @@
 	v.Expire(10*time.Second + RetiredRouteRetention)
 	assert.Assert(t, !v.MayHaveForgottenServices(address))
 }
+
+// Guards against a patch of a peer of an earlier release, which does not tell the
+// services of the versions that it skips, that counts as all that has happened.
+func TestPatchOfAnEarlierRelease(t *testing.T) {
+	source := routesOver(&Route{Service: "a"}, &Route{Service: "b"}, &Route{Service: "a"})
+	for earlier, known := range map[bool]bool{true: false, false: true} {
+		v := New()
+		v.NothingRemovedBefore(0)
+		v.Apply(0, &Delta{Revision: 1, Config: &Config{Version: 1, Routes: []Route{{Address: address, Service: "a"}}}, ConfigRevision: 1})
+		d := source.Since(3*time.Second, Progress{Revision: 1, Version: 1})
+		assert.Assert(t, d.Patch != nil && !d.Full)
+		if earlier {
+			d.After, d.PastServices = 0, nil
+		}
+		v.Apply(3*time.Second, &d)
+		assert.Equal(t, v.Version(), uint64(3))
+		assert.Equal(t, v.RemovalsKnown(3*time.Second), known)
+		// A peer that has seen the versions fills the gap.
+		removals := source.Removals(4*time.Second, Progress{}, 0)
+		since := time.Minute.Milliseconds()
+		removals.RemovalsKnownMS = &since
+		v.Apply(4*time.Second, &removals)
+		assert.Assert(t, v.RemovalsKnown(4*time.Second))
+		assert.DeepEqual(t, v.ServicesOf(address), []string{"a", "b"})
+	}
+}
