ownership: an agent goes by the entry with the address of its own target

Cause: an agent took the newest entry on its VM for its target's. An entry of another writer with another port of the VM made it hand over all new flows ("other_service"), and one of another service at its target's address counted as a new incarnation, which could end the doubt about flows from before the start of the agent.

Change: the entry with the address of the target counts, and the newest on the VM only if there is none. Only an entry of the agent's own service shows a new incarnation.

--- a/core/fleet/lookup.go
+++ b/core/fleet/lookup.go
@@ -111,6 +111,17 @@
 // TargetAt returns the newest listed target on the VM with an address, or nil.
 func (v *View) TargetAt(agent netip.Addr) *Target { return v.index.targetAt(agent) }
 
+// TargetWithAddress returns the newest listed target with an address, or nil.
+func (v *View) TargetWithAddress(address netip.AddrPort) *Target {
+	if !isIPv4(address) {
+		return nil
+	}
+	if e := v.index.newest(address); e != nil {
+		return e.target
+	}
+	return nil
+}
+
 // Agents returns the sorted addresses of the VMs of all listed targets. The
 // caller must not change the result.
 func (v *View) Agents() []netip.Addr { return v.index.allAgents() }
--- a/core/ownership/choose.go
+++ b/core/ownership/choose.go
@@ -90,10 +90,20 @@
 	return false
 }
 
+// ownTarget returns the entry of the target as the view lists it, or nil. If no entry
+// has its address, it is the newest one on the VM. Another writer may leave an entry
+// with another port of this VM.
+func (m *Machine) ownTarget() *fleet.Target {
+	if t := m.View.TargetWithAddress(m.Target); t != nil {
+		return t
+	}
+	return m.View.TargetAt(m.Self)
+}
+
 // refusalReason returns why the target takes no new flow, or an empty string if
 // it takes one.
 func (m *Machine) refusalReason(now time.Duration) string {
-	t := m.View.TargetAt(m.Self)
+	t := m.ownTarget()
 	switch {
 	case m.leaving:
 		return "leaving"
--- a/core/ownership/eligible.go
+++ b/core/ownership/eligible.go
@@ -26,7 +26,7 @@
 
 // ownDataCentre returns the data centre of the target, as other agents know it.
 func (m *Machine) ownDataCentre() string {
-	if t := m.View.TargetAt(m.Self); t != nil {
+	if t := m.ownTarget(); t != nil {
 		return t.DataCentre
 	}
 	return m.DataCentre
--- a/core/ownership/offers.go
+++ b/core/ownership/offers.go
@@ -43,7 +43,7 @@
 // takesOffers reports whether the target may be offered flows. One that is
 // warming up is slow and gets flows by its cost only.
 func (m *Machine) takesOffers(now time.Duration) bool {
-	t := m.View.TargetAt(m.Self)
+	t := m.ownTarget()
 	return m.View.Usable() && t != nil && t.WarmupMS <= 0 && !m.silent && !m.outcomes.failing && m.refusalReason(now) == ""
 }
 
@@ -134,7 +134,7 @@
 
 // ownCandidate returns the load of the own target.
 func (m *Machine) ownCandidate(now time.Duration) spread.Candidate {
-	if t := m.View.TargetAt(m.Self); t != nil {
+	if t := m.ownTarget(); t != nil {
 		return m.candidate(now, t)
 	}
 	return spread.Candidate{Agent: m.Self, Slots: m.slots()}
--- a/core/ownership/stats.go
+++ b/core/ownership/stats.go
@@ -257,7 +257,7 @@
 }
 
 func (m *Machine) slots() int {
-	if t := m.View.TargetAt(m.Self); t != nil {
+	if t := m.ownTarget(); t != nil {
 		return t.Slots
 	}
 	return 0
@@ -283,7 +283,7 @@
 		l.Flags |= relay.FlagFailing
 	}
 	// Agents that have not learned of a drain request yet skip the target as well.
-	if t := m.View.TargetAt(m.Self); t != nil && t.State == fleet.Draining || m.ownDrained() {
+	if t := m.ownTarget(); t != nil && t.State == fleet.Draining || m.ownDrained() {
 		l.Flags |= relay.FlagDraining
 	}
 	return l
--- a/core/ownership/table.go
+++ b/core/ownership/table.go
@@ -72,7 +72,7 @@
 // tableRefusal returns why a table does not tell which flows the target holds, or
 // an empty string if it does.
 func (m *Machine) tableRefusal(t *flowtable.Table) string {
-	entry := m.View.TargetAt(m.Self)
+	entry := m.ownTarget()
 	switch {
 	case t.Agent != m.Self || t.Target != m.Target:
 		return "other_target"
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -36,8 +36,8 @@
 		m.startedWithVM = false
 		out.Event(plane.Event{Kind: plane.EventTargetFresh, Reason: "started_with_vm", Value: m.SinceBoot.Milliseconds()})
 	}
-	t := m.View.TargetAt(m.Self)
-	if t == nil || t.Address != m.Target {
+	t := m.ownTarget()
+	if t == nil || t.Address != m.Target || t.Service != m.Service {
 		return
 	}
 	if t.StartUnixMS == m.targetStartUnixMS {
