--- a/core/fleet/services_test.go
+++ b/core/fleet/services_test.go
@@ -196,6 +196,25 @@
 	assert.Assert(t, !v.MayHaveForgottenServices(address))
 }
 
+// Guards against a service to which an address led twice that is forgotten when the
+// retention of the first time ends, at a process that saw both times and at one that
+// missed the second.
+func TestServiceThatIsLeftTwice(t *testing.T) {
+	a, b := &Route{Service: "a"}, &Route{Service: "b"}
+	v, peer := routesOver(a, b, a, b, a), routesOver(a, b, a)
+	now := 5 * time.Second
+	d := v.Since(now, Progress{Revision: 1, Version: peer.Version()})
+	assert.Assert(t, d.Patch != nil)
+	peer.Apply(now, &d)
+	for _, to := range []*View{v, peer} {
+		// b was left at 2 s and at 4 s.
+		to.Expire(2*time.Second + RetiredRouteRetention + time.Millisecond)
+		assert.DeepEqual(t, to.ServicesOf(address), []string{"a", "b"})
+		to.Expire(4*time.Second + RetiredRouteRetention + time.Millisecond)
+		assert.DeepEqual(t, to.ServicesOf(address), []string{"a"})
+	}
+}
+
 // Guards against a patch of a peer of an earlier release, which does not tell the
 // services of the versions that it skips, that counts as all that has happened.
 func TestPatchOfAnEarlierRelease(t *testing.T) {
--- a/core/ownership/nextservice_test.go
+++ b/core/ownership/nextservice_test.go
@@ -225,6 +225,21 @@
 	assert.Assert(t, s.packetsToTargets() > 0 && s.packetsToTargets() <= probeBudget, "%d probes", s.packetsToTargets())
 }
 
+// Guards against the reset of an open flow whose service is no longer named by the
+// version that leads its route elsewhere.
+func TestFlowStaysWhenItsServiceIsNoLongerNamed(t *testing.T) {
+	for owner := byte(firstOther); owner < firstOther+agentsEach; owner++ {
+		s := newSplitCluster(t, routesTo(otherService))
+		s.openAt(owner)
+		view := s.agents[fleettest.Agent(0)].View
+		view.Apply(0, &fleet.Delta{Revision: view.Revision(), Config: &fleet.Config{Version: view.Version() + 1, Routes: routesTo(fleettest.Service), Services: []fleet.Service{{Name: fleettest.Service}}}})
+		assert.Equal(t, len(view.Targets(otherService)), 0)
+		s.send(0, relay.Packet, heldPacket)
+		assert.Equal(t, s.resets, 0)
+		assert.Equal(t, s.toTarget[fleettest.Agent(owner)], 1)
+	}
+}
+
 // Guards against the reset of an open flow of a service that the view has forgotten,
 // because the address has led to too many services since.
 func TestFlowOfForgottenServiceIsNotReset(t *testing.T) {
