fleet, fleetsync: an agent restarted after a loss takes over that nobody knows more

Cause: after the loss all agents find within 0.3 s that nobody knows which entries were removed before. An agent that restarts alone 3 s later asks agents that know 3 s only, which it cannot tell from agents that know little, so it looked for 10 s. Until then its searches cannot ask everybody and probe a few targets only, and the budget of probes is kept by each searcher.

Change: a peer tells that it has settled, unless its view is behind. Three attempts in which all that answer have settled, or started with the agent, settle it. That the agent's own target started with it is still concluded only from peers that started with it.

TestPeersThatHaveSettledSettle and TestEntryOfFirstViewCountsIfAllStartedTogether fail without their parts of it.

--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -14,8 +14,9 @@
 	// valid before the view has begun.
 	since time.Duration
 	begun bool
-	// settled says that the peers that were asked know no more.
-	settled bool
+	// settled says that the peers that were asked know no more. joint says that it is
+	// because they started with the process.
+	settled, joint bool
 	// start is the state that began the history, or ended the last gap, at the time
 	// startedAt. The view itself has followed the changes since.
 	start     Progress
@@ -180,8 +181,20 @@
 	v.removalHistory = removalHistory{since: now - RemovedEntryRetention, begun: true, startedAt: now}
 }
 
-// SettleRemovals records that the peers that were asked know no more removals.
-func (v *View) SettleRemovals() { v.removalHistory.settled, v.removalHistory.gap = true, nil }
+// SettleRemovals records that the peers that were asked know no more removals,
+// because they started with the process.
+func (v *View) SettleRemovals() {
+	v.AdoptSettledRemovals()
+	v.removalHistory.joint = true
+}
+
+// AdoptSettledRemovals records that the peers that were asked know no more removals,
+// and that some of them, which started earlier, have found before that nobody does.
+func (v *View) AdoptSettledRemovals() { v.removalHistory.settled, v.removalHistory.gap = true, nil }
+
+// AllStartedTogether reports whether the removals count as known because the peers
+// that were asked started with the process.
+func (v *View) AllStartedTogether() bool { return v.removalHistory.settled && v.removalHistory.joint }
 
 // HistoryStart returns from which state on the view has followed all changes, and
 // how long ago that was.
@@ -198,11 +211,12 @@
 // of the addresses. The peer that asks has followed the changes since a state some
 // time ago.
 func (v *View) Removals(now time.Duration, start Progress, ago time.Duration) Delta {
-	d := Delta{Epoch: v.epoch, PastServices: v.pastServicesAt(now)}
+	d := Delta{Epoch: v.epoch, PastServices: v.pastServicesAt(now), RemovalsSettled: v.RemovalsSettled()}
 	seen := Progress{v.epoch, max(v.revision, v.floor), v.Version()}
 	isCurrent := !start.AheadOf(seen) || start.Version <= seen.Version && v.Age(now) <= ago
 	if d.RemovalsKnownMS = v.removalHistory.knownMS(now); !isCurrent {
 		d.RemovalsRevision, d.ConfirmedMS = v.revision, int64(min(v.Age(now), time.Hour)/time.Millisecond)
+		d.RemovalsSettled = false
 		if v.revision == 0 {
 			d.RemovalsKnownMS = nil
 		}
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -205,6 +205,9 @@
 	// the time before it of this length, in milliseconds, and the services to which
 	// addresses led in that time.
 	RemovalsKnownMS *int64 `json:"removals_known_ms,omitempty"`
+	// RemovalsSettled says that the sender has taken it, since it started, that no
+	// process knows more removals than it does. Earlier releases do not tell it.
+	RemovalsSettled bool `json:"removals_settled,omitempty"`
 	// RemovalsRevision is set if the sender knows the removals only up to this
 	// revision, because its view is older than the start of the receiver's history.
 	RemovalsRevision uint64 `json:"removals_revision,omitempty"`
--- a/core/ownership/fresh_test.go
+++ b/core/ownership/fresh_test.go
@@ -87,6 +87,10 @@
 			v.Apply(0, &fleet.Delta{Revision: 9, Full: true, Config: &fleet.Config{Version: 1}, ConfigRevision: 1, Changes: []fleet.Change{
 				{ID: "a", Revision: 3, Target: target}, {ID: "b", Revision: 4, Target: warming(1, c.others[0])}, {ID: "c", Revision: 5, Target: warming(2, c.others[1])}}})
 			f.advance(50 * ms)
+			// Peers that started earlier say nothing about the target of this agent,
+			// also if they have settled.
+			v.AdoptSettledRemovals()
+			f.advance(50 * ms)
 			assert.Assert(t, f.mayHoldUnknownFlows(f.now))
 			if c.settled {
 				v.SettleRemovals()
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -41,7 +41,7 @@
 		return
 	}
 	if t.StartUnixMS == m.targetStartUnixMS {
-		if m.unknownFlowsUntil != 0 && m.View.RemovalsSettled() {
+		if m.unknownFlowsUntil != 0 && m.View.AllStartedTogether() {
 			m.checkJointStart(now, t, out)
 		}
 		return
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -110,7 +110,10 @@
 	firstView     chan struct{}
 	firstViewOnce sync.Once
 	// gaps is signalled when the view does not know all removals.
-	gaps chan struct{}
+	gaps    chan struct{}
+	// adoptsSettled says that a peer that started before this process has found that
+	// nobody knows more removals. LearnRemovals alone uses it.
+	adoptsSettled bool
 	// cursor is the position from which the next Watch continues, zero if there is
 	// none. historyLost says that a Snapshot is needed.
 	cursor      fleet.Progress
--- a/node/fleetsync/removals.go
+++ b/node/fleetsync/removals.go
@@ -78,6 +78,7 @@
 // learnRemovals asks peers until the view knows the removals, or nobody knows more.
 func (s *Sync) learnRemovals(ctx context.Context) {
 	asked := map[netip.Addr]bool{}
+	s.adoptsSettled = false
 	for together := 0; ctx.Err() == nil && !s.removalsKnown(); {
 		if s.askForRemovals(ctx, asked) {
 			together++
@@ -144,7 +145,8 @@
 // askForRemovals asks some peers for removed entries, until one of them knows
 // those of the whole retention time. It reports whether the peers that have
 // answered know no more than this process: they started with it or have the same
-// gap. It also does so if there is no peer. It records in asked whom it has asked,
+// gap, or they have found before that nobody knows more. It also does so if there
+// is no peer. It records in asked whom it has asked,
 // and prefers others. If the platform was disturbed recently, it lists few of the
 // agents that run, so those that were asked say nothing about the others.
 func (s *Sync) askForRemovals(ctx context.Context, asked map[netip.Addr]bool) (together bool) {
@@ -157,12 +159,17 @@
 	for _, peer := range peers {
 		asked[peer] = true
 		from := netip.AddrPortFrom(peer, s.PeerPort)
-		known, err := s.pullRemovals(ctx, from)
+		told, err := s.pullRemovals(ctx, from)
 		if err != nil {
 			s.Log.Debug("peer does not tell which entries were removed", telemetry.Peer(from.String()), telemetry.Error(err))
 			continue
 		}
-		answers, longest = answers+1, max(longest, known)
+		answers++
+		if !gap && told.settled && told.known > own+startSpread {
+			s.adoptsSettled = true
+		} else {
+			longest = max(longest, told.known)
+		}
 		if s.removalsKnown() {
 			break
 		}
@@ -180,7 +187,11 @@
 	if _, gap := s.View.HistoryGap(s.Now()); gap {
 		s.Log.Warn("no peer knows the skipped changes; the history counts as complete")
 	}
-	s.View.SettleRemovals()
+	if s.adoptsSettled {
+		s.View.AdoptSettledRemovals()
+	} else {
+		s.View.SettleRemovals()
+	}
 }
 
 func (s *Sync) removalsKnown() bool {
@@ -191,8 +202,7 @@
 
 // removalCandidates returns the peers to ask: agents of the local data centre and
 // one of another, at random, those first that have not been asked. alone reports
-// that there is no other agent in the fleet, and disturbed that the platform was
-// disturbed recently.
+// that there is no other agent in the fleet, and disturbed that the platform was disturbed recently.
 func (s *Sync) removalCandidates(asked map[netip.Addr]bool) (peers []netip.Addr, alone, disturbed bool) {
 	s.Lock.Lock()
 	expected := s.View.ExpectsTargets(s.Now())
@@ -224,9 +234,15 @@
 	return 0
 }
 
-// pullRemovals fetches the removed entries of a peer, and returns for how long
-// before now the peer knows all of them.
-func (s *Sync) pullRemovals(ctx context.Context, from netip.AddrPort) (known time.Duration, err error) {
+// toldRemovals says for how long before now a peer knows all removed entries, and
+// whether it has found that nobody knows more.
+type toldRemovals struct {
+	known   time.Duration
+	settled bool
+}
+
+// pullRemovals fetches the removed entries of a peer.
+func (s *Sync) pullRemovals(ctx context.Context, from netip.AddrPort) (told toldRemovals, err error) {
 	s.Lock.Lock()
 	start, ago := s.View.HistoryStart(s.Now())
 	s.Lock.Unlock()
@@ -235,18 +251,18 @@
 	parameters[queryAge] = strconv.FormatInt(ago.Milliseconds(), 10)
 	d, err := s.get(ctx, from, parameters)
 	if err != nil {
-		return 0, err
+		return told, err
 	}
 	if d.RemovalsKnownMS == nil {
-		return 0, errNoHistory
+		return told, errNoHistory
 	}
 	if progress, _ := s.localProgress(); d.Epoch != progress.Epoch {
 		// The view would ignore the entries.
-		return 0, errOtherEpoch
+		return told, errOtherEpoch
 	}
 	s.apply(d, from.String())
-	s.Log.Info("removed entries learned", telemetry.Peer(from.String()), zap.Int("removed", len(d.Changes)), zap.Int64("known_ms", *d.RemovalsKnownMS))
-	return time.Duration(*d.RemovalsKnownMS) * time.Millisecond, nil
+	s.Log.Info("removed entries learned", telemetry.Peer(from.String()), zap.Int("removed", len(d.Changes)), zap.Int64("known_ms", *d.RemovalsKnownMS), zap.Bool("settled", d.RemovalsSettled))
+	return toldRemovals{time.Duration(*d.RemovalsKnownMS) * time.Millisecond, d.RemovalsSettled}, nil
 }
 
 // removals returns the entries that were removed lately, for a peer that has
--- a/node/fleetsync/removals_test.go
+++ b/node/fleetsync/removals_test.go
@@ -319,3 +319,36 @@
 	assert.NilError(t, err)
 	assert.Assert(t, f.removalsKnown())
 }
+
+// Guards against an agent that is restarted alone after a loss of all processes and
+// waits for 10 s until it takes the removals for known: its searches could not ask
+// everybody, and packets of open flows went to other targets. The others have found
+// meanwhile that nobody knows more.
+func TestPeersThatHaveSettledSettle(t *testing.T) {
+	const age = 3 * time.Second
+	for settled, want := range map[bool]bool{false: false, true: true} {
+		local, remote := startedProcess(t), startedProcess(t)
+		for _, peer := range []*fixture{local, remote} {
+			peer.now = age
+			if settled {
+				peer.View.SettleRemovals()
+			}
+		}
+		f := gapFixture(t, local, remote)
+		f.View = fleet.New()
+		listing := &fleet.Delta{Full: true, Revision: 9, ListingRevision: 9, Config: &fleet.Config{Version: 1}, ConfigRevision: 1}
+		for n := range byte(2) {
+			target := *fleettest.Target(n, fleet.Ready)
+			target.Address, target.DataCentre = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, n + 1}), 80), fmt.Sprint("dc-", n)
+			listing.Changes = append(listing.Changes, fleet.Change{ID: target.ID, Revision: uint64(2 + n), Target: &target})
+		}
+		f.now = 0
+		f.View.Apply(0, listing)
+		assert.Equal(t, f.askForRemovals(t.Context(), map[netip.Addr]bool{}), want)
+		assert.Equal(t, f.adoptsSettled, want)
+		// A peer that has not read what this process has cannot know.
+		ahead := listing.ListingRevision + 1
+		assert.Assert(t, !local.removals(fleet.Progress{Revision: ahead}, 0).RemovalsSettled)
+		assert.Equal(t, local.removals(fleet.Progress{Revision: 9, Version: 1}, 0).RemovalsSettled, settled)
+	}
+}
