fleetsync: a process that lists no other agent asks those that send it packets

Cause: an agent finds the keepers of its flow table in its view. A run that started while the platform listed no target, or did not answer, told no keeper that it ran, and the next run used the table from before it. Flows that were used in between did not match the table, so the agent denied them.

Change: a process whose view lists no other agent remembers who sends it packets. It asks them for the removed entries; the answer also tells when the platform was disturbed, so that the agents of lapsed entries are keepers. Without a view it requests one from them if the platform has not answered for 0.25 s, ten times a second at most.

--- a/core/fleet/delta.go
+++ b/core/fleet/delta.go
@@ -15,10 +15,7 @@
 		after = 0
 	}
 	d := Delta{Epoch: v.epoch, Revision: v.revision, After: after, Full: full, Drains: v.drains.stated(), ConfirmedMS: int64(min(v.Age(now), time.Hour) / time.Millisecond)}
-	if v.wasDisturbed {
-		ms := int64((now - v.disturbedAt) / time.Millisecond)
-		d.DisturbedMS = &ms
-	}
+	d.DisturbedMS = v.disturbedMS(now)
 	entries, complete := v.recentChanges.since(after)
 	if full || !complete {
 		entries = v.entriesAfter(after)
--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -211,7 +211,7 @@
 // of the addresses. The peer that asks has followed the changes since a state some
 // time ago.
 func (v *View) Removals(now time.Duration, start Progress, ago time.Duration) Delta {
-	d := Delta{Epoch: v.epoch, PastServices: v.pastServicesAt(now), RemovalsSettled: v.RemovalsSettled()}
+	d := Delta{Epoch: v.epoch, PastServices: v.pastServicesAt(now), RemovalsSettled: v.RemovalsSettled(), DisturbedMS: v.disturbedMS(now)}
 	seen := Progress{v.epoch, max(v.revision, v.floor), v.Version()}
 	isCurrent := !start.AheadOf(seen) || start.Version <= seen.Version && v.Age(now) <= ago
 	if d.RemovalsKnownMS = v.removalHistory.knownMS(now); !isCurrent {
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -125,6 +125,16 @@
 	}
 }
 
+// disturbedMS returns the time since the platform was last found disturbed, in
+// milliseconds, or nil if it never was.
+func (v *View) disturbedMS(now time.Duration) *int64 {
+	if !v.wasDisturbed {
+		return nil
+	}
+	ms := int64((now - v.disturbedAt) / time.Millisecond)
+	return &ms
+}
+
 // retainLapsed begins the retention time of lapsed entries anew, because their
 // targets get new flows as long as they may be listed again.
 func (v *View) retainLapsed(now time.Duration) {
--- a/core/ownership/openflow_platform_test.go
+++ b/core/ownership/openflow_platform_test.go
@@ -130,9 +130,14 @@
 	removalAnswers int
 	// removalsAsked has the agents that were asked for removals.
 	removalsAsked map[netip.Addr]int
-	failed        bool
-	refusedUntil  time.Duration
-	parentIndex   int
+	// senders has the processes from which datagrams came while the view listed no
+	// other agent.
+	senders                   []netip.Addr
+	adoptsSettled, firstStart bool
+	lastSenderPull            time.Duration
+	failed                    bool
+	refusedUntil              time.Duration
+	parentIndex               int
 	// children maps the processes that asked for the age of the view to the time
 	// of the last request.
 	children map[netip.Addr]time.Duration
@@ -302,6 +307,9 @@
 	gapAttempts           = 10
 	minSettleTime         = 250 * ms
 	maxRemovalsWait       = 10 * time.Second
+	maxSenders            = 4
+	senderPullDelay       = 250 * ms
+	senderPullInterval    = 100 * ms
 	startSpread           = time.Second
 	removalsRetryInterval = 60 * ms
 	gapRetryInterval      = 200 * ms
@@ -322,6 +330,9 @@
 	far := slices.DeleteFunc(slices.Clone(others), func(a netip.Addr) bool { return !isFar(a) })
 	far = far[:min(len(far), max(1, removalPeers-len(near)))]
 	peers := slices.Concat(near[:min(len(near), removalPeers-min(1, len(far)))], far)
+	if len(others) == 0 {
+		peers = s.senders[max(0, len(s.senders)-removalPeers):]
+	}
 	if s.removalsAsked == nil {
 		s.removalsAsked = map[netip.Addr]int{}
 	}
@@ -330,7 +341,7 @@
 	}
 	s.askingRemovals = true
 	own, gap := p.view.HistoryGap(now)
-	a := removalAttempt{alone: len(peers) == 0 && !p.view.ExpectsTargets(now), needed: 1, own: now, disturbed: p.view.RecentlyDisturbed(now)}
+	a := removalAttempt{alone: len(peers) == 0 && !p.view.ExpectsTargets(now), needed: 1, gap: gap, own: now, disturbed: p.view.RecentlyDisturbed(now)}
 	if gap {
 		a.needed, a.own = len(peers), own
 	}
@@ -364,10 +375,12 @@
 }
 
 // removalAttempt is one attempt to learn removals. It counts if the process is
-// alone, or if as many peers as needed have answered and none knew the removals for
-// much longer than this process, which knows them for the time own.
+// alone, or if as many peers as needed have answered and none that has not settled
+// knew the removals for much longer than this process, which knows them for the time
+// own.
 type removalAttempt struct {
 	alone, disturbed bool
+	gap              bool
 	needed, answers  int
 	own, longest     time.Duration
 }
@@ -376,6 +389,21 @@
 	return a.alone || a.answers >= a.needed && a.longest <= a.own+startSpread && !a.disturbed
 }
 
+// noteSender records the sender of a datagram, as in node/fleetsync.
+func (p *process) noteSender(from netip.Addr) {
+	if len(p.view.Agents()) > 1 {
+		return
+	}
+	s := &p.sync
+	s.senders = slices.DeleteFunc(s.senders, func(a netip.Addr) bool { return a == from })
+	s.senders = append(s.senders, from)
+	s.senders = s.senders[max(0, len(s.senders)-maxSenders):]
+	if now := p.now(); !p.view.Usable() && !s.firstStart && now >= senderPullDelay && now-s.lastSenderPull >= senderPullInterval {
+		s.lastSenderPull = now
+		p.fetch(p.w.processes[from])
+	}
+}
+
 // askForRemovals asks peers one after the other.
 func (p *process) askForRemovals(peers []netip.Addr, a removalAttempt) {
 	if len(peers) == 0 || p.view.RemovalsKnown(p.now()) {
@@ -389,8 +417,12 @@
 		case p.view.RemovalsKnown(p.now()):
 			s.removalAnswers = 0
 		case !gap && (s.removalAnswers >= removalAttempts && p.now() >= minSettleTime || p.now() > maxRemovalsWait) || s.removalAnswers >= gapAttempts:
-			p.view.SettleRemovals()
-			s.removalAnswers = 0
+			if s.adoptsSettled {
+				p.view.AdoptSettledRemovals()
+			} else {
+				p.view.SettleRemovals()
+			}
+			s.removalAnswers, s.adoptsSettled = 0, false
 		}
 		p.watchGap()
 		return
@@ -410,7 +442,13 @@
 			p.step(func(now time.Duration) {
 				if d != nil && d.RemovalsKnownMS != nil {
 					p.apply(now, d)
-					a.answers, a.longest = a.answers+1, max(a.longest, time.Duration(*d.RemovalsKnownMS)*ms)
+					a.answers++
+					known := time.Duration(*d.RemovalsKnownMS) * ms
+					if !a.gap && d.RemovalsSettled && known > a.own+startSpread {
+						p.sync.adoptsSettled = true
+					} else {
+						a.longest = max(a.longest, known)
+					}
 				}
 				p.askForRemovals(peers[1:], a)
 			})
--- a/core/ownership/openflow_world_test.go
+++ b/core/ownership/openflow_world_test.go
@@ -222,7 +222,7 @@
 	w := p.w
 	p.incarnation++
 	p.up, p.stopping, p.startedAt, p.frozenUntil, p.backlog = true, false, w.now, 0, nil
-	p.view, p.sync, p.tables = fleet.New(), syncState{}, tableState{}
+	p.view, p.sync, p.tables = fleet.New(), syncState{firstStart: firstStart}, tableState{}
 	if v := p.vm; v != nil {
 		p.tables.kept, p.tables.run = flowtable.NewRetention(), w.Uint64()
 		p.agent = ownership.New(0, ownership.Options{Self: p.ip, DataCentre: p.dataCentre, Service: v.service, Target: netip.AddrPortFrom(v.ip, 80),
@@ -398,6 +398,7 @@
 	if err != nil {
 		panic(err)
 	}
+	p.noteSender(from)
 	if m.Kind == relay.Heartbeat {
 		p.handleHeartbeat(now, from, &m)
 	}
--- a/node/fleetsync/fleetsync.go
+++ b/node/fleetsync/fleetsync.go
@@ -111,6 +111,7 @@
 	firstViewOnce sync.Once
 	// gaps is signalled when the view does not know all removals.
 	gaps    chan struct{}
+	senders senders
 	// adoptsSettled says that a peer that started before this process has found that
 	// nobody knows more removals. LearnRemovals alone uses it.
 	adoptsSettled bool
--- a/node/fleetsync/removals.go
+++ b/node/fleetsync/removals.go
@@ -201,8 +201,9 @@
 }
 
 // removalCandidates returns the peers to ask: agents of the local data centre and
-// one of another, at random, those first that have not been asked. alone reports
-// that there is no other agent in the fleet, and disturbed that the platform was disturbed recently.
+// one of another, at random, those first that have not been asked. If no agent is
+// listed, they are the processes from which datagrams have come. alone reports that
+// there is no other process, and disturbed that the platform was disturbed recently.
 func (s *Sync) removalCandidates(asked map[netip.Addr]bool) (peers []netip.Addr, alone, disturbed bool) {
 	s.Lock.Lock()
 	expected := s.View.ExpectsTargets(s.Now())
@@ -217,6 +218,9 @@
 			far = append(far, a)
 		}
 	}
+	if len(near)+len(far) == 0 {
+		far = slices.Clone(s.senders.recent)
+	}
 	s.Lock.Unlock()
 	for _, list := range [][]netip.Addr{near, far} {
 		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
--- a/node/fleetsync/removals_test.go
+++ b/node/fleetsync/removals_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -320,6 +321,40 @@
 	assert.Assert(t, f.removalsKnown())
 }
 
+// Guards against an agent that starts while the platform lists no target, as after an
+// outage, and learns of no other agent, although a process that sends it packets knows
+// them: no keeper learned that this run exists, and the next run used the flow table
+// from before it.
+func TestSenderIsAskedIfNoAgentIsListed(t *testing.T) {
+	sender := longRunningPeer(20 * time.Second)
+	sender.View.RecordDisturbance(sender.now - time.Second)
+	server := httptest.NewServer(sender)
+	defer server.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	f := newFixture(0)
+	f.View, f.PeerPort, f.Self = fleet.New(), address.Port(), fleettest.Agent(0)
+	f.platform.delta.Config, f.platform.delta.ConfigRevision = &fleet.Config{Version: 1}, 1
+	_, _, err := f.call(t.Context(), 0)
+	assert.NilError(t, err)
+	f.NoteSender(address.Addr())
+	f.askForRemovals(t.Context(), map[netip.Addr]bool{})
+	assert.Assert(t, f.removalsKnown())
+	lapsed := f.View.LapsedAgents(f.now)
+	assert.Equal(t, len(lapsed), 1)
+	assert.Equal(t, lapsed[0].VM, fleettest.Agent(1))
+	// Without an answer the process does not count as alone.
+	server.Close()
+	f.View = fleet.New()
+	f.now = fleet.ReturnGrace + time.Millisecond
+	assert.Assert(t, !f.askForRemovals(t.Context(), map[netip.Addr]bool{}))
+	// Listed agents are asked in place of senders.
+	f.View = fleettest.View(0, fleettest.Ready(3)...)
+	f.NoteSender(netip.MustParseAddr("10.1.0.99"))
+	assert.Equal(t, len(f.senders.recent), 1)
+	peers, _, _ := f.removalCandidates(map[netip.Addr]bool{})
+	assert.Assert(t, !slices.Contains(peers, address.Addr()))
+}
+
 // Guards against an agent that is restarted alone after a loss of all processes and
 // waits for 10 s until it takes the removals for known: its searches could not ask
 // everybody, and packets of open flows went to other targets. The others have found
@@ -352,3 +387,56 @@
 		assert.Equal(t, local.removals(fleet.Progress{Revision: 9, Version: 1}, 0).RemovalsSettled, settled)
 	}
 }
+
+// Guards against a process that restarts in an outage of the platform and has no view
+// until the end, although those that send it packets have one. Such a run of an agent
+// handed its flow table to nobody.
+func TestSenderGivesItsViewInAnOutage(t *testing.T) {
+	sender := newFixture(0)
+	sender.View = fleettest.View(0, fleettest.Ready(3)...)
+	server := httptest.NewServer(sender)
+	defer server.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	f := newFixture(0)
+	f.FirstStart, f.PeerPort, f.now = false, address.Port(), senderPullDelay-time.Millisecond
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- f.FetchFromPeers(ctx) }()
+	note := func() {
+		f.Lock.Lock()
+		defer f.Lock.Unlock()
+		f.NoteSender(address.Addr())
+	}
+	usable := func() bool {
+		f.Lock.Lock()
+		defer f.Lock.Unlock()
+		return f.View.Usable()
+	}
+	// The platform may still answer.
+	note()
+	assert.Equal(t, len(f.hints), 0)
+	f.Lock.Lock()
+	f.now = senderPullDelay
+	f.Lock.Unlock()
+	note()
+	for end := time.Now().Add(5 * time.Second); !usable() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-ended
+	assert.Equal(t, len(f.View.Targets(fleettest.Service)), 3)
+	assert.Equal(t, f.pulls.Get(), uint64(1))
+	// Packets come much more often than a view may be requested.
+	g := newFixture(0)
+	g.FirstStart, g.now = false, senderPullDelay
+	for range 2000 {
+		g.now += 100 * time.Microsecond
+		g.NoteSender(address.Addr())
+		select {
+		case <-g.hints:
+			g.pulls.Inc()
+		default:
+		}
+	}
+	assert.Equal(t, g.pulls.Get(), uint64(2))
+}
--- a/node/packetplane/flowtables_test.go
+++ b/node/packetplane/flowtables_test.go
@@ -19,6 +19,7 @@
 	"trefoilweir.example/core/ownership"
 	"trefoilweir.example/core/plane"
 	"trefoilweir.example/core/relay"
+	"trefoilweir.example/node/fleetsync"
 	"trefoilweir.example/node/telemetry"
 )
 
@@ -61,6 +62,7 @@
 	p.mu.Unlock()
 	mux := http.NewServeMux()
 	mux.Handle(PathFlows, a.tables)
+	mux.Handle(fleetsync.PathFleet, p.sync)
 	ctx, cancel := context.WithCancel(f.Context())
 	ended := make(chan error, 2)
 	go func() { ended <- serveHTTP(netip.AddrPortFrom(s.IP, f.port), mux)(ctx) }()
--- a/node/packetplane/sockets.go
+++ b/node/packetplane/sockets.go
@@ -98,6 +98,7 @@
 		return
 	}
 	peer := from.Addr().Unmap()
+	p.sync.NoteSender(peer)
 	if m.Kind == relay.Heartbeat {
 		p.sync.HandleHeartbeat(peer, m.Progress, m.Age)
 		if m.Load.Flags&relay.FlagReplyRequested != 0 {
