fleetsync: what a sender does not know says nothing about the agents

Change: senders are asked after the agents, as long as the removals are not known, and only what they tell counts. An agent takes over that nobody knows more only if all peers that it asked in an attempt have answered and settled, three times in turn.

Result: TestSenderThatKnowsLittleDoesNotSettle and TestPeersThatHaveSettledSettle fail without their parts.

--- a/core/ownership/openflow_platform_test.go
+++ b/core/ownership/openflow_platform_test.go
@@ -130,11 +130,12 @@
 	removalAnswers int
 	// removalsAsked has the agents that were asked for removals.
 	removalsAsked map[netip.Addr]int
-	// senders has the processes from which datagrams came while the view listed no
-	// other agent.
+	// senders has the processes from which datagrams came while the removals were not
+	// known.
 	senders                   []netip.Addr
 	adoptsSettled, firstStart bool
 	lastSenderPull            time.Duration
+	sendersAsked              int
 	failed                    bool
 	refusedUntil              time.Duration
 	parentIndex               int
@@ -330,9 +331,6 @@
 	far := slices.DeleteFunc(slices.Clone(others), func(a netip.Addr) bool { return !isFar(a) })
 	far = far[:min(len(far), max(1, removalPeers-len(near)))]
 	peers := slices.Concat(near[:min(len(near), removalPeers-min(1, len(far)))], far)
-	if len(others) == 0 {
-		peers = s.senders[max(0, len(s.senders)-removalPeers):]
-	}
 	if s.removalsAsked == nil {
 		s.removalsAsked = map[netip.Addr]int{}
 	}
@@ -341,10 +339,15 @@
 	}
 	s.askingRemovals = true
 	own, gap := p.view.HistoryGap(now)
-	a := removalAttempt{alone: len(peers) == 0 && !p.view.ExpectsTargets(now), needed: 1, gap: gap, own: now, disturbed: p.view.RecentlyDisturbed(now)}
+	a := removalAttempt{alone: len(peers) == 0 && len(s.senders) == 0 && !p.view.ExpectsTargets(now), asked: len(peers), needed: 1, gap: gap, own: now, disturbed: p.view.RecentlyDisturbed(now)}
 	if gap {
 		a.needed, a.own = len(peers), own
 	}
+	if n := len(s.senders); n > 0 {
+		a.sender = s.senders[n-1-s.sendersAsked%n]
+		s.sendersAsked++
+		peers = append(slices.Clone(peers), a.sender)
+	}
 	p.askForRemovals(peers, a)
 	if gap {
 		return gapRetryInterval
@@ -381,8 +384,10 @@
 type removalAttempt struct {
 	alone, disturbed bool
 	gap              bool
-	needed, answers  int
-	own, longest     time.Duration
+	// sender is asked last. What it does not know counts for nothing.
+	sender                 netip.Addr
+	asked, needed, answers int
+	own, longest           time.Duration
 }
 
 func (a removalAttempt) counts() bool {
@@ -391,7 +396,7 @@
 
 // noteSender records the sender of a datagram, as in node/fleetsync.
 func (p *process) noteSender(from netip.Addr) {
-	if len(p.view.Agents()) > 1 {
+	if p.view.RemovalsKnown(p.now()) {
 		return
 	}
 	s := &p.sync
@@ -404,13 +409,32 @@
 	}
 }
 
+func (p *process) countAnswer(a *removalAttempt, from netip.Addr, d *fleet.Delta) {
+	known := time.Duration(*d.RemovalsKnownMS) * ms
+	switch {
+	case from == a.sender:
+		return
+	case !a.gap && d.RemovalsSettled && known > a.own+startSpread:
+		p.sync.adoptsSettled = true
+	default:
+		a.longest = max(a.longest, known)
+	}
+	a.answers++
+}
+
 // askForRemovals asks peers one after the other.
 func (p *process) askForRemovals(peers []netip.Addr, a removalAttempt) {
 	if len(peers) == 0 || p.view.RemovalsKnown(p.now()) {
 		s := &p.sync
 		s.askingRemovals = false
-		if a.counts() {
+		if s.adoptsSettled {
+			a.needed = a.asked
+		}
+		switch {
+		case a.counts():
 			s.removalAnswers++
+		case s.adoptsSettled:
+			s.removalAnswers, s.adoptsSettled = 0, false
 		}
 		_, gap := p.view.HistoryGap(p.now())
 		switch {
@@ -442,13 +466,7 @@
 			p.step(func(now time.Duration) {
 				if d != nil && d.RemovalsKnownMS != nil {
 					p.apply(now, d)
-					a.answers++
-					known := time.Duration(*d.RemovalsKnownMS) * ms
-					if !a.gap && d.RemovalsSettled && known > a.own+startSpread {
-						p.sync.adoptsSettled = true
-					} else {
-						a.longest = max(a.longest, known)
-					}
+					p.countAnswer(&a, peer.ip, d)
 				}
 				p.askForRemovals(peers[1:], a)
 			})
--- a/node/fleetsync/removals.go
+++ b/node/fleetsync/removals.go
@@ -80,8 +80,12 @@
 	asked := map[netip.Addr]bool{}
 	s.adoptsSettled = false
 	for together := 0; ctx.Err() == nil && !s.removalsKnown(); {
-		if s.askForRemovals(ctx, asked) {
+		switch {
+		case s.askForRemovals(ctx, asked):
 			together++
+		case s.adoptsSettled:
+			// Some peer knows more and has not settled, or did not answer.
+			together, s.adoptsSettled = 0, false
 		}
 		s.watchGap(ctx)
 		_, gap := s.historyGap()
@@ -145,8 +149,8 @@
 // askForRemovals asks some peers for removed entries, until one of them knows
 // those of the whole retention time. It reports whether the peers that have
 // answered know no more than this process: they started with it or have the same
-// gap, or they have found before that nobody knows more. It also does so if there
-// is no peer. It records in asked whom it has asked,
+// gap, or all that were asked have found before that nobody knows more. It also does
+// so if there is no other process. It records in asked whom it has asked,
 // and prefers others. If the platform was disturbed recently, it lists few of the
 // agents that run, so those that were asked say nothing about the others.
 func (s *Sync) askForRemovals(ctx context.Context, asked map[netip.Addr]bool) (together bool) {
@@ -174,8 +178,9 @@
 			break
 		}
 	}
+	s.askSender(ctx)
 	needed := 1
-	if gap {
+	if gap || s.adoptsSettled {
 		needed = len(peers)
 	}
 	return alone || answers >= needed && longest <= own+startSpread && !disturbed
@@ -201,8 +206,7 @@
 }
 
 // removalCandidates returns the peers to ask: agents of the local data centre and
-// one of another, at random, those first that have not been asked. If no agent is
-// listed, they are the processes from which datagrams have come. alone reports that
+// one of another, at random, those first that have not been asked. alone reports that
 // there is no other process, and disturbed that the platform was disturbed recently.
 func (s *Sync) removalCandidates(asked map[netip.Addr]bool) (peers []netip.Addr, alone, disturbed bool) {
 	s.Lock.Lock()
@@ -218,9 +222,7 @@
 			far = append(far, a)
 		}
 	}
-	if len(near)+len(far) == 0 {
-		far = slices.Clone(s.senders.recent)
-	}
+	heard := len(s.senders.recent) > 0
 	s.Lock.Unlock()
 	for _, list := range [][]netip.Addr{near, far} {
 		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
@@ -228,7 +230,7 @@
 	}
 	elsewhere := far[:min(len(far), max(1, removalPeers-len(near)))]
 	peers = slices.Concat(near[:min(len(near), removalPeers-min(1, len(elsewhere)))], elsewhere)
-	return peers, len(peers) == 0 && !expected, disturbed
+	return peers, len(peers) == 0 && !expected && !heard, disturbed
 }
 
 func btoi(b bool) int {
--- a/node/fleetsync/removals_test.go
+++ b/node/fleetsync/removals_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -342,17 +341,43 @@
 	lapsed := f.View.LapsedAgents(f.now)
 	assert.Equal(t, len(lapsed), 1)
 	assert.Equal(t, lapsed[0].VM, fleettest.Agent(1))
+	// A process that knows the removals notes no sender.
+	f.NoteSender(netip.MustParseAddr("10.1.0.99"))
+	assert.Equal(t, len(f.senders.recent), 1)
 	// Without an answer the process does not count as alone.
 	server.Close()
 	f.View = fleet.New()
 	f.now = fleet.ReturnGrace + time.Millisecond
 	assert.Assert(t, !f.askForRemovals(t.Context(), map[netip.Addr]bool{}))
-	// Listed agents are asked in place of senders.
-	f.View = fleettest.View(0, fleettest.Ready(3)...)
+}
+
+// Guards against an agent that settles because a balancer that has just started knows
+// no more than it does, while the platform lists no other agent.
+func TestSenderThatKnowsLittleDoesNotSettle(t *testing.T) {
+	sender := startedProcess(t)
+	server := httptest.NewServer(sender)
+	defer server.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	f := newFixture(1)
+	f.View, f.PeerPort, f.Self = fleet.New(), address.Port(), fleettest.Agent(0)
+	f.platform.delta.Config, f.platform.delta.ConfigRevision = &fleet.Config{Version: 1}, 1
+	_, _, err := f.call(t.Context(), 0)
+	assert.NilError(t, err)
+	f.NoteSender(address.Addr())
+	for _, now := range []time.Duration{100 * time.Millisecond, fleet.ReturnGrace + time.Millisecond} {
+		f.now = now
+		assert.Assert(t, !f.askForRemovals(t.Context(), map[netip.Addr]bool{}))
+	}
+	// Of several senders each is asked in turn.
+	f.NoteSender(netip.MustParseAddr("10.1.0.98"))
 	f.NoteSender(netip.MustParseAddr("10.1.0.99"))
-	assert.Equal(t, len(f.senders.recent), 1)
-	peers, _, _ := f.removalCandidates(map[netip.Addr]bool{})
-	assert.Assert(t, !slices.Contains(peers, address.Addr()))
+	asked := map[netip.AddrPort]bool{}
+	for range 3 {
+		from, ok := f.nextSender()
+		assert.Assert(t, ok)
+		asked[from] = true
+	}
+	assert.Equal(t, len(asked), 3)
 }
 
 // Guards against an agent that is restarted alone after a loss of all processes and
@@ -361,15 +386,23 @@
 // meanwhile that nobody knows more.
 func TestPeersThatHaveSettledSettle(t *testing.T) {
 	const age = 3 * time.Second
-	for settled, want := range map[bool]bool{false: false, true: true} {
+	for _, c := range []struct{ local, remote, remoteAnswers, want bool }{
+		{false, false, true, false}, {true, true, true, true},
+		// One peer knows more and has not settled, or may know more.
+		{true, false, true, false}, {false, true, true, false}, {true, true, false, false},
+	} {
 		local, remote := startedProcess(t), startedProcess(t)
-		for _, peer := range []*fixture{local, remote} {
+		for peer, settled := range map[*fixture]bool{local: c.local, remote: c.remote} {
 			peer.now = age
 			if settled {
 				peer.View.SettleRemovals()
 			}
 		}
-		f := gapFixture(t, local, remote)
+		var elsewhere http.Handler = remote
+		if !c.remoteAnswers {
+			elsewhere = http.NotFoundHandler()
+		}
+		f := gapFixture(t, local, elsewhere)
 		f.View = fleet.New()
 		listing := &fleet.Delta{Full: true, Revision: 9, ListingRevision: 9, Config: &fleet.Config{Version: 1}, ConfigRevision: 1}
 		for n := range byte(2) {
@@ -379,12 +412,11 @@
 		}
 		f.now = 0
 		f.View.Apply(0, listing)
-		assert.Equal(t, f.askForRemovals(t.Context(), map[netip.Addr]bool{}), want)
-		assert.Equal(t, f.adoptsSettled, want)
+		assert.Equal(t, f.askForRemovals(t.Context(), map[netip.Addr]bool{}), c.want, "%+v", c)
 		// A peer that has not read what this process has cannot know.
 		ahead := listing.ListingRevision + 1
 		assert.Assert(t, !local.removals(fleet.Progress{Revision: ahead}, 0).RemovalsSettled)
-		assert.Equal(t, local.removals(fleet.Progress{Revision: 9, Version: 1}, 0).RemovalsSettled, settled)
+		assert.Equal(t, local.removals(fleet.Progress{Revision: 9, Version: 1}, 0).RemovalsSettled, c.local)
 	}
 }
 
@@ -398,7 +430,7 @@
 	defer server.Close()
 	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 	f := newFixture(0)
-	f.FirstStart, f.PeerPort, f.now = false, address.Port(), senderPullDelay-time.Millisecond
+	f.View, f.FirstStart, f.PeerPort, f.now = fleet.New(), false, address.Port(), senderPullDelay-time.Millisecond
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error)
 	go func() { ended <- f.FetchFromPeers(ctx) }()
@@ -428,7 +460,7 @@
 	assert.Equal(t, f.pulls.Get(), uint64(1))
 	// Packets come much more often than a view may be requested.
 	g := newFixture(0)
-	g.FirstStart, g.now = false, senderPullDelay
+	g.View, g.FirstStart, g.now = fleet.New(), false, senderPullDelay
 	for range 2000 {
 		g.now += 100 * time.Microsecond
 		g.NoteSender(address.Addr())
--- a/node/fleetsync/senders.go
+++ b/node/fleetsync/senders.go
@@ -1,15 +1,18 @@
 package fleetsync
 
 import (
+	"context"
 	"net/netip"
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
 	"trefoilweir.example/core/fleet"
+	"trefoilweir.example/node/telemetry"
 )
 
 const (
-	// maxSenders bounds the processes that are kept in place of listed agents.
+	// maxSenders bounds the senders that are kept.
 	maxSenders = 4
 	// senderPullDelay is how long after its start a process without a view begins to
 	// request one from processes that send it packets: the platform answers sooner
@@ -18,20 +21,22 @@
 	senderPullInterval = 100 * time.Millisecond
 )
 
-// senders has the processes from which datagrams came while the view listed no other
-// agent. A process that starts in an outage of the platform, or right after one in
-// which all entries have lapsed, knows no other process, but those that send it
-// packets know who runs.
+// senders has the processes that have sent datagrams to this one while it did not
+// know which entries were removed. A process that starts in an outage of the platform,
+// or right after one in which entries have lapsed, lists no other process or few, but
+// those that send it packets may know all.
 type senders struct {
 	// recent has the senders, the latest last.
 	recent []netip.Addr
-	// lastPull is when a sender was last asked for its view.
+	// asked counts the requests for removed entries. lastPull is when a sender was
+	// last asked for its view.
+	asked    int
 	lastPull time.Duration
 }
 
 // NoteSender records that a datagram of another process came. The caller holds Lock.
 func (s *Sync) NoteSender(from netip.Addr) {
-	if len(s.View.Agents()) > 1 {
+	if s.View.RemovalsKnown(s.Now()) {
 		return
 	}
 	recent := slices.DeleteFunc(s.senders.recent, func(a netip.Addr) bool { return a == from })
@@ -57,3 +62,28 @@
 		// A fetch is pending.
 	}
 }
+
+// askSender asks one sender for removed entries, each in turn, unless all are known.
+// What it tells is used, but what it does not know says nothing about the agents.
+func (s *Sync) askSender(ctx context.Context) {
+	from, ok := s.nextSender()
+	if !ok || s.removalsKnown() {
+		return
+	}
+	if _, err := s.pullRemovals(ctx, from); err != nil {
+		s.Log.Debug("sender does not tell which entries were removed", telemetry.Peer(from.String()), zap.Error(err))
+	}
+}
+
+// nextSender returns the next sender to ask, the latest first, and whether there is one.
+func (s *Sync) nextSender() (from netip.AddrPort, ok bool) {
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	recent := s.senders.recent
+	if len(recent) == 0 {
+		return from, false
+	}
+	a := recent[len(recent)-1-s.senders.asked%len(recent)]
+	s.senders.asked++
+	return netip.AddrPortFrom(a, s.PeerPort), true
+}
