--- a/core/fleet/removals.go
+++ b/core/fleet/removals.go
@@ -111,15 +111,15 @@
 		return false
 	case d.Epoch < v.epoch:
 		return d.configVersion() > v.Version()
-	case d.hidesVersions():
+	case d.omitsVersions():
 		return v.config != nil && d.configVersion() > v.Version()
 	}
 	return d.Full && (d.Epoch > v.epoch || d.listedAt() > v.revision)
 }
 
-// hidesVersions reports whether a delta is of a peer of a release that does not tell
+// omitsVersions reports whether a delta is of a peer of a release that does not tell
 // the services of the versions between that of the receiver and its own.
-func (d *Delta) hidesVersions() bool {
+func (d *Delta) omitsVersions() bool {
 	return !d.Full && d.After == 0 && d.WatchedAfter == 0 && d.PastServices == nil
 }
 
--- a/core/fleet/usable.go
+++ b/core/fleet/usable.go
@@ -24,17 +24,17 @@
 	maxStartLead = 24 * time.Hour
 )
 
-// notOneVM has the addresses that no single VM can have.
-var notOneVM = []netip.Prefix{
+// nonUnicast has the addresses that no VM can have.
+var nonUnicast = []netip.Prefix{
 	netip.MustParsePrefix("0.0.0.0/8"),
 	netip.MustParsePrefix("224.0.0.0/4"),
 	netip.MustParsePrefix("255.255.255.255/32"),
 }
 
 var (
-	errNoPort   = errors.New("has port 0")
-	errNotOneVM = errors.New("is not the address of one VM")
-	errTooLong  = fmt.Errorf("is longer than %d bytes", maxNameLen)
+	errNoPort     = errors.New("has port 0")
+	errNotUnicast = errors.New("is not a unicast address")
+	errTooLong    = fmt.Errorf("is longer than %d bytes", maxNameLen)
 )
 
 // CheckUsable returns an error that names the field if a process cannot use the
@@ -64,8 +64,8 @@
 		return errNotIPv4
 	case a.Port() == 0:
 		return errNoPort
-	case slices.ContainsFunc(notOneVM, func(p netip.Prefix) bool { return p.Contains(a.Addr()) }):
-		return errNotOneVM
+	case slices.ContainsFunc(nonUnicast, func(p netip.Prefix) bool { return p.Contains(a.Addr()) }):
+		return errNotUnicast
 	}
 	return nil
 }
--- a/lab/kvstore/phantom_test.go
+++ b/lab/kvstore/absentvms_test.go
@@ -10,13 +10,13 @@
 // Guards against versions that come later than applyLimit, because entries of another
 // writer list VMs that do not exist and these are chosen as readers and parents.
 func TestEntriesOfVMsThatDoNotExist(t *testing.T) {
-	const phantoms = 24
+	const absent = 24
 	d := newDeployment(t)
-	for n := range phantoms {
+	for n := range absent {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 10, byte(n + 1)}), 80)
-		d.store.Put(fmt.Sprint("servers/phantom-", n), fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"dc%d","version":"v1","slots":1,"state":"ready","warmup-left-ms":0,"sequence":1,"born":1}`, service, address, n%3))
+		d.store.Put(fmt.Sprint("servers/absent-", n), fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"dc%d","version":"v1","slots":1,"state":"ready","warmup-left-ms":0,"sequence":1,"born":1}`, service, address, n%3))
 	}
-	d.await("the entries", func(p *process) bool { return len(p.view.Targets(service)) == agentCount+phantoms })
+	d.await("the entries", func(p *process) bool { return len(p.view.Targets(service)) == agentCount+absent })
 	for version := 2; version < 5; version++ {
 		d.putRoutes(version)
 		d.awaitVersion(uint64(version))
--- a/lab/rig/demo.go
+++ b/lab/rig/demo.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"syscall"
@@ -37,11 +38,16 @@
 // target is replaced, an agent stops and the routes change.
 func Demo(o Options, load Load) (Report, error) {
 	s := New(o)
+	defer s.Stop()
 	if err := s.Start(); err != nil {
-		s.Stop()
 		return Report{}, err
 	}
-	defer s.Stop()
+	return s.runUnderLoad(load, s.demoSteps)
+}
+
+// runUnderLoad carries out steps while the callers run, and returns the result of
+// the load. The callers go on for demoStepPause after the last step.
+func (s *System) runUnderLoad(load Load, steps func() error) (Report, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	type result struct {
@@ -53,14 +59,11 @@
 		r, err := s.RunLoad(ctx, load)
 		done <- result{r, err}
 	}()
-	err := s.demoSteps()
+	err := steps()
 	time.Sleep(demoStepPause)
 	cancel()
 	r := <-done
-	if err == nil {
-		err = r.err
-	}
-	return r.report, err
+	return r.report, cmp.Or(err, r.err)
 }
 
 func (s *System) demoSteps() error {
--- a/lab/rig/oddentries_test.go
+++ b/lab/rig/oddentries_test.go
@@ -1,7 +1,6 @@
 package rig
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -71,31 +70,21 @@
 	defer s.Stop()
 	putOddEntries(t, s, "start", netip.AddrPortFrom(s.address(zoneOctet, 200), portTarget).String())
 	assert.NilError(t, s.Start())
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	type result struct {
-		report Report
-		err    error
-	}
-	done := make(chan result, 1)
-	go func() {
-		r, err := s.RunLoad(ctx, Load{CallersPerZone: 6, LongFlowsPerZone: 2, MeanPause: 150 * time.Millisecond, WorkMS: 20, Timeout: 2500 * time.Millisecond, Retries: 2})
-		done <- result{r, err}
-	}()
-	time.Sleep(demoStepPause)
-	for i, m := range s.Agents() {
-		putOddEntries(t, s, fmt.Sprint(i), netip.AddrPortFrom(m.IP, portTarget).String())
-	}
-	time.Sleep(demoStepPause)
-	s.Signal(s.Agents()[0], syscall.SIGKILL)
-	time.Sleep(demoStepPause)
-	added, removed := netip.MustParseAddrPort("198.18.0.4:443"), netip.MustParseAddrPort("198.18.0.3:443")
-	assert.NilError(t, s.CheckRoutes(added, removed, "booking"))
-	cancel()
-	r := <-done
-	assert.NilError(t, r.err)
-	assert.Assert(t, !r.report.Failed(), r.report.String()+"\n"+strings.Join(r.report.Notes, "\n"))
-	assert.Assert(t, r.report.Requests > 0)
+	load := Load{CallersPerZone: 6, LongFlowsPerZone: 2, MeanPause: 150 * time.Millisecond, WorkMS: 20, Timeout: 2500 * time.Millisecond, Retries: 2}
+	report, err := s.runUnderLoad(load, func() error {
+		time.Sleep(demoStepPause)
+		for i, m := range s.Agents() {
+			putOddEntries(t, s, fmt.Sprint(i), netip.AddrPortFrom(m.IP, portTarget).String())
+		}
+		time.Sleep(demoStepPause)
+		s.Signal(s.Agents()[0], syscall.SIGKILL)
+		time.Sleep(demoStepPause)
+		added, removed := netip.MustParseAddrPort("198.18.0.4:443"), netip.MustParseAddrPort("198.18.0.3:443")
+		return s.CheckRoutes(added, removed, "booking")
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, !report.Failed(), report.String()+"\n"+strings.Join(report.Notes, "\n"))
+	assert.Assert(t, report.Requests > 0)
 	const minServedShare = 0.95
-	assert.Assert(t, float64(r.report.Finished) >= minServedShare*float64(r.report.Requests), r.report.String())
+	assert.Assert(t, float64(report.Finished) >= minServedShare*float64(report.Requests), report.String())
 }
--- a/lab/rig/zonedrain.go
+++ b/lab/rig/zonedrain.go
@@ -1,7 +1,6 @@
 package rig
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"sync"
@@ -94,18 +93,10 @@
 	if err := s.Start(); err != nil {
 		return Report{}, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	reports, errs := make(chan Report, 1), make(chan error, 1)
-	go func() {
-		r, err := s.RunLoad(ctx, load)
-		reports <- r
-		errs <- err
-	}()
-	s.drainSteps()
-	time.Sleep(demoStepPause)
-	cancel()
-	return <-reports, <-errs
+	return s.runUnderLoad(load, func() error {
+		s.drainSteps()
+		return nil
+	})
 }
 
 func (s *System) drainSteps() {
--- a/node/fleetsync/removals_test.go
+++ b/node/fleetsync/removals_test.go
@@ -186,6 +186,13 @@
 	assert.Equal(t, len(peers), removalPeers)
 }
 
+// peerEntry returns the entry of the target beside peer n, in a data centre of its own.
+func peerEntry(n byte, revision uint64) fleet.Change {
+	target := *fleettest.Target(n, fleet.Ready)
+	target.Address, target.DataCentre = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, n + 1}), 80), fmt.Sprint("dc-", n)
+	return fleet.Change{ID: target.ID, Revision: revision, Target: &target}
+}
+
 // gapFixture returns a process that has followed the changes up to the time now and
 // then got a listing, and a server for each peer, which counts as its own agent.
 // The peers of the first data centre are local.
@@ -205,9 +212,7 @@
 		server.Listener = l
 		server.Start()
 		t.Cleanup(server.Close)
-		target := *fleettest.Target(byte(i), fleet.Ready)
-		target.Address, target.DataCentre = netip.AddrPortFrom(address.Addr(), 80), fmt.Sprint("dc-", i)
-		listing.Changes = append(listing.Changes, fleet.Change{ID: target.ID, Revision: uint64(6 + i), Target: &target})
+		listing.Changes = append(listing.Changes, peerEntry(byte(i), uint64(6+i)))
 	}
 	f.View.Apply(f.now, listing)
 	f.now += time.Second
@@ -406,9 +411,7 @@
 		f.View = fleet.New()
 		listing := &fleet.Delta{Full: true, Revision: 9, ListingRevision: 9, Config: &fleet.Config{Version: 1}, ConfigRevision: 1}
 		for n := range byte(2) {
-			target := *fleettest.Target(n, fleet.Ready)
-			target.Address, target.DataCentre = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, n + 1}), 80), fmt.Sprint("dc-", n)
-			listing.Changes = append(listing.Changes, fleet.Change{ID: target.ID, Revision: uint64(2 + n), Target: &target})
+			listing.Changes = append(listing.Changes, peerEntry(n, uint64(2+n)))
 		}
 		f.now = 0
 		f.View.Apply(0, listing)
--- a/node/packetplane/emptylisting_test.go
+++ b/node/packetplane/emptylisting_test.go
@@ -6,15 +6,10 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 	"trefoilweir.example/core/fleet"
 	"trefoilweir.example/core/fleet/fleettest"
-	"trefoilweir.example/core/flow/flowtest"
-	"trefoilweir.example/core/ownership"
-	"trefoilweir.example/core/plane"
 	"trefoilweir.example/core/relay"
-	"trefoilweir.example/node/telemetry"
 )
 
 // emptyListing is a platform that has routes and lists no target, as right after an
@@ -83,16 +78,10 @@
 
 // startWithSource starts agent n, which reads its view from a platform.
 func (f *tableAgents) startWithSource(n byte, run uint64, source emptyListing) *agent {
-	s := &plane.Settings{IP: agentIP(n), DataCentre: fleettest.DataCentre, Service: fleettest.Service, TargetAddr: netip.AddrPortFrom(agentIP(n), 80), PeerPort: f.port, StopGrace: 6 * time.Second}
-	p, err := newProcess(Options{Settings: s, Source: source, Log: zap.NewNop(), Metrics: telemetry.NewMetrics()}, "agent")
-	assert.NilError(f, err)
-	a := &agent{Process: p, machine: ownership.New(0, ownership.Options{Self: s.IP, DataCentre: s.DataCentre, Service: s.Service, Target: s.TargetAddr, Run: run, AwaitTable: true,
-		Codec: flowtest.Codec{}, View: p.view})}
-	a.tables = newFlowTables(a, run)
-	p.role, p.callerConn = a, p.peerConn
+	a := f.newAgent(n, run, source)
 	ctx, cancel := context.WithCancel(f.Context())
 	f.Cleanup(cancel)
-	for _, loop := range []func(context.Context) error{p.sync.ReadPlatform, p.sync.LearnRemovals, a.tables.restoreLoop} {
+	for _, loop := range []func(context.Context) error{a.sync.ReadPlatform, a.sync.LearnRemovals, a.tables.restoreLoop} {
 		go func() { _ = loop(ctx) }()
 	}
 	return a
--- a/node/packetplane/flowtables_test.go
+++ b/node/packetplane/flowtables_test.go
@@ -46,15 +46,22 @@
 	return f
 }
 
-// start starts agent n with a view. It serves the other agents until end is called.
-func (f *tableAgents) start(n byte, run uint64) (a *agent, end func()) {
+// newAgent returns agent n, which reads a platform if source is not nil.
+func (f *tableAgents) newAgent(n byte, run uint64, source fleetsync.Source) *agent {
 	s := &plane.Settings{IP: agentIP(n), DataCentre: fleettest.DataCentre, Service: fleettest.Service, TargetAddr: netip.AddrPortFrom(agentIP(n), 80), PeerPort: f.port, StopGrace: 6 * time.Second}
-	p, err := newProcess(Options{Settings: s, Log: zap.NewNop(), Metrics: telemetry.NewMetrics()}, "agent")
+	p, err := newProcess(Options{Settings: s, Source: source, Log: zap.NewNop(), Metrics: telemetry.NewMetrics()}, "agent")
 	assert.NilError(f, err)
-	a = &agent{Process: p, machine: ownership.New(0, ownership.Options{Self: s.IP, DataCentre: s.DataCentre, Service: s.Service, Target: s.TargetAddr, Run: run, AwaitTable: true,
+	a := &agent{Process: p, machine: ownership.New(0, ownership.Options{Self: s.IP, DataCentre: s.DataCentre, Service: s.Service, Target: s.TargetAddr, Run: run, AwaitTable: true,
 		Codec: flowtest.Codec{}, View: p.view})}
 	a.tables = newFlowTables(a, run)
 	p.role, p.callerConn = a, p.peerConn
+	return a
+}
+
+// start starts agent n with a view. It serves the other agents until end is called.
+func (f *tableAgents) start(n byte, run uint64) (a *agent, end func()) {
+	a = f.newAgent(n, run, nil)
+	p, s := a.Process, a.Settings
 	p.mu.Lock()
 	p.view.Apply(p.now(), &f.delta)
 	a.machine.Tick(p.now(), &p.out)
