--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -54,10 +54,28 @@
 	sequence int
 	web      *http.Server
 	run      map[string][]string
+	bounds   map[string]any
 	stopped  bool
 	mu       sync.Mutex
 }
 
+// smallBounds are those of rbr-ronde and lutkica-seats, grownBounds those of
+// mtsvane-tbilisi-grown.
+func smallBounds() map[string]any {
+	return map[string]any{"seed-lag-s": 3, "addr-reuse-s": 2, "stable-window-ms": 4000, "ack-timeout-ms": 5000, "catch-up-s": 4, "drain-ms": 3000,
+		"grace-s": 6, "loss-slack-ms": 200, "config-apply-ms": 3000, "downgrade-slack-ms": 250, "max-stretch-ms": 12000, "recovery-s": 12,
+		"reorder-ms": 2000, "flow-ttl-s": 60}
+}
+
+func grownBounds() map[string]any {
+	b := smallBounds()
+	for name, value := range map[string]any{"stable-window-ms": 5000, "ack-timeout-ms": 8000, "catch-up-s": 6, "drain-ms": 5000, "config-apply-ms": 5000,
+		"max-stretch-ms": 15000, "warmup-overrun": 1.5, "warmup-slack": 5, "evacuate-ms": 5000, "recovery-s": 15} {
+		b[name] = value
+	}
+	return b
+}
+
 // deployCommand returns the command of a role in the deploy file.
 func deployCommand(file, role string) ([]string, error) {
 	b, err := os.ReadFile(file)
@@ -168,9 +186,7 @@
 		"node-name": m.name, "role": m.role, "machine-class": "frontend", "ip": m.ip.String(), "zone": m.zone, "region": "region", "zones": zones,
 		"listen": listen, "internal-ports": []int{portPeer, portPeer + 15}, "seed-nodes": []string{}, "bootstrap": bootstrap, "failure-counted": false,
 		"data-dir": nil, "discovery": "platform", "entry-type": "announcement", "heartbeat-ms": 1200,
-		"bounds": map[string]any{"seed-lag-s": 3, "addr-reuse-s": 2, "stable-window-ms": 4000, "ack-timeout-ms": 5000, "catch-up-s": 4, "drain-ms": 3000,
-			"grace-s": 6, "loss-slack-ms": 200, "config-apply-ms": 3000, "downgrade-slack-ms": 250, "max-stretch-ms": 12000, "recovery-s": 12,
-			"reorder-ms": 2000, "flow-ttl-s": 60},
+		"bounds":      d.bounds,
 		"hash-scheme": "mod", "proxy-mode": "agent",
 		"platform": map[string]any{"address": netip.AddrPortFrom(d.addr(9, 1), portStore).String(), "proxy-mode": "read", "reads-per-s": 2000, "history-s": 20, "value-bytes": 1048576},
 	}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -26,7 +26,7 @@
 	file := flag.String("record", "record.txt", "file for the record")
 	flag.Parse()
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(*deployment, bool) (int, error){"stale-config": staleConfig, "stale-drain": staleDrain}
+	cases := map[string]func(*deployment, bool) (int, error){"stale-config": staleConfig, "stale-drain": staleDrain, "stray-probes": strayProbes}
 	run := cases[*name]
 	if run == nil {
 		fmt.Fprintf(os.Stderr, "no case %q\n", *name)
@@ -42,7 +42,7 @@
 	} else {
 		fmt.Println("logs in", dir)
 	}
-	d := &deployment{dir: dir, zones: []string{"zone-a", "zone-b", "zone-c"}, store: newStore(), rec: newRecord()}
+	d := &deployment{dir: dir, zones: []string{"zone-a", "zone-b", "zone-c"}, store: newStore(), rec: newRecord(), bounds: smallBounds()}
 	defer d.stop()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
--- a/review/standin3/record.go
+++ b/review/standin3/record.go
@@ -17,6 +17,13 @@
 	runs  map[string][]ranAt
 	// opened has the servers that took the opening packet of a flow.
 	opened map[netip.AddrPort][]ranAt
+	flows  map[netip.AddrPort]*flowRecord
+}
+
+// flowRecord has the packets of an open flow that reached servers.
+type flowRecord struct {
+	owner       *server
+	own, strays []time.Time
 }
 
 type line struct {
@@ -30,7 +37,7 @@
 }
 
 func newRecord() *record {
-	return &record{began: time.Now(), runs: map[string][]ranAt{}, opened: map[netip.AddrPort][]ranAt{}}
+	return &record{began: time.Now(), runs: map[string][]ranAt{}, opened: map[netip.AddrPort][]ranAt{}, flows: map[netip.AddrPort]*flowRecord{}}
 }
 
 func (r *record) event(format string, args ...any) { r.eventAt(time.Now(), format, args...) }
@@ -60,6 +67,26 @@
 	return append([]ranAt(nil), r.runs[id]...)
 }
 
+// reached records a packet of an open flow at a server, and whether it holds the flow.
+func (r *record) reached(s *server, from netip.AddrPort, holds bool) {
+	r.mu.Lock()
+	f := r.flows[from]
+	if f == nil {
+		f = &flowRecord{}
+		r.flows[from] = f
+	}
+	if holds {
+		f.owner = s
+		f.own = append(f.own, time.Now())
+	} else {
+		f.strays = append(f.strays, time.Now())
+	}
+	r.mu.Unlock()
+	if !holds {
+		r.event("server %s returns a packet of the flow of %s", s.id, from)
+	}
+}
+
 func (r *record) openedAt(from netip.AddrPort) []ranAt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/standin3/server.go
+++ b/review/standin3/server.go
@@ -32,7 +32,6 @@
 
 type serverFlow struct {
 	iss, next, sent uint32
-	opened          bool
 	answered        map[uint32][]byte
 }
 
@@ -97,13 +96,14 @@
 		}
 		s.send((&packet{flags: flagSyn | flagAck, src: p.dst, dst: p.src, seq: f.iss, ack: p.seq + 1}).encode())
 	case f == nil:
+		s.rec.reached(s, p.src, false)
 		b[0] |= flagBounced
 		b[1], b[2], b[3] = 0, 0, 0
 		s.send(b)
 	case p.has(flagRst):
 		delete(s.flows, key)
 	default:
-		f.opened = true
+		s.rec.reached(s, p.src, true)
 		s.data(key, f, p)
 	}
 }
