--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -127,7 +127,6 @@
 			return err
 		}
 	}
-	d.octet = freeOctet()
 	l, err := net.Listen("tcp4", netip.AddrPortFrom(d.addr(9, 1), portStore).String())
 	if err != nil {
 		return err
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -43,6 +43,7 @@
 		fmt.Println("logs in", dir)
 	}
 	d := &deployment{dir: dir, zones: []string{"zone-a", "zone-b", "zone-c"}, store: newStore(), rec: newRecord(), bounds: smallBounds()}
+	d.octet = freeOctet()
 	defer d.stop()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
--- a/review/standin3/staleview.go
+++ b/review/standin3/staleview.go
@@ -46,8 +46,8 @@
 func staleDrain(d *deployment, trouble bool) (int, error) { return staleView(d, trouble, true) }
 
 func staleView(d *deployment, trouble, drain bool) (int, error) {
-	kept := configRoute{"r-kept", "198.18.0.1", "/443/", "safe", "portal"}
-	dropped := configRoute{"r-dropped", "198.18.0.2", "/443/", "safe", "portal"}
+	kept := configRoute{"r-kept", d.addr(8, 1).String(), "/443/", "safe", "portal"}
+	dropped := configRoute{"r-dropped", d.addr(8, 2).String(), "/443/", "safe", "portal"}
 	d.publish(3, []configRoute{kept, dropped})
 	if err := d.start([]int{2, 2, 2}, map[string][]int{"portal": {4, 3, 3}}); err != nil {
 		return cannot, err
@@ -57,7 +57,7 @@
 	}
 	// Traffic starts 10 s after the machines.
 	time.Sleep(8 * time.Second)
-	keptAddr, droppedAddr := netip.MustParseAddrPort("198.18.0.1:443"), netip.MustParseAddrPort("198.18.0.2:443")
+	keptAddr, droppedAddr := netip.AddrPortFrom(d.addr(8, 1), 443), netip.AddrPortFrom(d.addr(8, 2), 443)
 	var sent sync.WaitGroup
 	stop := make(chan struct{})
 	type probe struct {
--- a/review/standin3/strayprobes.go
+++ b/review/standin3/strayprobes.go
@@ -61,7 +61,7 @@
 		return cannot, err
 	}
 	time.Sleep(3 * time.Second)
-	zone, to := d.zones[0], netip.MustParseAddrPort("198.18.0.1:443")
+	zone, to := d.zones[0], netip.AddrPortFrom(d.addr(8, 1), 443)
 	var flows []*idleFlow
 	for n := range idleClients {
 		c, err := startClient(netip.AddrPortFrom(d.addr(100, 1+n), portPackets), zone, d.router, d.rec)
@@ -130,7 +130,7 @@
 		services = append(services, map[string]any{"name": s, "health-path": "/health", "max-conns": 2000, "protocol": "h1", "tls": false, "warmup-s": 2.0, "warmup-per-s": 0.0})
 	}
 	d.store.put("op/config", map[string]any{"version": 3, "services": services, "limits": map[string]int{"idle-timeout-ms": 15000},
-		"routes": []map[string]any{{"name": "r-stream", "host": "198.18.0.1", "prefix": "/443/", "route-type": "safe", "timeout-ms": 3000, "target-latency-ms": 250, "priority": 2,
+		"routes": []map[string]any{{"name": "r-stream", "host": d.addr(8, 1).String(), "prefix": "/443/", "route-type": "safe", "timeout-ms": 3000, "target-latency-ms": 250, "priority": 2,
 			"split": []map[string]any{{"service": "portal", "weight": 90}, {"service": "archive", "weight": 10}}, "max-attempts": 2}}})
 }
 
